--- /dev/null
+++ b/packages/cli/src/radishcourse_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of radishcourse."""
--- /dev/null
+++ b/packages/cli/src/radishcourse_cli/environment.py
@@ -0,0 +1,34 @@
+"""What the command line gets from outside, so that tests can replace it."""
+
+import dataclasses
+import getpass
+import os
+import sys
+import typing
+
+
+@dataclasses.dataclass
+class Environment:
+    """Streams and defaults of a command.
+
+    Attributes:
+      stdout: Results.
+      stderr: Errors and faults.
+      platform: Base URL of the platform.
+      author: Who makes changes, shown to operators who lose a race.
+    """
+
+    stdout: typing.TextIO = sys.stdout
+    stderr: typing.TextIO = sys.stderr
+    platform: str = ''
+    author: str = ''
+
+
+def from_process() -> Environment:
+    """Returns the process's own environment."""
+    return Environment(
+        sys.stdout,
+        sys.stderr,
+        os.environ.get('RADISHCOURSE_PLATFORM', 'http://127.0.0.1:9000'),
+        os.environ.get('RADISHCOURSE_AUTHOR', '') or getpass.getuser(),
+    )
--- /dev/null
+++ b/packages/cli/src/radishcourse_cli/errors.py
@@ -0,0 +1,19 @@
+"""Errors of the command line."""
+
+from radishcourse_model import errors
+
+from radishcourse_cli import status
+
+
+class CommandError(errors.RadishcourseError):
+    """A command that did not succeed.
+
+    Attributes:
+      exit_status: Exit code of the process.
+    """
+
+    code = 'command'
+
+    def __init__(self, message: str, exit_status: status.ExitStatus):
+        super().__init__(message)
+        self.exit_status = exit_status
--- /dev/null
+++ b/packages/model/src/radishcourse_model/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration schema, identifiers and states of radishcourse."""
--- /dev/null
+++ b/packages/model/src/radishcourse_model/faults.py
@@ -0,0 +1,47 @@
+"""Faults found in a configuration folder."""
+
+import dataclasses
+import enum
+
+
+class FaultCode(enum.Enum):
+    """Kinds of faults; the values are printed and stay stable."""
+
+    UNREADABLE = 'CFG001'
+    BAD_UTF8 = 'CFG002'
+    BAD_JSON = 'CFG003'
+    DUPLICATE_KEY = 'CFG004'
+    TOO_LARGE = 'CFG005'
+    TOO_DEEP = 'CFG006'
+    NOT_OBJECT = 'CFG007'
+    NULL_VALUE = 'CFG008'
+    UNKNOWN_KEY = 'CFG101'
+    WRONG_TYPE = 'CFG102'
+    OUT_OF_RANGE = 'CFG103'
+    MISSING_KEY = 'CFG104'
+    BAD_NAME = 'CFG105'
+    UNKNOWN_REFERENCE = 'CFG201'
+    CASCADE_NOT_ALLOWED = 'CFG202'
+    SHARE_SUM = 'CFG203'
+    SESSION_KEYS = 'CFG204'
+    DUPLICATE_VALUE = 'CFG205'
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Fault:
+    """One fault of a configuration folder.
+
+    Attributes:
+      file: Name of the file that set the faulty value.
+      path: JSON path of the value, such as `$.models.small`.
+      code: Kind of fault.
+      message: What is wrong and what is allowed.
+    """
+
+    file: str
+    path: str
+    code: FaultCode = dataclasses.field(compare=False)
+    message: str = dataclasses.field(compare=False)
+
+    def __str__(self) -> str:
+        return f'{self.code.value} {self.file}:{self.path}: {self.message}'
--- /dev/null
+++ b/packages/node/src/radishcourse_node/__init__.py
@@ -0,0 +1,1 @@
+"""The radishcourse router process."""
--- /dev/null
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -0,0 +1,246 @@
+"""Runs model jobs: steps of a cascade, attempts, ratings, escalation."""
+
+import contextlib
+
+import msgspec
+from radishcourse_model import ids
+from radishcourse_model import states
+from radishcourse_policy import cascade as policy
+
+from radishcourse_node import engines
+from radishcourse_node import errors
+from radishcourse_node import events
+from radishcourse_node import guard
+from radishcourse_node import job as jobs
+from radishcourse_node.controllers import upstreams
+
+MAX_ATTEMPTS = 4
+
+
+class Runner:
+    """Runs a model job on the steps that the policy chooses."""
+
+    def __init__(self, node):
+        self._node = node
+        self._clock = node.environment.clock
+        self._configuration = node.configuration
+        self._upstreams = node.upstreams
+        self._quality = node.quality
+        self._ratings = node.ratings
+        self._versions = node.versions
+        self._guard = guard.Guard(node)
+
+    async def run(self, job: jobs.Job) -> jobs.Answer:
+        """Returns the answer to a job.
+
+        Raises:
+          Refusal: No step gave an answer.
+        """
+        choice = self._choose(job)
+        if job.streamed:
+            return await self._run_streamed(job, choice.index)
+        return await self._run_whole(job, choice)
+
+    def _choose(self, job: jobs.Job) -> policy.Choice:
+        return policy.choose(
+            self._quality.describe(job),
+            job.kind.quality_target,
+            job.deadline - self._clock.now(),
+            job.streamed,
+            self._ratings.works,
+        )
+
+    async def _run_whole(
+        self, job: jobs.Job, choice: policy.Choice
+    ) -> jobs.Answer:
+        facts = jobs.Facts()
+        whole = None
+        for index in range(choice.index, len(job.steps)):
+            try:
+                whole = await self._attempt_whole(job, index, facts)
+            except errors.Refusal:
+                # An answer below the target is worth more than none.
+                if whole is None:
+                    raise
+                break
+            last = index == len(job.steps) - 1
+            good = await self._rate(job, whole, facts, choice.rate or last)
+            if last or good:
+                break
+            if not self._time_for_next(job, index):
+                break
+            events.log(
+                events.Event.STEP_ESCALATED,
+                request=job.request_id,
+                model=facts.model,
+                rating=facts.rating,
+            )
+        facts.outcome = states.Outcome.COMPLETED
+        return jobs.Answer(
+            200, {'content-type': 'application/json'}, whole.body, None, facts
+        )
+
+    def _time_for_next(self, job: jobs.Job, index: int) -> bool:
+        following = self._quality.describe(job)[index + 1]
+        left = job.deadline - self._clock.now()
+        return following.seconds <= left
+
+    async def _rate(self, job, whole, facts, wanted: bool) -> bool:
+        if not wanted or len(job.steps) == 1:
+            return True
+        rating = await self._ratings.rate(job, whole.content)
+        facts.rating = rating
+        if rating is None:
+            return False
+        good = rating >= self._ratings.GOOD
+        self._quality.note(job, facts.model, facts.version, good)
+        return good
+
+    async def _attempt_whole(
+        self, job: jobs.Job, index: int, facts: jobs.Facts
+    ) -> engines.Whole:
+        attempted = jobs.Facts()
+        tried: set[ids.UpstreamId] = set()
+        for attempt in range(MAX_ATTEMPTS):
+            try:
+                async with self._open(
+                    job, job.steps[index], attempted, tried
+                ) as opened:
+                    response, call = opened
+                    body = await response.aread()
+                    whole = engines.decode_whole(body, call.request_id)
+            except errors.AttemptError as error:
+                self._note_failure(job, attempted, error)
+                if not self._may_retry(job, attempted, attempt):
+                    raise _failed(error) from error
+                continue
+            facts.take_over(attempted)
+            self._charge(facts, whole.tokens)
+            return whole
+        raise AssertionError('the last attempt returns or raises')
+
+    async def _run_streamed(self, job: jobs.Job, index: int) -> jobs.Answer:
+        facts = jobs.Facts(steps=1)
+        tried: set[ids.UpstreamId] = set()
+        for attempt in range(MAX_ATTEMPTS):
+            stream = self._events(job, job.steps[index], facts, tried)
+            try:
+                first = await anext(stream)
+            except errors.AttemptError as error:
+                self._note_failure(job, facts, error)
+                if not self._may_retry(job, facts, attempt):
+                    raise _failed(error) from error
+                continue
+            headers = {'content-type': 'text/event-stream'}
+            whole = _prepend(first, stream)
+            return jobs.Answer(200, headers, b'', whole, facts)
+        raise AssertionError('the last attempt returns or raises')
+
+    async def _events(self, job, model, facts, tried):
+        async with self._open(job, model, facts, tried) as opened:
+            response, call = opened
+            reader = engines.StreamReader(call.request_id)
+            chunks = response.aiter_stream()
+            async for chunk in chunks:
+                part = reader.feed(chunk)
+                if part:
+                    yield part
+                if self._clock.now() > job.deadline:
+                    raise errors.AttemptError('deadline passed', sent=True)
+            reader.finish()
+            self._charge(facts, reader.tokens)
+            facts.outcome = states.Outcome.COMPLETED
+
+    @contextlib.asynccontextmanager
+    async def _open(self, job, model, facts, tried):
+        self._guard.check_view(job)
+        version = self._versions.choose(job, model)
+        if not self._guard.allows_version(job, model, version):
+            raise errors.Refusal(
+                errors.RefusalCode.MODEL_NOT_ALLOWED,
+                f'{model}/{version} is not allowed',
+            )
+        async with self._upstreams.reserve(
+            job, model, version, tried, self._guard.allows_upstream
+        ) as upstream:
+            tried.add(upstream.upstream_id)
+            facts.model, facts.version = model, version
+            facts.upstream = upstream.upstream_id
+            facts.revision = self._configuration.revision
+            # Waiting for the reservation may have taken long.
+            self._guard.check_view(job)
+            if not self._guard.allows_version(job, model, version):
+                raise errors.Refusal(
+                    errors.RefusalCode.MODEL_NOT_ALLOWED,
+                    f'{model}/{version} is not allowed any more',
+                )
+            call = _make_call(job, model, version, len(tried))
+            async with self._request(job, upstream, call) as response:
+                yield response, call
+
+    @contextlib.asynccontextmanager
+    async def _request(self, job, upstream: upstreams.Reservation, call):
+        async with engines.open_response(
+            upstream.pool,
+            'POST',
+            f'http://{upstream.address}/v1/chat/completions',
+            [(b'content-type', b'application/json')],
+            msgspec.json.encode(call),
+            max(0.001, job.deadline - self._clock.now()),
+        ) as response:
+            job.sent = True
+            upstream.note_signs(engines.read_signs(response))
+            engines.check_status(response)
+            yield response
+
+    def _note_failure(self, job, facts, error: errors.AttemptError) -> None:
+        job.sent = job.sent or error.sent
+        self._upstreams.note_failure(facts.upstream, error)
+        events.log(
+            events.Event.ATTEMPT_FAILED,
+            request=job.request_id,
+            upstream=facts.upstream,
+            sent=error.sent,
+            error=str(error),
+        )
+
+    def _may_retry(self, job: jobs.Job, facts, attempt: int) -> bool:
+        if attempt + 1 >= MAX_ATTEMPTS or self._clock.now() >= job.deadline:
+            return False
+        return self._upstreams.spend_retry(job.organisation_id, facts.upstream)
+
+    def _charge(self, facts: jobs.Facts, tokens: int) -> None:
+        models = self._configuration.config.models
+        version = models[facts.model].versions[facts.version]
+        by_tokens = -(-tokens * version.cost_per_1k_tokens // 1000)
+        facts.cost += version.cost_per_job + by_tokens
+        facts.tokens = tokens
+
+
+def _make_call(job, model, version, attempt: int) -> engines.Call:
+    return engines.Call(
+        request_id=f'{job.request_id}-{attempt}',
+        model=model,
+        version=version,
+        messages=job.chat.messages,
+        max_tokens=job.chat.max_tokens,
+        stream=job.chat.stream,
+        priority=job.kind.priority,
+    )
+
+
+async def _prepend(first: bytes, rest):
+    try:
+        yield first
+        async for part in rest:
+            yield part
+    finally:
+        await rest.aclose()
+
+
+def _failed(error: errors.AttemptError) -> errors.Refusal:
+    if not error.sent:
+        return errors.Refusal(
+            errors.RefusalCode.NO_UPSTREAM, str(error), retry_after_s=1
+        )
+    return errors.Refusal(errors.RefusalCode.UPSTREAM_FAILED, str(error))
--- /dev/null
+++ b/packages/node/src/radishcourse_node/events.py
@@ -0,0 +1,58 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue."""
+
+import enum
+import json
+import typing
+
+import eliot
+
+
+class Event(enum.Enum):
+    """Events by number: 1xx process, 2xx configuration, 3xx membership,
+    4xx upstreams, 5xx requests, 6xx bills and claims, 7xx decisions.
+    """  # noqa: D205
+
+    NODE_STARTED = 101
+    NODE_READY = 102
+    NODE_DRAINING = 103
+    NODE_STOPPED = 104
+    TASK_FAILED = 105
+    REVISION_IN_FORCE = 201
+    REVISION_REJECTED = 202
+    VIEW_CHANGED = 203
+    PLATFORM_FAILED = 204
+    MEMBER_CHANGED = 301
+    PEER_REJECTED = 302
+    LEASE_ACQUIRED = 303
+    LEASE_LOST = 304
+    UPSTREAM_CHANGED = 401
+    PERMIT_REFUSED = 402
+    ORDER_SENT = 403
+    REQUEST_REFUSED = 501
+    ATTEMPT_FAILED = 502
+    ANSWER_INTERRUPTED = 503
+    REQUEST_FAILED = 504
+    BILLS_FLUSHED = 601
+    BILL_FLUSH_FAILED = 602
+    BILLS_AT_RISK = 603
+    CLAIM_RESOLVED = 604
+    ROLLOUT_CHANGED = 701
+    STEP_ESCALATED = 702
+    RATING_FAILED = 703
+
+
+def log(event: Event, **fields: object) -> None:
+    """Writes one event with its number."""
+    eliot.log_message(
+        message_type=event.name.lower(), event=event.value, **fields
+    )
+
+
+def write_to(stream: typing.TextIO) -> typing.Callable[[dict], None]:
+    """Returns a destination that writes one JSON object a line."""
+
+    def write(message: dict) -> None:
+        stream.write(json.dumps(message, default=str) + '\n')
+        stream.flush()
+
+    return write
--- /dev/null
+++ b/packages/node/src/radishcourse_node/filters/admission.py
@@ -0,0 +1,35 @@
+"""Filter 50: limits of the organisation and of the node."""
+
+from radishcourse_node import filters
+from radishcourse_node import job as jobs
+
+
+@filters.register(50)
+class Admission:
+    """Admits jobs within the limits, by weighted fair shares."""
+
+    def __init__(self, node):
+        self._admissions = node.admissions
+
+    async def handle(self, job: jobs.Job, proceed) -> jobs.Answer:
+        """Refuses jobs over a limit."""
+        slot = self._admissions.enter(job)
+        try:
+            answer = await proceed(job)
+        except BaseException:
+            slot.leave()
+            raise
+        if answer.stream is None:
+            slot.leave()
+        else:
+            answer.stream = _until_end(answer.stream, slot)
+        return answer
+
+
+async def _until_end(stream, slot):
+    try:
+        async for part in stream:
+            yield part
+    finally:
+        slot.leave()
+        await stream.aclose()
--- /dev/null
+++ b/packages/node/src/radishcourse_node/filters/authentication.py
@@ -0,0 +1,36 @@
+"""Filter 10: who sent the request."""
+
+import hashlib
+
+from radishcourse_node import errors
+from radishcourse_node import filters
+from radishcourse_node import job as jobs
+
+_SCHEME = 'bearer '
+
+
+@filters.register(10)
+class Authentication:
+    """Finds the organisation by the hash of its key."""
+
+    def __init__(self, node):
+        self._configuration = node.configuration
+
+    async def handle(self, job: jobs.Job, proceed) -> jobs.Answer:
+        """Refuses requests without a known key."""
+        header = job.headers.get('authorization', '')
+        if not header.lower().startswith(_SCHEME):
+            raise _refuse('a bearer key is required')
+        key = header[len(_SCHEME) :].strip()
+        digest = 'sha256:' + hashlib.sha256(key.encode()).hexdigest()
+        organisation_id = self._configuration.keys.get(digest)
+        if organisation_id is None:
+            raise _refuse('the key is not known')
+        config = self._configuration.config
+        job.organisation_id = organisation_id
+        job.organisation = config.organisations[organisation_id]
+        return await proceed(job)
+
+
+def _refuse(message: str) -> errors.Refusal:
+    return errors.Refusal(errors.RefusalCode.UNAUTHENTICATED, message)
--- /dev/null
+++ b/packages/node/src/radishcourse_node/filters/claim.py
@@ -0,0 +1,18 @@
+"""Filter 60: claims of requests with an idempotency key."""
+
+from radishcourse_node import filters
+from radishcourse_node import job as jobs
+
+
+@filters.register(60)
+class Claim:
+    """Lets one node run a request with a key; repeats get the outcome."""
+
+    def __init__(self, node):
+        self._claims = node.claims
+
+    async def handle(self, job: jobs.Job, proceed) -> jobs.Answer:
+        """Refuses repeats whose outcome is not known yet."""
+        if job.idempotency_key is None:
+            return await proceed(job)
+        return await self._claims.run(job, proceed)
--- /dev/null
+++ b/packages/node/src/radishcourse_node/filters/run.py
@@ -0,0 +1,39 @@
+"""Filter 80: runs the job on an upstream."""
+
+from radishcourse_model import states
+
+from radishcourse_node import cascades
+from radishcourse_node import errors
+from radishcourse_node import filters
+from radishcourse_node import job as jobs
+from radishcourse_node import services
+
+
+@filters.register(80)
+class Run:
+    """Runs model jobs by their cascade and calls of plain services."""
+
+    def __init__(self, node):
+        self._runners = {
+            jobs.JobType.MODEL: cascades.Runner(node),
+            jobs.JobType.SERVICE: services.Runner(node),
+        }
+
+    async def handle(self, job: jobs.Job, proceed) -> jobs.Answer:
+        """Returns the upstream's answer; the chain ends here."""
+        del proceed
+        try:
+            return await self._runners[job.job_type].run(job)
+        except errors.Refusal as refusal:
+            raise _truthful(job, refusal) from refusal
+
+
+def _truthful(job: jobs.Job, refusal: errors.Refusal) -> errors.Refusal:
+    """Returns the refusal, or one that does not say "not run" falsely."""
+    if not job.sent or refusal.reason.outcome is not states.Outcome.NOT_RUN:
+        return refusal
+    if job.may_repeat:
+        reason = errors.RefusalCode.UPSTREAM_FAILED
+    else:
+        reason = errors.RefusalCode.OUTCOME_UNKNOWN
+    return errors.Refusal(reason, str(refusal), refusal.retry_after_s)
--- /dev/null
+++ b/packages/node/src/radishcourse_node/main.py
@@ -0,0 +1,83 @@
+"""The binary `radishcourse-node`."""
+
+import contextlib
+import enum
+import pathlib
+import sys
+
+import anyio
+import eliot
+import fire
+from radishcourse_model import errors as model_errors
+
+from radishcourse_node import environment as environments
+from radishcourse_node import errors
+from radishcourse_node import events
+from radishcourse_node import node as nodes
+from radishcourse_node import settings as node_settings
+
+
+class ExitStatus(enum.IntEnum):
+    """Exit codes of the binary."""
+
+    SUCCESS = 0
+    ERROR = 1
+    INVALID = 2
+    ADDRESS_IN_USE = 3
+
+
+def main(
+    settings_file: str, environment: environments.Environment | None = None
+) -> ExitStatus:
+    """Runs a node with the settings in a JSON file.
+
+    Args:
+      settings_file: Path of the settings.
+      environment: Streams, clock and random source; the process's own
+        when None.
+    """
+    environment = environment or environments.Environment()
+    try:
+        settings = node_settings.read(pathlib.Path(settings_file))
+        with _logging_to(environment.stderr):
+            anyio.run(_serve, environment, settings)
+    except errors.SettingsError as error:
+        environment.stderr.write(f'{error.code}: {error}\n')
+        return ExitStatus.INVALID
+    except model_errors.RadishcourseError as error:
+        environment.stderr.write(f'{error.code}: {error}\n')
+        return ExitStatus.ERROR
+    except SystemExit:
+        # uvicorn exits the process when it can't bind its address.
+        environment.stderr.write('address_in_use: can not listen\n')
+        return ExitStatus.ADDRESS_IN_USE
+    return ExitStatus.SUCCESS
+
+
+async def _serve(environment, settings) -> None:
+    async with nodes.open_node(environment, settings) as node:
+        await node.serve()
+
+
+@contextlib.contextmanager
+def _logging_to(stream):
+    write = events.write_to(stream)
+    eliot.add_destinations(write)
+    try:
+        yield
+    finally:
+        eliot.remove_destination(write)
+
+
+def run() -> None:
+    """Entry point of the binary."""
+
+    def node(settings: str) -> None:
+        """Runs a router node.
+
+        Args:
+          settings: Path of the JSON file with the node's settings.
+        """
+        sys.exit(main(settings))
+
+    fire.Fire(node, name='radishcourse-node')
--- /dev/null
+++ b/packages/node/src/radishcourse_node/metrics.py
@@ -0,0 +1,98 @@
+"""Histograms for each organisation and kind, and counters.
+
+Latencies are recorded in microseconds, up to ten minutes, with two
+significant digits. Histograms of several nodes can be merged.
+"""
+
+import collections
+import enum
+
+from hdrh import histogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+DIGITS = 2
+QUANTILES = (0.5, 0.95, 0.99)
+
+
+class Series(enum.Enum):
+    """What a histogram measures."""
+
+    TOTAL = 'radishcourse_request_seconds'
+    FIRST_BYTE = 'radishcourse_first_byte_seconds'
+
+
+class Metrics:
+    """Collects and renders metrics."""
+
+    def __init__(self):
+        self._histograms: dict[tuple, histogram.HdrHistogram] = {}
+        self._counters: collections.Counter[tuple] = collections.Counter()
+
+    def record(
+        self, series: Series, organisation: str, kind: str, seconds: float
+    ) -> None:
+        """Records a latency in seconds."""
+        key = (series, organisation, kind)
+        if key not in self._histograms:
+            self._histograms[key] = histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, DIGITS
+            )
+        value = min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6)))
+        self._histograms[key].record_value(value)
+
+    def count(self, organisation: str, kind: str, outcome: str) -> None:
+        """Counts a request by its outcome."""
+        self._counters[(organisation, kind, outcome)] += 1
+
+    def encode(self) -> dict[str, str]:
+        """Returns the histograms in HdrHistogram's compressed format.
+
+        The keys are `series/organisation/kind`; values of several nodes can
+        be merged with `decode_and_add`.
+        """
+        return {
+            f'{series.value}/{organisation}/{kind}': item.encode().decode()
+            for (series, organisation, kind), item in self._histograms.items()
+        }
+
+    def render(self, gauges: dict[str, float]) -> str:
+        """Returns the metrics in the Prometheus text format."""
+        lines = []
+        for name, value in gauges.items():
+            lines += [f'# TYPE {name} gauge', f'{name} {value}']
+        lines.append('# TYPE radishcourse_requests_total counter')
+        for labels, count in self._counters.items():
+            text = _labels(('organisation', 'kind', 'outcome'), labels)
+            lines.append(f'radishcourse_requests_total{text} {count}')
+        for series in Series:
+            lines.append(f'# TYPE {series.value} summary')
+            lines += self._render_series(series)
+        return '\n'.join(lines) + '\n'
+
+    def _render_series(self, series: Series) -> list[str]:
+        lines = []
+        for (kind_of_series, *labels), item in self._histograms.items():
+            if kind_of_series is not series:
+                continue
+            for quantile in QUANTILES:
+                text = _labels(
+                    ('organisation', 'kind', 'quantile'), (*labels, quantile)
+                )
+                value = item.get_value_at_percentile(quantile * 100) / 1e6
+                lines.append(f'{series.value}{text} {value}')
+            text = _labels(('organisation', 'kind'), labels)
+            lines.append(f'{series.value}_count{text} {item.get_total_count()}')
+        return lines
+
+
+def _labels(names, values) -> str:
+    pairs = (
+        f'{name}="{_escape(str(value))}"'
+        for name, value in zip(names, values, strict=True)
+    )
+    return '{' + ','.join(pairs) + '}'
+
+
+def _escape(text: str) -> str:
+    return text.replace('\\', r'\\').replace('"', r'\"').replace('\n', r'\n')
--- /dev/null
+++ b/packages/node/src/radishcourse_node/pages.py
@@ -0,0 +1,59 @@
+"""Pages of a node for the balancer and for operators."""
+
+import typing
+
+import msgspec
+
+
+class Page(typing.NamedTuple):
+    """A whole response."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+class Pages:
+    """Health, readiness, metrics and status."""
+
+    def __init__(self, node):
+        self._node = node
+        self._pages = {
+            '/healthz': self._health,
+            '/readyz': self._readiness,
+            '/metrics': self._metrics,
+            '/v1/node/status': self._status,
+            '/v1/node/histograms': self._histograms,
+        }
+
+    def find(self, method: str, path: str):
+        """Returns the handler of a page, or None."""
+        return self._pages.get(path) if method == 'GET' else None
+
+    async def _health(self) -> Page:
+        return _text(200, 'ok\n')
+
+    async def _readiness(self) -> Page:
+        if self._node.ready:
+            return _text(200, 'ready\n')
+        return _text(503, f'not ready: {self._node.status().state}\n')
+
+    async def _metrics(self) -> Page:
+        gauges = self._node.gauges()
+        return _text(200, self._node.metrics.render(gauges))
+
+    async def _status(self) -> Page:
+        return _json(self._node.status())
+
+    async def _histograms(self) -> Page:
+        return _json(self._node.metrics.encode())
+
+
+def _text(status: int, text: str) -> Page:
+    headers = {'content-type': 'text/plain; charset=utf-8'}
+    return Page(status, text.encode(), headers)
+
+
+def _json(value: object) -> Page:
+    headers = {'content-type': 'application/json'}
+    return Page(200, msgspec.json.encode(value), headers)
--- /dev/null
+++ b/packages/node/src/radishcourse_node/services.py
@@ -0,0 +1,135 @@
+"""Runs calls of plain services."""
+
+import httpcore
+from radishcourse_model import ids
+from radishcourse_model import states
+
+from radishcourse_node import engines
+from radishcourse_node import errors
+from radishcourse_node import events
+from radishcourse_node import guard
+from radishcourse_node import job as jobs
+
+MAX_ATTEMPTS = 3
+MAX_ANSWER_BYTES = 16 * 2**20
+_PASSED_ON = ('content-type', 'accept', 'idempotency-key')
+_RETURNED = (b'content-type', b'etag', b'location', b'cache-control')
+
+
+class Runner:
+    """Calls a plain service; non-idempotent calls are sent at most once."""
+
+    def __init__(self, node):
+        self._clock = node.environment.clock
+        self._configuration = node.configuration
+        self._upstreams = node.upstreams
+        self._guard = guard.Guard(node)
+
+    async def run(self, job: jobs.Job) -> jobs.Answer:
+        """Returns the service's answer.
+
+        Raises:
+          Refusal: The service gave no answer; the code tells whether the
+            call may have run.
+        """
+        tried: set[ids.UpstreamId] = set()
+        for attempt in range(MAX_ATTEMPTS):
+            try:
+                return await self._attempt(job, tried)
+            except errors.AttemptError as error:
+                self._note_failure(job, error, tried)
+                if not self._may_retry(job, error, attempt):
+                    raise _failed(job, error) from error
+        raise AssertionError('the last attempt returns or raises')
+
+    async def _attempt(self, job: jobs.Job, tried) -> jobs.Answer:
+        self._guard.check_view(job)
+        async with self._upstreams.reserve_service(
+            job, tried, self._guard.allows_upstream
+        ) as upstream:
+            tried.add(upstream.upstream_id)
+            self._guard.check_view(job)
+            query = f'?{job.query}' if job.query else ''
+            async with engines.open_response(
+                upstream.pool,
+                job.method,
+                f'http://{upstream.address}{job.call.path}{query}',
+                _headers(job),
+                job.body,
+                max(0.001, job.deadline - self._clock.now()),
+            ) as response:
+                job.sent = True
+                upstream.note_signs(engines.read_signs(response))
+                body = await _read(response)
+            if response.status >= 500:
+                raise errors.AttemptError(
+                    f'status {response.status}', sent=True
+                )
+            return self._answer(job, upstream, response, body)
+
+    def _answer(self, job, upstream, response, body) -> jobs.Answer:
+        service = self._configuration.config.services.get(job.call.service)
+        facts = jobs.Facts(
+            model=job.call.service,
+            upstream=upstream.upstream_id,
+            steps=1,
+            cost=service.cost_per_call if service else 0,
+            revision=self._configuration.revision,
+            outcome=states.Outcome.COMPLETED,
+        )
+        headers = {
+            name.lower().decode('latin-1'): value.decode('latin-1')
+            for name, value in response.headers
+            if name.lower() in _RETURNED
+        }
+        return jobs.Answer(response.status, headers, body, None, facts)
+
+    def _note_failure(self, job, error: errors.AttemptError, tried) -> None:
+        job.sent = job.sent or error.sent
+        events.log(
+            events.Event.ATTEMPT_FAILED,
+            request=job.request_id,
+            upstreams=sorted(tried),
+            sent=error.sent,
+            error=str(error),
+        )
+
+    def _may_retry(self, job, error: errors.AttemptError, attempt) -> bool:
+        if attempt + 1 >= MAX_ATTEMPTS or self._clock.now() >= job.deadline:
+            return False
+        if error.sent and not job.may_repeat:
+            return False
+        return self._upstreams.spend_retry(
+            job.organisation_id, job.call.service
+        )
+
+
+async def _read(response: httpcore.Response) -> bytes:
+    parts = []
+    size = 0
+    async for part in response.aiter_stream():
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise errors.AttemptError('the answer is too large', sent=True)
+        parts.append(part)
+    return b''.join(parts)
+
+
+def _headers(job: jobs.Job) -> list[tuple[bytes, bytes]]:
+    headers = [
+        (name.encode('latin-1'), job.headers[name].encode('latin-1'))
+        for name in _PASSED_ON
+        if name in job.headers
+    ]
+    headers.append((b'x-request-id', job.request_id.encode('ascii')))
+    return headers
+
+
+def _failed(job: jobs.Job, error: errors.AttemptError) -> errors.Refusal:
+    if not job.sent:
+        return errors.Refusal(
+            errors.RefusalCode.NO_UPSTREAM, str(error), retry_after_s=1
+        )
+    if job.may_repeat:
+        return errors.Refusal(errors.RefusalCode.UPSTREAM_FAILED, str(error))
+    return errors.Refusal(errors.RefusalCode.OUTCOME_UNKNOWN, str(error))
--- /dev/null
+++ b/packages/platform/src/radishcourse_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: table, objects, VM list, leases."""
--- /dev/null
+++ b/packages/platform/src/radishcourse_platform/http.py
@@ -0,0 +1,103 @@
+"""HTTP calls to the platform, with the errors of this layer."""
+
+import contextlib
+import typing
+
+import anyio
+import httpcore
+
+from radishcourse_platform import errors
+
+DEFAULT_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 16
+
+# What a call over HTTP raises when there is no whole response in time.
+CALL_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    TimeoutError,
+    OSError,
+)
+
+
+class Reply(typing.NamedTuple):
+    """Status and body of an HTTP response."""
+
+    status: int
+    body: bytes
+
+
+class Http:
+    """Calls one HTTP service by base URL.
+
+    Args:
+      base_url: Scheme, IP address and port.
+      timeout_s: Limit in seconds on a call as a whole.
+    """
+
+    def __init__(self, base_url: str, timeout_s: float = DEFAULT_TIMEOUT_S):
+        self._base_url = base_url.rstrip('/')
+        self._timeout_s = timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS
+        )
+
+    async def call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> Reply:
+        """Sends one request and returns the whole response.
+
+        Raises:
+          Unavailable: The request was not sent, or was refused with 429 or
+            503 before it took effect.
+          AnswerLost: The request may have been sent, and no whole response
+            came back in time.
+        """
+        sent = _SentFlag()
+        headers = {'content-type': 'application/json'} if body else {}
+        try:
+            with anyio.fail_after(self._timeout_s):
+                response = await self._pool.request(
+                    method,
+                    self._base_url + path,
+                    headers=headers,
+                    content=body,
+                    extensions={'trace': sent.trace},
+                )
+        except CALL_ERRORS as error:
+            if sent.started:
+                raise errors.AnswerLost(
+                    f'{method} {path}: {error!r}'
+                ) from error
+            raise errors.Unavailable(f'{method} {path}: {error!r}') from error
+        if response.status in (429, 503):
+            raise errors.Unavailable(f'{method} {path}: {response.status}')
+        return Reply(response.status, response.content)
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._pool.aclose()
+
+
+class _SentFlag:
+    """Tells whether any byte of a request may have left the process."""
+
+    def __init__(self):
+        self.started = False
+
+    async def trace(self, event: str, info: object) -> None:
+        del info
+        if event.endswith('send_request_headers.started'):
+            self.started = True
+
+
+@contextlib.asynccontextmanager
+async def open_http(base_url: str, timeout_s: float = DEFAULT_TIMEOUT_S):
+    """Yields an `Http` client and closes it at the end."""
+    client = Http(base_url, timeout_s)
+    try:
+        yield client
+    finally:
+        with anyio.CancelScope(shield=True):
+            await client.aclose()
--- /dev/null
+++ b/packages/platform/src/radishcourse_platform/objects.py
@@ -0,0 +1,40 @@
+"""Client of the object store."""
+
+import urllib.parse
+
+from radishcourse_platform import errors
+from radishcourse_platform import http
+
+
+class Objects:
+    """Reads and writes whole objects by key."""
+
+    def __init__(self, client: http.Http):
+        self._client = client
+
+    async def read(self, key: str) -> bytes | None:
+        """Returns the object, or None where there is none.
+
+        Raises:
+          Unavailable, AnswerLost: The store did not answer.
+        """
+        reply = await self._client.call('GET', _path(key))
+        if reply.status == 404:
+            return None
+        if reply.status != 200:
+            raise errors.AnswerLost(f'unexpected status {reply.status}')
+        return reply.body
+
+    async def write(self, key: str, body: bytes) -> None:
+        """Writes an object; writing the same bytes again is harmless.
+
+        Raises:
+          Unavailable, AnswerLost: The store did not answer.
+        """
+        reply = await self._client.call('PUT', _path(key), body)
+        if reply.status != 200:
+            raise errors.AnswerLost(f'unexpected status {reply.status}')
+
+
+def _path(key: str) -> str:
+    return '/v1/object?' + urllib.parse.urlencode({'key': key})
--- /dev/null
+++ b/packages/platform/src/radishcourse_platform/revisions.py
@@ -0,0 +1,238 @@
+"""Configuration revisions in the platform's table and object store.
+
+`config/head` holds the newest revision's number and digest and is only
+ever written by compare-and-set together with `config/rev/<n>`, so numbers
+have no gaps and one of two racing operators wins.
+"""
+
+import msgspec
+from radishcourse_model import errors as model_errors
+from radishcourse_model import ids
+from radishcourse_model import merge
+
+from radishcourse_platform import errors
+from radishcourse_platform import objects
+from radishcourse_platform import table
+
+HEAD_KEY = 'config/head'
+SNAPSHOT_EVERY = 64
+CONFIRM_READS = 3
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The newest accepted revision."""
+
+    revision: ids.Revision
+    digest: str
+    write_id: ids.WriteId
+    author: str
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A change: the JSON merge patch from the revision before."""
+
+    revision: ids.Revision
+    digest: str
+    patch: merge.Document
+    author: str
+    write_id: ids.WriteId
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """A whole document at a revision."""
+
+    revision: ids.Revision
+    document: merge.Document
+
+    @property
+    def digest(self) -> str:
+        """Digest of the document."""
+        return merge.digest(self.document)
+
+
+EMPTY = Snapshot(revision=ids.Revision(0), document={})
+
+
+class Superseded(errors.PlatformError):
+    """Another change was accepted first.
+
+    Attributes:
+      head: The accepted revision that this change lost to.
+    """
+
+    code = 'revision_conflict'
+
+    def __init__(self, head: Head | None):
+        number = head.revision if head else 0
+        author = head.author if head else 'nobody'
+        super().__init__(f'revision {number} by {author} is in force')
+        self.head = head
+
+
+class Revisions:
+    """Reads and writes configuration revisions."""
+
+    def __init__(self, rows: table.Table, store: objects.Objects):
+        self._rows = rows
+        self._store = store
+
+    async def head(self) -> Head | None:
+        """Returns the newest revision, or None before the first.
+
+        Raises:
+          Unavailable, AnswerLost: The platform did not answer.
+        """
+        row = await self._rows.read(HEAD_KEY)
+        return None if row is None else _convert(row.value, Head)
+
+    async def change(self, revision: ids.Revision) -> Change | None:
+        """Returns the change that made `revision`, or None.
+
+        Raises:
+          Unavailable, AnswerLost: The platform did not answer.
+        """
+        row = await self._rows.read(_change_key(revision))
+        return None if row is None else _convert(row.value, Change)
+
+    async def load(self, start: Snapshot, target: Head) -> Snapshot:
+        """Returns the document at `target`, starting from a snapshot.
+
+        Takes the newest stored snapshot when it is ahead of `start`.
+
+        Raises:
+          Unavailable, AnswerLost: The platform did not answer.
+          PatchError: A change does not fit, which means that `start` is
+            not the document it claims to be.
+        """
+        current = start
+        stored_at = target.revision - target.revision % SNAPSHOT_EVERY
+        if stored_at > current.revision:
+            current = await self._read_snapshot(stored_at) or current
+        while current.revision < target.revision:
+            following = ids.Revision(current.revision + 1)
+            change = await self.change(following)
+            if change is None:
+                raise errors.Unavailable(f'revision {following} is not there')
+            document = merge.apply_verified(
+                current.document, change.patch, change.digest
+            )
+            current = Snapshot(following, document)
+        return current
+
+    async def latest(self) -> Snapshot:
+        """Returns the newest document; revision 0 is the empty one.
+
+        Raises:
+          Unavailable, AnswerLost: The platform did not answer.
+        """
+        head = await self.head()
+        return EMPTY if head is None else await self.load(EMPTY, head)
+
+    async def propose(
+        self,
+        base: Snapshot,
+        document: merge.Document,
+        author: str,
+        write_id: ids.WriteId,
+    ) -> Head:
+        """Makes `document` the revision after `base`.
+
+        Args:
+          base: The newest revision that the author has seen.
+          document: The whole new document.
+          author: Who changes it, shown to operators who lose a race.
+          write_id: Unique for this call; tells after a lost answer whether
+            the write took effect.
+
+        Returns:
+          The accepted revision.
+
+        Raises:
+          Superseded: Another revision than `base` is the newest one.
+          Unavailable: Nothing was written.
+          AnswerLost: It could not be found out whether it was written.
+        """
+        revision = ids.Revision(base.revision + 1)
+        head = Head(revision, merge.digest(document), write_id, author)
+        change = Change(
+            revision,
+            head.digest,
+            merge.diff(base.document, document),
+            author,
+            write_id,
+        )
+        conditions = await self._conditions(base, revision)
+        transaction = table.Transaction(
+            conditions=conditions,
+            puts=[
+                table.Put(HEAD_KEY, msgspec.to_builtins(head)),
+                table.Put(_change_key(revision), msgspec.to_builtins(change)),
+            ],
+        )
+        try:
+            await self._rows.transact(transaction)
+        except errors.Conflict as conflict:
+            await self._resolve_conflict(conflict, head)
+        except errors.AnswerLost:
+            await self._resolve_lost(head)
+        if revision % SNAPSHOT_EVERY == 0:
+            await self._store.write(
+                _snapshot_key(revision), msgspec.json.encode(document)
+            )
+        return head
+
+    async def _conditions(self, base, revision):
+        row = await self._rows.read(HEAD_KEY)
+        current = None if row is None else _convert(row.value, Head)
+        if (current.revision if current else 0) != base.revision:
+            raise Superseded(current)
+        return [
+            table.Condition(HEAD_KEY, row.version if row else table.ABSENT),
+            table.Condition(_change_key(revision), table.ABSENT),
+        ]
+
+    async def _resolve_conflict(self, conflict, head):
+        row = await self._rows.read(_change_key(head.revision))
+        if row is not None and row.value.get('write_id') == head.write_id:
+            return
+        raise Superseded(await self.head()) from conflict
+
+    async def _resolve_lost(self, head):
+        # Reads the change's own row: the head may already be a later one.
+        key = _change_key(head.revision)
+        for attempt in range(CONFIRM_READS):
+            try:
+                row = await self._rows.read(key)
+                break
+            except errors.PlatformError:
+                if attempt == CONFIRM_READS - 1:
+                    raise
+        if row is None:
+            raise errors.AnswerLost(
+                'the change was not found after its answer was lost;'
+                ' it may still take effect, look at status before a repeat'
+            )
+        if row.value.get('write_id') != head.write_id:
+            raise Superseded(await self.head())
+
+    async def _read_snapshot(self, revision: int) -> Snapshot | None:
+        body = await self._store.read(_snapshot_key(revision))
+        if body is None:
+            return None
+        document = msgspec.json.decode(body, type=merge.Document)
+        return Snapshot(ids.Revision(revision), document)
+
+
+def _convert(value, kind):
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        raise model_errors.ConfigError(f'malformed row: {error}') from error
+
+
+def _change_key(revision: int) -> str:
+    return f'config/rev/{revision:012d}'
+
+
+def _snapshot_key(revision: int) -> str:
+    return f'config/snapshot/{revision:012d}'
--- /dev/null
+++ b/packages/policy/src/radishcourse_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions of radishcourse: cascades, roll-outs, placement, admission."""
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around radishcourse, demo and measurements."""
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/demo.py
@@ -0,0 +1,198 @@
+"""The demo: stand-ins and two nodes as processes, four kinds of requests."""
+
+import io
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+import httpcore
+from radishcourse_cli import environment as environments
+from radishcourse_cli import main as cli
+
+from radishcourse_standins import processes
+
+EXAMPLE = pathlib.Path('examples/stroykrov')
+KEY = 'demo-key-of-the-assistant'
+CONFIRM_S = 10.0
+
+
+class DemoError(Exception):
+    """A step of the demo did not go as it should."""
+
+
+class Demo:
+    """Sends the demo's requests and prints what came of them."""
+
+    def __init__(self, platform: processes.Process, nodes: list):
+        self._platform = platform
+        self._nodes = nodes
+
+    def run(self) -> None:
+        """Runs all four parts.
+
+        Raises:
+          DemoError: A part did not give what it should.
+        """
+        print(f'{"job":18}{"model/version":20}{"cost":>7}{"rating":>8}  bills')
+        self._show('cascade job', self._chat('quote', 0))
+        self._show('streaming job', self._stream('fixing-question', 1))
+        opened = self._chat('quote', 0, {'X-Radish-Session': 'new'})
+        token = opened['x-radish-session']
+        again = self._chat('quote', 1, {'X-Radish-Session': token})
+        if again['x-radish-model'] != opened['x-radish-model']:
+            raise DemoError('the session did not keep its version')
+        self._show('session, 1st job', opened)
+        self._show('session, 2nd job', again)
+        self._show('order', self._order())
+
+    def _chat(self, kind: str, node: int, headers=None) -> dict:
+        body = {'messages': [{'role': 'user', 'content': 'Membrane, 80 m2'}]}
+        reply = self._post(
+            node, '/v1/chat/completions', body, kind, headers or {}
+        )
+        return _headers(reply)
+
+    def _stream(self, kind: str, node: int) -> dict:
+        body = {
+            'messages': [{'role': 'user', 'content': 'Which screw?'}],
+            'stream': True,
+            'max_tokens': 12,
+        }
+        reply = self._post(node, '/v1/chat/completions', body, kind, {})
+        events = reply.content.decode().split('\n\n')
+        if events[-2] != 'data: [DONE]':
+            raise DemoError('the stream did not end with [DONE]')
+        data = events[-3].partition('data: ')[2]
+        return json.loads(data)
+
+    def _order(self) -> dict:
+        name = f'order-{time.time_ns()}'
+        headers = {'Idempotency-Key': name}
+        path = '/v1/services/order-desk/orders'
+        first = self._post(0, path, {'order': name}, '', headers)
+        second = self._post(1, path, {'order': name}, '', headers)
+        if first.content != second.content or b'"run":1' not in first.content:
+            raise DemoError(f'the order ran twice: {second.content!r}')
+        return _headers(first)
+
+    def _post(self, node, path, body, kind, headers) -> httpcore.Response:
+        reply = httpcore.request(
+            'POST',
+            self._nodes[node].url + path,
+            headers={
+                'Authorization': f'Bearer {KEY}',
+                'X-Radish-Kind': kind,
+                'Content-Type': 'application/json',
+                **headers,
+            },
+            content=json.dumps(body).encode(),
+        )
+        if reply.status not in (200, 201):
+            raise DemoError(f'{reply.status}: {reply.content.decode()}')
+        return reply
+
+    def _show(self, name: str, headers: dict) -> None:
+        bills = self._wait_bills(headers['x-radish-request-id'])
+        if len(bills) != 1:
+            raise DemoError(f'{name} was billed {len(bills)} times')
+        version = headers.get('x-radish-version', '')
+        place = f'{headers["x-radish-model"]}/{version or "-"}'
+        rating = headers.get('x-radish-rating', '-')
+        cost = headers['x-radish-cost']
+        print(f'{name:18}{place:20}{cost:>7}{rating:>8}  {len(bills)}')
+
+    def _wait_bills(self, request_id: str) -> list:
+        limit = time.monotonic() + CONFIRM_S
+        while time.monotonic() < limit:
+            bills = [
+                bill
+                for bill in read_bills(self._platform)
+                if bill[1] == request_id
+            ]
+            if bills:
+                return bills
+            time.sleep(0.2)
+        return []
+
+
+def read_bills(platform: processes.Process) -> list[list]:
+    """Returns all bills in the platform's table."""
+    url = f'{platform.url}/control/rows?prefix=bills/&limit=100000'
+    rows = json.loads(httpcore.request('GET', url).content)['rows']
+    return [bill for row in rows for bill in row['value']['bills']]
+
+
+def _headers(reply: httpcore.Response) -> dict[str, str]:
+    return {
+        name.decode().lower(): value.decode() for name, value in reply.headers
+    }
+
+
+def _apply(platform: processes.Process, folder: pathlib.Path) -> str:
+    stdout, stderr = io.StringIO(), io.StringIO()
+    environment = environments.Environment(stdout, stderr, platform.url, 'demo')
+    if cli.main(['apply', str(folder)], environment):
+        raise DemoError(f'apply failed: {stderr.getvalue()}')
+    return stdout.getvalue().strip()
+
+
+def _folder_for(started: processes.Processes, upstreams: dict) -> pathlib.Path:
+    """Copies the example folder and adds the upstreams' real addresses."""
+    folder = started.folder / 'config'
+    folder.mkdir()
+    for path in sorted(EXAMPLE.glob('*.json')):
+        (folder / path.name).write_bytes(path.read_bytes())
+    later = {
+        'upstreams': {
+            name: {'address': process.address}
+            for name, process in upstreams.items()
+        }
+    }
+    (folder / '90-addresses.json').write_text(json.dumps(later))
+    return folder
+
+
+def main() -> int:
+    """Runs the demo and returns its exit code."""
+    with (
+        tempfile.TemporaryDirectory() as name,
+        processes.started(pathlib.Path(name)) as started,
+    ):
+        platform = started.stand_in('platform')
+        rating = started.stand_in('rating')
+        upstreams = {
+            'assistant-1': started.stand_in('engine', 'assistant-1'),
+            'assistant-2': started.stand_in('engine', 'assistant-2'),
+            'order-desk-1': started.stand_in('desk', 'order-desk-1'),
+        }
+        for process in (platform, rating, *upstreams.values()):
+            processes.wait_http(process, '/v1/state', None)
+        nodes = [
+            started.node(
+                {
+                    'node': f'entry-{zone}',
+                    'zone': zone,
+                    'platform': platform.url,
+                    'rating': rating.url,
+                }
+            )
+            for zone in ('sofia-a', 'sofia-b')
+        ]
+        revision = _apply(platform, _folder_for(started, upstreams))
+        print(f'revision {revision} accepted')
+        for node in nodes:
+            processes.wait_http(node, '/readyz')
+        try:
+            Demo(platform, nodes).run()
+        except DemoError as error:
+            print(f'demo failed: {error}', file=sys.stderr)
+            return 1
+        for node in nodes:
+            node.popen.terminate()
+        return max(node.stop() for node in nodes)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/engine.py
@@ -0,0 +1,332 @@
+"""Stand-in for a model engine.
+
+It answers chat completions at a fixed pace with deterministic text, has a
+cold start, reports its load late, resumes and cancels streams, and takes
+orders with or without a check of fencing numbers. The quality of an answer
+is drawn from a hash of the request and the version and travels in the text
+as `[q=0.87]`, where only the rating stand-in looks at it.
+"""
+
+import collections
+import enum
+import hashlib
+import secrets
+
+import anyio
+import fire
+import msgspec
+
+from radishcourse_standins import asgi
+
+MAX_KEPT_STREAMS = 1024
+
+
+class State(enum.Enum):
+    """State of the engine, as it tells it."""
+
+    COLD = 'cold'
+    WARM = 'warm'
+    LEAVING = 'leaving'
+
+
+class Settings(msgspec.Struct):
+    """Behaviour that `POST /control/settings` changes.
+
+    Attributes:
+      quality: Mean quality by `model/version`; 0.9 for all others.
+      token_ms: Time between tokens.
+      first_token_ms: Time to the first token when warm.
+      cold_first_token_ms: Time to the first token when cold.
+      warm_after: Answers after which a cold engine is warm.
+      truncate: Share of streams that end before their last part, by the
+        request's hash.
+      fail: Share of requests answered with 500, by the request's hash.
+    """
+
+    quality: dict[str, float] = {}
+    token_ms: float = 1.0
+    first_token_ms: float = 5.0
+    cold_first_token_ms: float = 50.0
+    warm_after: int = 3
+    truncate: float = 0.0
+    fail: float = 0.0
+
+
+class Completion(msgspec.Struct):
+    """A request for a chat completion."""
+
+    request_id: str
+    model: str
+    version: str
+    messages: list[dict] = []
+    max_tokens: int = 16
+    stream: bool = False
+    priority: int = 5
+
+
+class Resume(msgspec.Struct):
+    """A request to go on with a stream from a token's index."""
+
+    request_id: str
+    from_index: int
+
+
+class Order(msgspec.Struct):
+    """An order of the system to the engine."""
+
+    order: str
+    fencing: int = 0
+    model: str = ''
+    version: str = ''
+
+
+class Engine:
+    """The HTTP interface of the stand-in."""
+
+    def __init__(
+        self, slots: int, cold: bool, cold_limit: int, checks_fencing: bool
+    ):
+        self._settings = Settings()
+        self._slots = anyio.Semaphore(slots)
+        self._slot_count = slots
+        self._cold_limit = cold_limit
+        self._checks_fencing = checks_fencing
+        self._state = State.COLD if cold else State.WARM
+        self._boot = secrets.token_hex(4)
+        self._answered_cold = 0
+        self._running = 0
+        self._queued = 0
+        self._fencing = 0
+        self._orders: list[Order] = []
+        self._streams: collections.OrderedDict[str, Completion] = (
+            collections.OrderedDict()
+        )
+        self._cancelled: set[str] = set()
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._served: list[dict] = []
+        self._max_cold = 0
+        self.app = asgi.App()
+        for method, path, handler in (
+            ('POST', '/v1/chat/completions', self._complete),
+            ('POST', '/v1/resume', self._resume),
+            ('POST', '/v1/cancel', self._cancel),
+            ('POST', '/v1/orders', self._order),
+            ('GET', '/v1/state', self._get_state),
+            ('POST', '/control/settings', self._set),
+            ('POST', '/control/state', self._set_state),
+            ('GET', '/control/served', self._get_served),
+        ):
+            self.app.route(method, path)(handler)
+
+    @property
+    def _headers(self) -> dict[str, str]:
+        return {
+            'x-engine-boot': self._boot,
+            'x-engine-state': self._state.value,
+        }
+
+    async def _complete(self, request: asgi.Request) -> asgi.Response:
+        job = request.json(Completion)
+        self._note_start(job)
+        if _fraction(job.request_id, 'fail') < self._settings.fail:
+            return asgi.reply({'error': 'engine failed'}, 500)
+        self._streams[job.request_id] = job
+        while len(self._streams) > MAX_KEPT_STREAMS:
+            self._streams.popitem(last=False)
+        if job.stream:
+            return self._stream(job, 0)
+        tokens = [token async for token in self._generate(job, 0)]
+        body = {
+            'request_id': job.request_id,
+            'model': job.model,
+            'version': job.version,
+            'choices': [
+                {
+                    'index': 0,
+                    'message': {
+                        'role': 'assistant',
+                        'content': ''.join(tokens),
+                    },
+                    'finish_reason': 'stop',
+                }
+            ],
+            'usage': {'completion_tokens': len(tokens)},
+        }
+        response = asgi.reply(body)
+        if _fraction(job.request_id, 'truncate') < self._settings.truncate:
+            body = response.body[: len(response.body) // 2]
+            return asgi.Response(200, body, {**self._headers})
+        return asgi.Response(
+            200, response.body, {**response.headers, **self._headers}
+        )
+
+    def _note_start(self, job: Completion) -> None:
+        self._runs[job.request_id] += 1
+        if self._state is State.COLD:
+            self._max_cold = max(
+                self._max_cold, self._running + self._queued + 1
+            )
+        self._served.append(
+            {
+                'request_id': job.request_id,
+                'model': job.model,
+                'version': job.version,
+                'state': self._state.value,
+                'in_progress': self._running + self._queued + 1,
+                'at': anyio.current_time(),
+            }
+        )
+
+    def _stream(self, job: Completion, start: int) -> asgi.Response:
+        headers = {'content-type': 'text/event-stream', **self._headers}
+        return asgi.Response(200, b'', headers, self._events(job, start))
+
+    async def _events(self, job: Completion, start: int):
+        index = start
+        cut = _fraction(job.request_id, 'truncate') < self._settings.truncate
+        async for token in self._generate(job, start):
+            if job.request_id in self._cancelled:
+                return
+            yield _event(job, index, {'content': token}, None)
+            index += 1
+            if cut and index >= job.max_tokens // 2:
+                return
+        yield _event(job, index, {}, 'stop', completion_tokens=index)
+        yield b'data: [DONE]\n\n'
+
+    async def _generate(self, job: Completion, start: int):
+        self._queued += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._queued -= 1
+        self._running += 1
+        try:
+            await anyio.sleep(self._first_token_s())
+            for index in range(start, job.max_tokens):
+                if index > start:
+                    await anyio.sleep(self._settings.token_ms / 1000)
+                yield self._token(job, index)
+            self._note_answer()
+        finally:
+            self._running -= 1
+            self._slots.release()
+
+    def _first_token_s(self) -> float:
+        if self._state is State.COLD:
+            return self._settings.cold_first_token_ms / 1000
+        return self._settings.first_token_ms / 1000
+
+    def _token(self, job: Completion, index: int) -> str:
+        if index == 0:
+            return f'[q={self._quality(job):.3f}] '
+        return f'{job.request_id[-6:]}.{index} '
+
+    def _quality(self, job: Completion) -> float:
+        name = f'{job.model}/{job.version}'
+        mean = self._settings.quality.get(name, 0.9)
+        return 1.0 if _fraction(job.request_id, name) < mean else 0.0
+
+    def _note_answer(self) -> None:
+        if self._state is not State.COLD:
+            return
+        self._answered_cold += 1
+        if self._answered_cold >= self._settings.warm_after:
+            self._state = State.WARM
+
+    async def _resume(self, request: asgi.Request) -> asgi.Response:
+        wanted = request.json(Resume)
+        job = self._streams.get(wanted.request_id)
+        if job is None:
+            return asgi.reply({'error': 'no such stream'}, 404)
+        self._cancelled.discard(wanted.request_id)
+        return self._stream(job, wanted.from_index)
+
+    async def _cancel(self, request: asgi.Request) -> asgi.Response:
+        self._cancelled.add(request.json(dict)['request_id'])
+        return asgi.reply({})
+
+    async def _order(self, request: asgi.Request) -> asgi.Response:
+        order = request.json(Order)
+        if self._checks_fencing and order.fencing < self._fencing:
+            return asgi.reply({'error': 'old fencing number'}, 409)
+        self._fencing = max(self._fencing, order.fencing)
+        self._orders.append(order)
+        return asgi.reply({'fencing': self._fencing})
+
+    async def _get_state(self, request: asgi.Request) -> asgi.Response:
+        del request
+        return asgi.reply(
+            {
+                'boot': self._boot,
+                'state': self._state.value,
+                'running': self._running,
+                'queued': self._queued,
+                'slots': self._slot_count,
+                'age_ms': 0,
+                'models': [],
+            }
+        )
+
+    async def _set(self, request: asgi.Request) -> asgi.Response:
+        self._settings = request.json(Settings)
+        return asgi.reply(self._settings)
+
+    async def _set_state(self, request: asgi.Request) -> asgi.Response:
+        self._state = State(request.json(dict)['state'])
+        if self._state is State.COLD:
+            self._boot = secrets.token_hex(4)
+            self._answered_cold = 0
+            self._streams.clear()
+        return asgi.reply({})
+
+    async def _get_served(self, request: asgi.Request) -> asgi.Response:
+        del request
+        return asgi.reply(
+            {
+                'served': self._served,
+                'max_cold': self._max_cold,
+                'orders': self._orders,
+            }
+        )
+
+
+def _fraction(*parts: str) -> float:
+    digest = hashlib.sha256('\0'.join(parts).encode()).digest()
+    return int.from_bytes(digest[:6], 'big') / 2**48
+
+
+def _event(job, index, delta, finish_reason, **usage) -> bytes:
+    event = {
+        'request_id': job.request_id,
+        'model': job.model,
+        'version': job.version,
+        'index': index,
+        'choices': [
+            {'index': 0, 'delta': delta, 'finish_reason': finish_reason}
+        ],
+    }
+    if usage:
+        event['usage'] = usage
+    return b'data: ' + msgspec.json.encode(event) + b'\n\n'
+
+
+def serve(
+    host: str = '127.0.0.1',
+    port: int = 9100,
+    slots: int = 8,
+    cold: bool = False,
+    cold_limit: int = 1,
+    checks_fencing: bool = True,
+) -> None:
+    """Serves the stand-in."""
+
+    async def main() -> None:
+        engine = Engine(slots, cold, cold_limit, checks_fencing)
+        await asgi.serve(engine.app, host, port)
+
+    anyio.run(main)
+
+
+if __name__ == '__main__':
+    fire.Fire(serve)
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/platform.py
@@ -0,0 +1,231 @@
+"""Stand-in for the platform: table, object store and VM list, with faults.
+
+Faults are set with `POST /control/faults`; `GET /control/counts` tells how
+many reads and writes there were.
+"""
+
+import enum
+import random
+
+import anyio
+import fire
+import msgspec
+from radishcourse_platform import table
+from radishcourse_platform import vms
+
+from radishcourse_standins import asgi
+
+
+class Mode(enum.Enum):
+    """How the platform behaves."""
+
+    UP = 'up'
+    DOWN = 'down'
+    HANG = 'hang'
+    SLOW = 'slow'
+    LOSE_ANSWERS = 'lose_answers'
+    STALE_READS = 'stale_reads'
+
+
+class Faults(msgspec.Struct):
+    """The fault in force.
+
+    Attributes:
+      mode: Kind of fault.
+      delay_ms: Delay of each answer in the slow mode.
+      probability: Share of writes whose answer is lost, or of reads that
+        are stale, in these modes.
+    """
+
+    mode: Mode = Mode.UP
+    delay_ms: int = 0
+    probability: float = 1.0
+
+
+class RateLimit:
+    """A token bucket that refills each second's worth continuously."""
+
+    def __init__(self, per_second: float):
+        self._per_second = per_second
+        self._tokens = per_second
+        self._at = anyio.current_time()
+
+    def take(self) -> bool:
+        """Takes one token; False where there is none."""
+        now = anyio.current_time()
+        earned = (now - self._at) * self._per_second
+        self._tokens = min(self._per_second, self._tokens + earned)
+        self._at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Store:
+    """Rows, objects and VMs, in memory."""
+
+    def __init__(self):
+        self.rows: dict[str, table.Row] = {}
+        self.previous: dict[str, table.Row] = {}
+        self.objects: dict[str, bytes] = {}
+        self.vms: list[vms.Vm] = []
+        # Versions go on where a deleted row left off, so that a condition
+        # on the old version fails when a row is made anew.
+        self._last_versions: dict[str, int] = {}
+
+    def conflicts(self, transaction: table.Transaction) -> list[table.Row]:
+        """Returns the rows for which a condition does not hold."""
+        found = []
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            version = row.version if row else table.ABSENT
+            if version != condition.version:
+                found.append(row or table.Row(condition.key, {}, table.ABSENT))
+        return found
+
+    def write(self, transaction: table.Transaction) -> dict[str, int]:
+        """Writes a transaction whose conditions hold."""
+        versions = {}
+        for put in transaction.puts:
+            version = self._last_versions.get(put.key, 0) + 1
+            self._last_versions[put.key] = version
+            if put.key in self.rows:
+                self.previous[put.key] = self.rows[put.key]
+            self.rows[put.key] = table.Row(put.key, put.value, version)
+            versions[put.key] = version
+        for key in transaction.deletes:
+            self.rows.pop(key, None)
+        return versions
+
+
+class Platform:
+    """The HTTP interface of the stand-in."""
+
+    def __init__(self, reads: float, writes: float, seed: int):
+        self._store = Store()
+        self._faults = Faults()
+        self._random = random.Random(seed)
+        self._reads = RateLimit(reads)
+        self._writes = RateLimit(writes)
+        self._counts = {'reads': 0, 'writes': 0, 'refused': 0}
+        self.app = asgi.App()
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        routes = [
+            ('GET', '/v1/table/row', self._read_row),
+            ('GET', '/v1/table/rows', self._scan),
+            ('GET', '/v1/vms', self._read_vms),
+            ('GET', '/v1/object', self._read_object),
+        ]
+        for method, path, handler in routes:
+            self.app.route(method, path)(self._guard(handler, self._reads))
+        writes = [
+            ('POST', '/v1/table/transact', self._transact),
+            ('PUT', '/v1/object', self._write_object),
+        ]
+        for method, path, handler in writes:
+            self.app.route(method, path)(self._guard(handler, self._writes))
+        self.app.route('POST', '/control/faults')(self._set_faults)
+        self.app.route('POST', '/control/vms')(self._set_vms)
+        self.app.route('GET', '/control/counts')(self._get_counts)
+        self.app.route('GET', '/control/rows')(self._scan)
+
+    def _guard(self, handler, limit: RateLimit):
+        async def guarded(request: asgi.Request) -> asgi.Response:
+            writing = limit is self._writes
+            self._counts['writes' if writing else 'reads'] += 1
+            if not limit.take():
+                self._counts['refused'] += 1
+                return asgi.reply({'error': 'rate limit'}, 429)
+            faults = self._faults
+            if faults.mode is Mode.DOWN:
+                return asgi.reply({'error': 'outage'}, 503)
+            if faults.mode is Mode.HANG:
+                await anyio.sleep_forever()
+            if faults.mode is Mode.SLOW:
+                await anyio.sleep(faults.delay_ms / 1000)
+            response = await handler(request)
+            if writing and faults.mode is Mode.LOSE_ANSWERS and self._hit():
+                await anyio.sleep_forever()
+            return response
+
+        return guarded
+
+    def _hit(self) -> bool:
+        return self._random.random() < self._faults.probability
+
+    async def _read_row(self, request: asgi.Request) -> asgi.Response:
+        key = request.query.get('key', '')
+        row = self._store.rows.get(key)
+        if self._faults.mode is Mode.STALE_READS and self._hit():
+            row = self._store.previous.get(key, row)
+        if row is None:
+            return asgi.reply({'error': 'no such row'}, 404)
+        return asgi.reply(row)
+
+    async def _scan(self, request: asgi.Request) -> asgi.Response:
+        prefix = request.query.get('prefix', '')
+        after = request.query.get('after', '')
+        limit = int(request.query.get('limit', table.SCAN_LIMIT))
+        keys = sorted(
+            key
+            for key in self._store.rows
+            if key.startswith(prefix) and key > after
+        )
+        rows = [self._store.rows[key] for key in keys[:limit]]
+        return asgi.reply({'rows': rows})
+
+    async def _transact(self, request: asgi.Request) -> asgi.Response:
+        transaction = request.json(table.Transaction)
+        conflicts = self._store.conflicts(transaction)
+        if conflicts:
+            return asgi.reply({'conflicts': conflicts}, 409)
+        return asgi.reply({'versions': self._store.write(transaction)})
+
+    async def _read_object(self, request: asgi.Request) -> asgi.Response:
+        body = self._store.objects.get(request.query.get('key', ''))
+        if body is None:
+            return asgi.reply({'error': 'no such object'}, 404)
+        return asgi.Response(200, body)
+
+    async def _write_object(self, request: asgi.Request) -> asgi.Response:
+        self._store.objects[request.query.get('key', '')] = request.body
+        return asgi.reply({})
+
+    async def _read_vms(self, request: asgi.Request) -> asgi.Response:
+        del request
+        return asgi.reply({'vms': self._store.vms})
+
+    async def _set_faults(self, request: asgi.Request) -> asgi.Response:
+        self._faults = request.json(Faults)
+        return asgi.reply(self._faults)
+
+    async def _set_vms(self, request: asgi.Request) -> asgi.Response:
+        self._store.vms = request.json(list[vms.Vm])
+        return asgi.reply({})
+
+    async def _get_counts(self, request: asgi.Request) -> asgi.Response:
+        del request
+        return asgi.reply(self._counts)
+
+
+def serve(
+    host: str = '127.0.0.1',
+    port: int = 9000,
+    reads: float = 2000,
+    writes: float = 400,
+    seed: int = 1,
+) -> None:
+    """Serves the stand-in; `reads` and `writes` are limits a second."""
+
+    async def main() -> None:
+        platform = Platform(reads, writes, seed)
+        await asgi.serve(platform.app, host, port)
+
+    anyio.run(main)
+
+
+if __name__ == '__main__':
+    fire.Fire(serve)
--- /dev/null
+++ b/packages/wire/src/radishcourse_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between radishcourse nodes."""
--- /dev/null
+++ b/tests/test_merge.py
@@ -0,0 +1,47 @@
+"""Merging of documents and JSON merge patches."""
+
+import hypothesis
+from hypothesis import strategies
+from radishcourse_model import merge
+import testtools
+
+SCALARS = strategies.one_of(
+    strategies.booleans(), strategies.integers(), strategies.text(max_size=3)
+)
+KEYS = strategies.sampled_from('abcd')
+DOCUMENTS = strategies.dictionaries(
+    KEYS,
+    strategies.recursive(
+        SCALARS,
+        lambda inner: strategies.one_of(
+            strategies.dictionaries(KEYS, inner, max_size=3),
+            strategies.lists(inner, max_size=2),
+        ),
+        max_leaves=6,
+    ),
+    max_size=4,
+)
+
+
+class MergeTest(testtools.TestCase):
+    """Guards against refinements that lose what they do not mention."""
+
+    @hypothesis.given(DOCUMENTS, DOCUMENTS, DOCUMENTS)
+    def test_order_of_grouping_does_not_matter(self, first, second, third):
+        left = merge.merge(merge.merge(first, second), third)
+        right = merge.merge(first, merge.merge(second, third))
+        self.assertEqual(left, right)
+
+    @hypothesis.given(DOCUMENTS)
+    def test_merging_with_itself_changes_nothing(self, document):
+        self.assertEqual(document, merge.merge(document, document))
+
+
+class PatchTest(testtools.TestCase):
+    """Guards against nodes whose document drifts from the accepted one."""
+
+    @hypothesis.given(DOCUMENTS, DOCUMENTS)
+    def test_patch_leads_from_old_to_new(self, old, new):
+        patch = merge.diff(old, new)
+        patched = merge.apply_patch(old, patch)
+        self.assertEqual(merge.digest(new), merge.digest(patched))
