Add authenticated messages between nodes

Cause: membership, bill copies and permits need one way to talk between nodes, settled before they are built apart. Ruled out: Thrift's own servers (they bring no anyio and their own threads) and MACs without a connection challenge (a recorded message could be sent again). Change: the IDL with its committed py:slots code, a codec that turns every decoding error into Malformed, length-prefixed frames, HMAC over a per-connection challenge and counter, a client and a server. Conclusion: ready for the controllers.

--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -11,6 +11,9 @@
 from radishcourse_platform import objects
 from radishcourse_platform import revisions
 from radishcourse_platform import table
+from radishcourse_wire import client as peer_client
+from radishcourse_wire import credentials
+from radishcourse_wire import server as peer_server
 import uvicorn
 
 from radishcourse_node import app
@@ -75,6 +78,14 @@
         self.incarnation = ids.Incarnation(
             f'{settings.node}.{secrets.token_hex(4)}'
         )
+        own = credentials.Credentials(
+            settings.node,
+            self.incarnation,
+            settings.peer_keys,
+            settings.peer_key,
+        )
+        self.peers = peer_client.Client(own)
+        self.peer_server = peer_server.Server(own, _note_reject)
         rows = table.Table(platform)
         store = objects.Objects(platform)
         self.metrics = metrics.Metrics()
@@ -166,12 +177,17 @@
         async with anyio.create_task_group() as tasks:
             for controller in (self.configuration, self.upstreams, self.bills):
                 tasks.start_soon(self._supervise, controller)
+            tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
             await server.serve()
             await self._finish_bills()
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
 
+    async def _serve_peers(self) -> None:
+        host, port = node_settings.split_address(self.settings.peer_listen)
+        await self.peer_server.serve(host, port)
+
     def _make_server(self) -> uvicorn.Server:
         host, port = node_settings.split_address(self.settings.listen)
         config = uvicorn.Config(
@@ -223,10 +239,15 @@
 
     async def aclose(self) -> None:
         """Closes all connections."""
+        await self.peers.aclose()
         await self.upstreams.aclose()
         await self.ratings.aclose()
 
 
+def _note_reject(reason: str) -> None:
+    events.log(events.Event.PEER_REJECTED, reason=reason)
+
+
 @contextlib.asynccontextmanager
 async def open_node(environment, settings):
     """Yields a node and closes its connections at the end."""
--- /dev/null
+++ b/packages/wire/peer.thrift
@@ -0,0 +1,113 @@
+// Messages between radishcourse nodes. Ages are in milliseconds at the
+// time of sending; they are used instead of times because nodes' clocks
+// are not compared.
+
+struct Digest {
+  1: string node
+  2: string incarnation
+  3: string zone
+  4: string address
+  5: string state
+  6: i64 heartbeat
+  7: i64 revision
+  8: optional i32 confirmed_age_ms
+  9: bool platform_reached
+}
+
+struct Member {
+  1: Digest digest
+  2: i32 age_ms
+}
+
+struct UpstreamRecord {
+  1: string upstream
+  2: string state
+  3: string boot
+  4: string observer
+  5: i64 counter
+  6: i32 load
+  7: i32 age_ms
+}
+
+struct LearnedRecord {
+  1: string node
+  2: i64 counter
+  3: binary sums
+}
+
+struct Change {
+  1: i64 revision
+  2: string digest
+  3: binary patch
+}
+
+struct Snapshot {
+  1: i64 revision
+  2: binary document
+}
+
+struct Flushed {
+  1: string owner
+  2: list<i64> bounds
+}
+
+struct Pull {
+  1: Digest digest
+  2: list<Flushed> flushed
+}
+
+struct PullReply {
+  1: Digest digest
+  2: list<Member> members
+  3: list<UpstreamRecord> upstreams
+  4: list<Change> changes
+  5: optional Snapshot snapshot
+  6: list<LearnedRecord> learned
+}
+
+struct BillRecord {
+  1: i64 sequence
+  2: binary packed
+}
+
+struct HoldBills {
+  1: string owner
+  2: list<BillRecord> bills
+}
+
+struct HoldBillsReply {
+  1: i32 held
+}
+
+struct AcquirePermit {
+  1: string upstream
+  2: string request_id
+  3: i32 ttl_ms
+}
+
+struct AcquirePermitReply {
+  1: bool granted
+  2: i32 retry_after_ms
+  3: i64 epoch
+  4: string permit
+}
+
+struct ReleasePermit {
+  1: string upstream
+  2: string permit
+}
+
+struct ReleasePermitReply {
+  1: bool released
+}
+
+struct Envelope {
+  1: i32 kind
+  2: string sender
+  3: string incarnation
+  4: string key
+  5: i64 counter
+  6: binary body
+  7: binary mac
+  8: optional string error
+}
--- /dev/null
+++ b/packages/wire/src/radishcourse_wire/frames.py
@@ -0,0 +1,78 @@
+"""Length-prefixed frames over a TCP connection."""
+
+import anyio
+from anyio.streams import buffered
+
+from radishcourse_wire import codec
+from radishcourse_wire import errors
+from radishcourse_wire.gen.peer import ttypes
+
+LENGTH_BYTES = 4
+# An envelope around the largest message.
+MAX_FRAME_BYTES = codec.MAX_MESSAGE_BYTES
+
+CONNECTION_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    OSError,
+)
+
+
+class Connection:
+    """Sends and receives envelopes over a byte stream."""
+
+    def __init__(self, stream: anyio.abc.ByteStream):
+        self._stream = stream
+        self._reader = buffered.BufferedByteReceiveStream(stream)
+
+    async def send(self, envelope: ttypes.Envelope) -> None:
+        """Sends an envelope.
+
+        Raises:
+          Unreachable: The connection is broken.
+          Malformed: The envelope is too large.
+        """
+        data = codec.encode(envelope)
+        if len(data) > MAX_FRAME_BYTES:
+            raise errors.Malformed(f'{len(data)} bytes are too many')
+        await self.send_raw(len(data).to_bytes(LENGTH_BYTES, 'big') + data)
+
+    async def receive(self) -> ttypes.Envelope:
+        """Returns the next envelope.
+
+        Raises:
+          Unreachable: The connection is broken or at its end.
+          Malformed: The bytes are no envelope.
+        """
+        length = int.from_bytes(await self.receive_raw(LENGTH_BYTES), 'big')
+        if length > MAX_FRAME_BYTES:
+            raise errors.Malformed(f'a frame of {length} bytes is too large')
+        return codec.decode(ttypes.Envelope, await self.receive_raw(length))
+
+    async def send_raw(self, data: bytes) -> None:
+        """Sends bytes outside of frames.
+
+        Raises:
+          Unreachable: The connection is broken.
+        """
+        try:
+            await self._stream.send(data)
+        except CONNECTION_ERRORS as error:
+            raise errors.Unreachable(repr(error)) from error
+
+    async def receive_raw(self, count: int) -> bytes:
+        """Returns exactly `count` bytes.
+
+        Raises:
+          Unreachable: The connection is broken or at its end.
+        """
+        try:
+            return await self._reader.receive_exactly(count)
+        except CONNECTION_ERRORS as error:
+            raise errors.Unreachable(repr(error)) from error
+
+    async def aclose(self) -> None:
+        """Closes the connection."""
+        await anyio.aclose_forcefully(self._stream)
--- /dev/null
+++ b/packages/wire/src/radishcourse_wire/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/wire/src/radishcourse_wire/messages.py
@@ -0,0 +1,32 @@
+"""Kinds of messages: each request has one kind of reply."""
+
+import enum
+
+from radishcourse_wire.gen.peer import ttypes
+
+
+class Kind(enum.Enum):
+    """A kind of message with its number, request and reply."""
+
+    PULL = (1, ttypes.Pull, ttypes.PullReply)
+    HOLD_BILLS = (2, ttypes.HoldBills, ttypes.HoldBillsReply)
+    ACQUIRE_PERMIT = (3, ttypes.AcquirePermit, ttypes.AcquirePermitReply)
+    RELEASE_PERMIT = (4, ttypes.ReleasePermit, ttypes.ReleasePermitReply)
+
+    @property
+    def number(self) -> int:
+        """Number on the wire."""
+        return self.value[0]
+
+    @property
+    def request(self) -> type:
+        """Generated class of the request."""
+        return self.value[1]
+
+    @property
+    def reply(self) -> type:
+        """Generated class of the reply."""
+        return self.value[2]
+
+
+BY_NUMBER = {kind.number: kind for kind in Kind}
