Add a fault-injecting proxy and a cluster of processes for tests

Cause: the proofs need links that can be cut one by one and the same way to start nodes. Ruled out: a proxy that accepts and then closes on a refused link, and one that only stops accepting (connections then wait in the backlog and the node rightly answers 500 failed instead of 503 not run, seen in tests/test_path.py); a refused link now closes its listener. Conclusion: failures can be proved over real processes.

--- a/packages/node/src/radishcourse_node/settings.py
+++ b/packages/node/src/radishcourse_node/settings.py
@@ -30,6 +30,10 @@
       platform: Base URL of the table service, object store and VM list.
       rating: Base URL of the rating service.
       seeds: Other nodes to ask first.
+      peer_advertise: Address at which other nodes reach this one, when it is
+        not `peer_listen`.
+      peer_routes: Addresses by which this node reaches certain nodes, ahead
+        of the addresses that they advertise.
       peer_keys: Secrets by key id that authenticate messages of nodes.
       peer_key: Id of the key that signs this node's messages.
       poll_s: Time between reads of the configuration head.
@@ -49,6 +53,8 @@
     platform: str
     rating: str
     seeds: list[Seed] = []
+    peer_advertise: schema.Address | None = None
+    peer_routes: dict[ids.NodeId, schema.Address] = {}
     peer_keys: dict[ids.KeyId, schema.Secret] = {}
     peer_key: ids.KeyId = ids.KeyId('')
     poll_s: Seconds = 0.5
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/proxy.py
@@ -0,0 +1,209 @@
+"""A fault-injecting TCP proxy with many links and an HTTP control page.
+
+`POST /control/links` sets the links, `POST /control/faults` the fault of
+some of them, `GET /control/counts` tells the bytes that each one passed
+since its fault was set.
+"""
+
+import enum
+import functools
+
+import anyio
+import fire
+import msgspec
+
+from radishcourse_standins import asgi
+
+CHUNK_BYTES = 64 * 1024
+
+_CONNECTION_ERRORS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
+
+
+class Mode(enum.Enum):
+    """What a link does with its connections.
+
+    REFUSE stops listening and closes existing connections; BLACKHOLE accepts
+    but passes nothing on in the faulty directions; RESET closes as soon as
+    `after_bytes` have passed in a faulty direction; SLOW delays each chunk.
+    """
+
+    PASS = 'pass'
+    REFUSE = 'refuse'
+    BLACKHOLE = 'blackhole'
+    RESET = 'reset'
+    SLOW = 'slow'
+
+
+class Direction(enum.Enum):
+    """The direction that a fault affects."""
+
+    BOTH = 'both'
+    REQUESTS = 'requests'
+    ANSWERS = 'answers'
+
+
+class Fault(msgspec.Struct):
+    """The fault of some links.
+
+    Attributes:
+      links: Names of the links; empty for all.
+      mode: What they do.
+      direction: Which direction is affected.
+      after_bytes: Bytes passed before a reset.
+      delay_ms: Delay of each chunk in the slow mode.
+    """
+
+    links: list[str] = []
+    mode: Mode = Mode.PASS
+    direction: Direction = Direction.BOTH
+    after_bytes: int = 0
+    delay_ms: float = 0
+
+
+class Link(msgspec.Struct):
+    """A link: a port on loopback and the address that it leads to."""
+
+    name: str
+    port: int
+    target: str
+
+
+class _LinkState:
+    def __init__(self, link: Link):
+        self.link = link
+        self.fault = Fault()
+        self.changed = anyio.Event()
+        self.passed = {Direction.REQUESTS: 0, Direction.ANSWERS: 0}
+        self.scope: anyio.CancelScope | None = None
+        self.closed = anyio.Event()
+
+    def set_fault(self, fault: Fault) -> None:
+        self.fault = fault
+        self.passed = dict.fromkeys(self.passed, 0)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def affects(self, direction: Direction) -> bool:
+        return self.fault.direction in (Direction.BOTH, direction)
+
+
+class Proxy:
+    """Serves links and their control page."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup):
+        self._tasks = tasks
+        self._links: dict[str, _LinkState] = {}
+        self.app = asgi.App()
+        self.app.route('POST', '/control/links')(self._set_links)
+        self.app.route('POST', '/control/faults')(self._set_faults)
+        self.app.route('GET', '/control/counts')(self._get_counts)
+
+    async def _set_links(self, request: asgi.Request) -> asgi.Response:
+        for link in request.json(list[Link]):
+            state = _LinkState(link)
+            self._links[link.name] = state
+            await self._open(state)
+        return asgi.reply({})
+
+    async def _set_faults(self, request: asgi.Request) -> asgi.Response:
+        fault = request.json(Fault)
+        for name in fault.links or list(self._links):
+            state = self._links[name]
+            state.set_fault(fault)
+            if fault.mode is not Mode.REFUSE:
+                await self._open(state)
+            elif state.scope is not None:
+                state.scope.cancel()
+                await state.closed.wait()
+        return asgi.reply({})
+
+    async def _open(self, state: _LinkState) -> None:
+        if state.scope is not None:
+            return
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=state.link.port
+        )
+        state.scope = anyio.CancelScope()
+        state.closed = anyio.Event()
+        self._tasks.start_soon(self._listen, state, listener)
+
+    async def _listen(self, state: _LinkState, listener) -> None:
+        with state.scope:
+            await listener.serve(functools.partial(self._serve, state))
+        await listener.aclose()
+        state.scope = None
+        state.closed.set()
+
+    async def _get_counts(self, request: asgi.Request) -> asgi.Response:
+        del request
+        counts = {
+            name: {
+                direction.value: count
+                for direction, count in state.passed.items()
+            }
+            for name, state in self._links.items()
+        }
+        return asgi.reply(counts)
+
+    async def _serve(self, state: _LinkState, caller) -> None:
+        host, _, port = state.link.target.rpartition(':')
+        async with caller:
+            try:
+                target = await anyio.connect_tcp(host, int(port))
+            except OSError:
+                return
+            async with target, anyio.create_task_group() as tasks:
+                pumps = (
+                    (caller, target, Direction.REQUESTS),
+                    (target, caller, Direction.ANSWERS),
+                )
+                for source, sink, direction in pumps:
+                    tasks.start_soon(
+                        self._pump, state, source, sink, direction, tasks
+                    )
+
+    async def _pump(self, state, source, sink, direction, tasks) -> None:
+        try:
+            while True:
+                chunk = await source.receive(CHUNK_BYTES)
+                if not await self._pass(state, sink, direction, chunk):
+                    break
+        except _CONNECTION_ERRORS:
+            pass
+        tasks.cancel_scope.cancel()
+
+    async def _pass(self, state, sink, direction, chunk) -> bool:
+        while state.fault.mode is Mode.BLACKHOLE and state.affects(direction):
+            await state.changed.wait()
+        if state.fault.mode is Mode.SLOW and state.affects(direction):
+            await anyio.sleep(state.fault.delay_ms / 1000)
+        if state.fault.mode is Mode.RESET and state.affects(direction):
+            left = state.fault.after_bytes - state.passed[direction]
+            if left < len(chunk):
+                await sink.send(chunk[: max(left, 0)])
+                state.passed[direction] += max(left, 0)
+                return False
+        await sink.send(chunk)
+        state.passed[direction] += len(chunk)
+        return True
+
+
+def serve(host: str = '127.0.0.1', port: int = 9400) -> None:
+    """Serves the proxy; its links are set on its control page."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            proxy = Proxy(tasks)
+            await asgi.serve(proxy.app, host, port)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+if __name__ == '__main__':
+    fire.Fire(serve)
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,32 @@
+"""The request path from end to end over real processes."""
+
+import testtools
+
+from tests import cluster as clusters
+
+
+class PathTest(testtools.TestCase):
+    """Guards against a path that does not hold together."""
+
+    def test_each_sort_of_request_is_answered_and_billed_once(self):
+        with clusters.running(flush_s=0.2) as cluster:
+            whole = cluster.chat('entry-0')
+            streamed = cluster.chat('entry-1', stream=True)
+            order = cluster.post(
+                'entry-0', '/v1/services/order-desk/orders', {'order': 'a'}
+            )
+            self.assertEqual(
+                [200, 200, 201], [whole.status, streamed.status, order.status]
+            )
+            self.assertTrue(streamed.body.endswith(b'data: [DONE]\n\n'))
+            clusters.wait_until(lambda: len(cluster.bills()) >= 3)
+            requests = [bill[1] for bill in cluster.bills()]
+            self.assertEqual(3, len(set(requests)), requests)
+            self.assertEqual(3, len(requests))
+
+    def test_cut_links_show_in_what_callers_are_told(self):
+        with clusters.running(node_count=1) as cluster:
+            cluster.fault('refuse', ['all>small-1', 'all>large-1'])
+            reply = cluster.chat('entry-0')
+            self.assertEqual((503, 'no_upstream'), (reply.status, reply.code))
+            self.assertEqual('not_run', reply.headers['x-radish-outcome'])
