List every fault of a configuration folder with its path

Cause: check showed only the first fault of the schema, without file or path, and nothing between parts (references, shares, cascades). Ruled out: collecting msgspec's errors by removing one faulty value after another and decoding again; it gives one message a round and no path for duplicate keys.

--- a/packages/model/src/radishcourse_model/faults.py
+++ b/packages/model/src/radishcourse_model/faults.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from radishcourse_model import paths
+
 
 class FaultCode(enum.Enum):
     """Kinds of faults; the values are printed and stay stable."""
@@ -19,15 +21,25 @@
     WRONG_TYPE = 'CFG102'
     OUT_OF_RANGE = 'CFG103'
     MISSING_KEY = 'CFG104'
-    BAD_NAME = 'CFG105'
+    BAD_FORMAT = 'CFG105'
     UNKNOWN_REFERENCE = 'CFG201'
     CASCADE_NOT_ALLOWED = 'CFG202'
     SHARE_SUM = 'CFG203'
     SESSION_KEYS = 'CFG204'
     DUPLICATE_VALUE = 'CFG205'
+    ROLLOUT_VERSIONS = 'CFG206'
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """What is wrong with a value of a document, and what is allowed."""
+
+    path: paths.Path
+    code: FaultCode
+    message: str
 
 
-@dataclasses.dataclass(frozen=True, order=True)
+@dataclasses.dataclass(frozen=True)
 class Fault:
     """One fault of a configuration folder.
 
@@ -40,8 +52,8 @@
 
     file: str
     path: str
-    code: FaultCode = dataclasses.field(compare=False)
-    message: str = dataclasses.field(compare=False)
+    code: FaultCode
+    message: str
 
     def __str__(self) -> str:
         return f'{self.code.value} {self.file}:{self.path}: {self.message}'
--- a/packages/model/src/radishcourse_model/folder.py
+++ b/packages/model/src/radishcourse_model/folder.py
@@ -1,56 +1,82 @@
 """Reading of a configuration folder."""
 
-import dataclasses
-import json
 import pathlib
 
 import msgspec
 
 from radishcourse_model import faults
 from radishcourse_model import merge
+from radishcourse_model import parse
+from radishcourse_model import paths
 from radishcourse_model import schema
 
-MAX_FILE_BYTES = 4 * 2**20
-MAX_DEPTH = 32
+SUFFIX = '.json'
+_WHOLE = '(folder)'
 
 
-@dataclasses.dataclass
 class Folder:
     """A folder of configuration files, merged.
 
     Attributes:
       document: The merged document.
-      origins: For each JSON path, the file that set its value last.
       faults: What is wrong with the files themselves.
+      origins: For each JSON path, the file that set its value last.
     """
 
-    document: merge.Document
-    origins: dict[str, str]
-    faults: list[faults.Fault]
-
-    def origin(self, path: str) -> str:
-        """Returns the file that set `path`, or the nearest path above it."""
-        while path not in self.origins and '.' in path:
-            path = path.rpartition('.')[0]
-        return self.origins.get(path, '(folder)')
-
-
-def read(folder: pathlib.Path) -> Folder:
-    """Reads and merges the `*.json` files of a folder in name order."""
-    result = Folder(document={}, origins={}, faults=[])
+    def __init__(self):
+        self.document: merge.Document = {}
+        self.faults: list[faults.Fault] = []
+        self.origins: dict[paths.Path, str] = {}
+
+    def locate(self, problem: faults.Problem) -> faults.Fault:
+        """Returns a problem with the file that set its value."""
+        path = problem.path
+        while path and path not in self.origins:
+            path = path[:-1]
+        return faults.Fault(
+            self.origins.get(path, _WHOLE),
+            paths.render(problem.path),
+            problem.code,
+            problem.message,
+        )
+
+    def add(self, name: str, document: merge.Document) -> None:
+        """Refines the document by one file's."""
+        self.document = merge.merge(self.document, document)
+        self._note_origins(document, paths.ROOT, name)
+
+    def add_problem(self, name: str, problem: faults.Problem) -> None:
+        """Notes a problem of one file."""
+        path = paths.render(problem.path)
+        self.faults.append(
+            faults.Fault(name, path, problem.code, problem.message)
+        )
+
+    def _note_origins(self, value, path: paths.Path, name: str) -> None:
+        self.origins[path] = name
+        if isinstance(value, dict):
+            for key, item in value.items():
+                self._note_origins(item, (*path, key), name)
+
+
+def read(path: pathlib.Path) -> Folder:
+    """Reads and merges the `*.json` files of a folder in name order.
+
+    Names are compared as Unicode code points. Other files, and names that
+    start with a dot, are left out.
+    """
+    folder = Folder()
     try:
-        paths = sorted(folder.iterdir(), key=lambda path: path.name)
+        files = sorted(
+            (item for item in path.iterdir() if _is_config(item)),
+            key=lambda item: item.name,
+        )
     except OSError as error:
-        _add(result, str(folder), faults.FaultCode.UNREADABLE, str(error))
-        return result
-    for path in paths:
-        if path.suffix != '.json':
-            continue
-        document = _read_file(path, result)
-        if document is not None:
-            result.document = merge.merge(result.document, document)
-            _note_origins(document, '$', path.name, result.origins)
-    return result
+        folder.add_problem(path.name, _unreadable(error))
+        return folder
+    for file in files:
+        _read_file(file, folder)
+    return folder
 
 
 def decode(document: merge.Document) -> schema.Config:
@@ -62,83 +88,24 @@
     return msgspec.convert(document, schema.Config)
 
 
-def _read_file(path: pathlib.Path, result: Folder) -> merge.Document | None:
-    try:
-        if path.stat().st_size > MAX_FILE_BYTES:
-            message = f'the file is too large, at most {MAX_FILE_BYTES} bytes'
-            _add(result, path.name, faults.FaultCode.TOO_LARGE, message)
-            return None
-        text = path.read_bytes().decode('utf-8')
-    except OSError as error:
-        _add(result, path.name, faults.FaultCode.UNREADABLE, str(error))
-        return None
-    except UnicodeDecodeError as error:
-        message = f'not UTF-8 at byte {error.start}, UTF-8 is required'
-        _add(result, path.name, faults.FaultCode.BAD_UTF8, message)
-        return None
-    return _parse(text, path.name, result)
-
-
-def _parse(text: str, name: str, result: Folder) -> merge.Document | None:
-    repeated: list[str] = []
-
-    def collect(pairs):
-        seen = {}
-        for key, value in pairs:
-            if key in seen:
-                repeated.append(key)
-            seen[key] = value
-        return seen
+def _is_config(file: pathlib.Path) -> bool:
+    return file.suffix == SUFFIX and not file.name.startswith('.')
 
+
+def _read_file(file: pathlib.Path, folder: Folder) -> None:
     try:
-        document = json.loads(text, object_pairs_hook=collect)
-    except RecursionError:
-        message = f'nested too deep, at most {MAX_DEPTH} levels'
-        _add(result, name, faults.FaultCode.TOO_DEEP, message)
-        return None
-    except ValueError as error:
-        _add(result, name, faults.FaultCode.BAD_JSON, f'{error}')
-        return None
-    for key in repeated:
-        message = f'key {key!r} stands twice in one object, once is allowed'
-        _add(result, name, faults.FaultCode.DUPLICATE_KEY, message)
-    if not isinstance(document, dict):
-        message = 'the file holds no JSON object, one is required'
-        _add(result, name, faults.FaultCode.NOT_OBJECT, message)
-        return None
-    if not _check_values(document, '$', 1, name, result):
-        return None
-    return document
-
-
-def _check_values(value, path, depth, name, result) -> bool:
-    if depth > MAX_DEPTH:
-        message = f'nested too deep, at most {MAX_DEPTH} levels'
-        _add(result, name, faults.FaultCode.TOO_DEEP, message, path)
-        return False
-    if value is None:
-        message = 'null is not allowed, leave the key out'
-        _add(result, name, faults.FaultCode.NULL_VALUE, message, path)
-        return False
-    if isinstance(value, dict):
-        items = [(f'{path}.{key}', item) for key, item in value.items()]
-    elif isinstance(value, list):
-        items = [(f'{path}[{index}]', item) for index, item in enumerate(value)]
-    else:
-        return True
-    checks = [
-        _check_values(item, below, depth + 1, name, result)
-        for below, item in items
-    ]
-    return all(checks)
-
-
-def _note_origins(value, path, name, origins) -> None:
-    origins[path] = name
-    if isinstance(value, dict):
-        for key, item in value.items():
-            _note_origins(item, f'{path}.{key}', name, origins)
-
-
-def _add(result, file, code, message, path='$') -> None:
-    result.faults.append(faults.Fault(file, path, code, message))
+        with file.open('rb') as stream:
+            data = stream.read(parse.MAX_FILE_BYTES + 1)
+    except OSError as error:
+        folder.add_problem(file.name, _unreadable(error))
+        return
+    document, problems = parse.parse(data)
+    for problem in problems:
+        folder.add_problem(file.name, problem)
+    if document is not None:
+        folder.add(file.name, document)
+
+
+def _unreadable(error: OSError) -> faults.Problem:
+    message = f'{error.strerror}, a readable file is required'
+    return faults.Problem(paths.ROOT, faults.FaultCode.UNREADABLE, message)
--- a/packages/model/src/radishcourse_model/schema.py
+++ b/packages/model/src/radishcourse_model/schema.py
@@ -11,6 +11,8 @@
 from radishcourse_model import ids
 from radishcourse_model import states
 
+NAME_PATTERN = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z'
+
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 Confidence = typing.Annotated[float, msgspec.Meta(ge=0.5, le=0.999)]
 Percent = typing.Annotated[int, msgspec.Meta(ge=0, le=100)]
@@ -20,13 +22,11 @@
 Size = typing.Annotated[int, msgspec.Meta(ge=1024, le=2**32)]
 Weight = typing.Annotated[float, msgspec.Meta(gt=0, le=1000)]
 Priority = typing.Annotated[int, msgspec.Meta(ge=0, le=9)]
-Hash = typing.Annotated[str, msgspec.Meta(pattern='^sha256:[0-9a-f]{64}$')]
-Name = typing.Annotated[
-    str, msgspec.Meta(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
-]
+Hash = typing.Annotated[str, msgspec.Meta(pattern=r'^sha256:[0-9a-f]{64}\Z')]
+Name = typing.Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16, max_length=256)]
 Address = typing.Annotated[
-    str, msgspec.Meta(pattern=r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
+    str, msgspec.Meta(pattern=r'^([0-9]{1,3}\.){3}[0-9]{1,3}:[0-9]{1,5}\Z')
 ]
 
 ANY_VERSION = '*'
