Resume broken streams and give callers whole answers only

Cause: a stream whose connection broke midway ended as interrupted, an event out of order or of another request did the same, a caller that left kept its engine slot until the generation ended, and a caller that went away during an unstreamed job was not noticed at all.

Ruled out: retrying on another upstream after the first byte (joins two attempts); resuming without the boot id (a restarted engine may know the request id and give other text); relying on a closed connection to stop the engine (it must go on, or nothing could be resumed).

Change: streams.py owns a streamed attempt: retry only before the first part, then POST /v1/resume at the same engine and boot id, through the guard, with a bound on resumes that bring nothing. sse.py parses CR LF, comments and split chunks, drops duplicates and foreign events and puts early ones in order within 64 KiB. Work that nobody waits for is cancelled at the engine. connections.py extends uvicorn's protocol: it tells when a caller left without a task for each request, and bounds the socket buffers. The engine stand-in gets duplicate, reordered, foreign and CR LF events and a cut at a token; resumed streams take the place of earlier generations.

--- a/packages/node/src/radishcourse_node/app.py
+++ b/packages/node/src/radishcourse_node/app.py
@@ -9,33 +9,23 @@
 import secrets
 
 import anyio
-import msgspec
 from radishcourse_model import ids
 from radishcourse_model import states
 
+from radishcourse_node import connections
 from radishcourse_node import errors
 from radishcourse_node import events
 from radishcourse_node import filters
 from radishcourse_node import job as jobs
 from radishcourse_node import metrics
 from radishcourse_node import pages
+from radishcourse_node import replies
+from radishcourse_node.filters import parsing
 
 MAX_HEADERS = 100
 MAX_HEADER_BYTES = 16 * 1024
-_REQUEST_ID = 'x-radish-request-id'
-_OUTCOME = 'x-radish-outcome'
-_DONE = b'data: [DONE]\n\n'
-
-
-class _ErrorDetail(msgspec.Struct):
-    code: str
-    message: str
-    outcome: str
-    request_id: str
-
-
-class _ErrorBody(msgspec.Struct):
-    error: _ErrorDetail
+BODY_LIMIT_S = 30.0
+_KEY = 'idempotency-key'
 
 
 class _CallerLeft(Exception):
@@ -51,6 +41,7 @@
         self._clock = node.environment.clock
         self._metrics = node.metrics
         self._chain = filters.build(node)
+        self._readers = node.readers
         self._pages = pages.Pages(node)
 
     async def __call__(self, scope, receive, send) -> None:
@@ -59,7 +50,7 @@
             return
         page = self._pages.find(scope['method'], scope['path'])
         if page is not None:
-            await _send_whole(send, await page())
+            await replies.send_whole(send, await page())
             return
         with self._node.count_request():
             await self._serve(scope, receive, send)
@@ -68,24 +59,41 @@
         request_id = ids.RequestId(
             f'{self._node.incarnation}-{secrets.token_hex(6)}'
         )
+        connection = scope['state'][connections.STATE_KEY]
         job = None
         try:
             job = await self._read(scope, receive, request_id)
-            answer = await self._run(job)
-        except _CallerLeft:
-            return
+            with _cancelling_when_left(connection, job) as left:
+                await self._answer(send, connection, job)
         except errors.Refusal as refusal:
             await self._send_refusal(send, refusal, request_id, job)
+        except _CallerLeft:
             return
-        if answer.stream is None:
-            await self._send_answer(send, job, answer)
         else:
-            await self._send_stream(send, receive, job, answer)
+            if left.cancelled_caught:
+                events.log(events.Event.CALLER_LEFT, request=request_id)
+                self._finish(job, states.Outcome.FAILED)
+
+    async def _answer(self, send, connection, job: jobs.Job) -> None:
+        answer = await self._run(job)
+        with self._readers.open(job.organisation_id, connection) as reader:
+            job.reader = reader
+            if answer.stream is None:
+                await self._send_answer(send, job, answer)
+            else:
+                await self._send_stream(send, job, answer)
+            await reader.finish()
 
     async def _read(self, scope, receive, request_id) -> jobs.Job:
         arrived_at = self._clock.now()
         headers = _read_headers(scope['headers'])
-        body = await _read_body(receive, self._settings.max_body_bytes)
+        with anyio.move_on_after(BODY_LIMIT_S) as limit:
+            body = await _read_body(receive, self._settings.max_body_bytes)
+        if limit.cancelled_caught:
+            raise errors.Refusal(
+                errors.RefusalCode.BAD_REQUEST,
+                f'the body did not arrive within {BODY_LIMIT_S:g} s',
+            )
         return jobs.Job(
             request_id=request_id,
             method=scope['method'],
@@ -113,37 +121,38 @@
         seconds = self._clock.now() - job.arrived_at
         self._record(metrics.Series.FIRST_BYTE, job, seconds)
         self._finish(job, answer.facts.outcome)
-        headers = {**answer.headers, **_fact_headers(job, answer.facts)}
-        await _send_whole(send, pages.Page(answer.status, answer.body, headers))
+        headers = {**answer.headers, **replies.fact_headers(job, answer.facts)}
+        page = pages.Page(answer.status, answer.body, self._closing(headers))
+        await replies.send_whole(send, page)
 
-    async def _send_stream(self, send, receive, job, answer) -> None:
-        headers = {**answer.headers, **_start_headers(job, answer.facts)}
+    async def _send_stream(self, send, job, answer: jobs.Answer) -> None:
+        headers = {**answer.headers, **replies.start_headers(job, answer.facts)}
         seconds = self._clock.now() - job.arrived_at
         self._record(metrics.Series.FIRST_BYTE, job, seconds)
-        await _send_start(send, answer.status, headers)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_when_left, receive, tasks.cancel_scope)
-            async with contextlib.aclosing(answer.stream) as stream:
-                await self._send_parts(send, job, answer, stream)
-            tasks.cancel_scope.cancel()
+        await replies.send_start(send, answer.status, self._closing(headers))
+        async with contextlib.aclosing(answer.stream) as stream:
+            await self._send_parts(send, job, answer, stream)
 
     async def _send_parts(self, send, job, answer, stream) -> None:
         try:
             async for part in stream:
-                await _send_part(send, part)
-        except errors.NodeError as error:
+                await replies.send_part(send, part)
+        except Exception as error:
             outcome = states.Outcome.FAILED
+            message = 'internal error'
+            if isinstance(error, errors.NodeError):
+                message = str(error)
             events.log(
                 events.Event.ANSWER_INTERRUPTED,
                 request=job.request_id,
-                error=str(error),
+                error=repr(error),
             )
-            tail = _error_event(job, str(error))
+            tail = replies.error_event(job, message)
         else:
             outcome = answer.facts.outcome
-            tail = _final_event(job, answer.facts) + _DONE
+            tail = replies.final_event(job, answer.facts)
         self._finish(job, outcome)
-        await _send_part(send, tail)
+        await replies.send_part(send, tail)
         await send({'type': 'http.response.body', 'body': b''})
 
     async def _send_refusal(self, send, refusal, request_id, job) -> None:
@@ -156,18 +165,16 @@
         )
         if job is not None:
             self._finish(job, reason.outcome)
-        detail = _ErrorDetail(
-            reason.label, str(refusal), reason.outcome.value, request_id
-        )
-        headers = {
-            'content-type': 'application/json',
-            _REQUEST_ID: request_id,
-            _OUTCOME: reason.outcome.value,
-        }
-        if refusal.retry_after_s is not None:
-            headers['retry-after'] = str(refusal.retry_after_s)
-        body = msgspec.json.encode(_ErrorBody(detail))
-        await _send_whole(send, pages.Page(reason.status, body, headers))
+        page = replies.make_refusal(refusal, request_id)
+        page = page._replace(headers=self._closing(page.headers))
+        await replies.send_whole(send, page)
+
+    def _closing(self, headers: dict[str, str]) -> dict[str, str]:
+        # While a node drains, each answer ends its connection, so that the
+        # caller's next request opens one to another node.
+        if self._node.draining:
+            headers['connection'] = 'close'
+        return headers
 
     def _record(self, series, job: jobs.Job, seconds: float) -> None:
         self._metrics.record(series, job.organisation_id, job.kind_id, seconds)
@@ -220,65 +227,17 @@
             return b''.join(parts)
 
 
-async def _cancel_when_left(receive, scope: anyio.CancelScope) -> None:
-    while (await receive())['type'] != 'http.disconnect':
-        pass
-    scope.cancel()
-
+@contextlib.contextmanager
+def _cancelling_when_left(connection, job: jobs.Job):
+    """Yields a scope that is cancelled when the caller goes away.
 
-def _start_headers(job: jobs.Job, facts: jobs.Facts) -> dict[str, str]:
-    return {
-        _REQUEST_ID: job.request_id,
-        'x-radish-model': facts.model,
-        'x-radish-version': facts.version,
-        'x-radish-steps': str(facts.steps),
-        'x-radish-revision': str(facts.revision),
-    }
-
-
-def _fact_headers(job: jobs.Job, facts: jobs.Facts) -> dict[str, str]:
-    headers = _start_headers(job, facts)
-    headers['x-radish-cost'] = str(facts.cost)
-    headers[_OUTCOME] = facts.outcome.value
-    if facts.rating is not None:
-        headers['x-radish-rating'] = f'{facts.rating:.3f}'
-    return headers
-
-
-def _final_event(job: jobs.Job, facts: jobs.Facts) -> bytes:
-    data = msgspec.json.encode(_fact_headers(job, facts))
-    return b'event: radishcourse\ndata: ' + data + b'\n\n'
-
-
-def _error_event(job: jobs.Job, message: str) -> bytes:
-    detail = _ErrorDetail(
-        errors.RefusalCode.UPSTREAM_FAILED.label,
-        message,
-        states.Outcome.FAILED.value,
-        job.request_id,
-    )
-    data = msgspec.json.encode(_ErrorBody(detail))
-    return b'event: error\ndata: ' + data + b'\n\n'
-
-
-async def _send_whole(send, page: pages.Page) -> None:
-    headers = {**page.headers, 'content-length': str(len(page.body))}
-    await _send_start(send, page.status, headers)
-    await send({'type': 'http.response.body', 'body': page.body})
-
-
-async def _send_start(send, status: int, headers: dict[str, str]) -> None:
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': status,
-            'headers': [
-                (name.encode('latin-1'), value.encode('latin-1'))
-                for name, value in headers.items()
-            ],
-        }
-    )
-
-
-async def _send_part(send, part: bytes) -> None:
-    await send({'type': 'http.response.body', 'body': part, 'more_body': True})
+    Calls of services, and jobs with a key, run to their end all the same:
+    the caller may ask for their outcome later.
+    """
+    with anyio.CancelScope() as scope:
+        if job.path == parsing.CHAT_PATH and _KEY not in job.headers:
+            connection.on_lost = scope.cancel
+        try:
+            yield scope
+        finally:
+            connection.on_lost = None
--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -12,6 +12,7 @@
 from radishcourse_node import events
 from radishcourse_node import guard
 from radishcourse_node import job as jobs
+from radishcourse_node import streams
 from radishcourse_node.controllers import upstreams
 
 MAX_ATTEMPTS = 4
@@ -29,6 +30,9 @@
         self._ratings = node.ratings
         self._versions = node.versions
         self._guard = guard.Guard(node)
+        self._streams = streams.Streams(
+            node, self._open, self._note_failure, self._may_retry, self._charge
+        )
 
     async def run(self, job: jobs.Job) -> jobs.Answer:
         """Returns the answer to a job.
@@ -38,7 +42,7 @@
         """
         choice = self._choose(job)
         if job.streamed:
-            return await self._run_streamed(job, choice.index)
+            return await self._streams.run(job, job.steps[choice.index])
         return await self._run_whole(job, choice)
 
     def _choose(self, job: jobs.Job) -> policy.Choice:
@@ -112,45 +116,13 @@
             except errors.AttemptError as error:
                 self._note_failure(job, attempted, error)
                 if not self._may_retry(job, attempted, attempt):
-                    raise _failed(error) from error
+                    raise streams.failed(error) from error
                 continue
             facts.take_over(attempted)
             self._charge(facts, whole.tokens)
             return whole
         raise AssertionError('the last attempt returns or raises')
 
-    async def _run_streamed(self, job: jobs.Job, index: int) -> jobs.Answer:
-        facts = jobs.Facts(steps=1)
-        tried: set[ids.UpstreamId] = set()
-        for attempt in range(MAX_ATTEMPTS):
-            stream = self._events(job, job.steps[index], facts, tried)
-            try:
-                first = await anext(stream)
-            except errors.AttemptError as error:
-                self._note_failure(job, facts, error)
-                if not self._may_retry(job, facts, attempt):
-                    raise _failed(error) from error
-                continue
-            headers = {'content-type': 'text/event-stream'}
-            whole = _prepend(first, stream)
-            return jobs.Answer(200, headers, b'', whole, facts)
-        raise AssertionError('the last attempt returns or raises')
-
-    async def _events(self, job, model, facts, tried):
-        async with self._open(job, model, facts, tried) as opened:
-            response, call = opened
-            reader = engines.StreamReader(call.request_id)
-            chunks = response.aiter_stream()
-            async for chunk in chunks:
-                part = reader.feed(chunk)
-                if part:
-                    yield part
-                if self._clock.now() > job.deadline:
-                    raise errors.AttemptError('deadline passed', sent=True)
-            reader.finish()
-            self._charge(facts, reader.tokens)
-            facts.outcome = states.Outcome.COMPLETED
-
     @contextlib.asynccontextmanager
     async def _open(self, job, model, facts, tried):
         self._guard.check_view(job)
@@ -175,8 +147,9 @@
                     f'{model}/{version} is not allowed any more',
                 )
             call = _make_call(job, model, version, len(tried))
-            async with self._request(job, upstream, call) as response:
-                yield response, call
+            async with streams.cancelling(upstream, call.request_id):
+                async with self._request(job, upstream, call) as response:
+                    yield response, call
 
     @contextlib.asynccontextmanager
     async def _request(self, job, upstream: upstreams.Reservation, call):
@@ -227,20 +200,3 @@
         stream=job.chat.stream,
         priority=job.kind.priority,
     )
-
-
-async def _prepend(first: bytes, rest):
-    try:
-        yield first
-        async for part in rest:
-            yield part
-    finally:
-        await rest.aclose()
-
-
-def _failed(error: errors.AttemptError) -> errors.Refusal:
-    if not error.sent:
-        return errors.Refusal(
-            errors.RefusalCode.NO_UPSTREAM, str(error), retry_after_s=1
-        )
-    return errors.Refusal(errors.RefusalCode.UPSTREAM_FAILED, str(error))
--- /dev/null
+++ b/packages/node/src/radishcourse_node/connections.py
@@ -0,0 +1,140 @@
+"""Callers' connections: bytes held, malformed requests, polite closing."""
+
+import asyncio
+import contextlib
+import socket
+import sys
+
+import h11
+from uvicorn.protocols.http import h11_impl
+
+from radishcourse_node import errors
+from radishcourse_node import replies
+from radishcourse_node.controllers import readers
+
+# Bounds what the kernel holds for a caller that does not read; at a round
+# trip of 10 ms a connection still passes 12 MB/s.
+SEND_BUFFER_BYTES = 128 * 1024
+# A request's headers, or the rest of a body that was refused, must have
+# arrived after this time.
+REQUEST_LIMIT_S = 10.0
+# Idle connections stay open so long after the last accepted one, because a
+# request may be on its way on them when the node decides to close.
+CLOSING_DELAY_S = 1.0
+STATE_KEY = 'connection'
+
+
+class Connection(h11_impl.H11Protocol):
+    """One caller's connection; found in the ASGI scope's state."""
+
+    def __init__(self, config, server_state, app_state, _loop=None):
+        state = {**app_state, STATE_KEY: self}
+        super().__init__(config, server_state, state, _loop)
+        self.on_lost = None
+        self._request_timer: asyncio.TimerHandle | None = None
+        self._lost = False
+
+    def held_bytes(self) -> int:
+        """Bytes written that the kernel did not take yet."""
+        return self.transport.get_write_buffer_size()
+
+    async def wait_flushed(self) -> None:
+        """Returns when the kernel took all written bytes, or at the end."""
+        self.transport.set_write_buffer_limits(high=0)
+        try:
+            await self.flow.drain()
+        finally:
+            self._set_limits()
+
+    def abort(self) -> None:
+        """Closes the connection and drops what it holds."""
+        self.transport.abort()
+
+    def _set_limits(self) -> None:
+        self.transport.set_write_buffer_limits(high=readers.HIGH_BYTES)
+
+    def connection_made(self, transport) -> None:
+        """Bounds the buffers and the time for the first request."""
+        super().connection_made(transport)
+        self._set_limits()
+        transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
+        self._watch_request()
+
+    def connection_lost(self, exc) -> None:
+        """Ends the work for a caller that left."""
+        self._lost = True
+        self._watch_request()
+        super().connection_lost(exc)
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came, and bounds the time for what is missing."""
+        super().data_received(data)
+        self._watch_request()
+
+    def eof_received(self) -> None:
+        """Refuses a request that was cut short."""
+        if self.conn.their_state is h11.SEND_BODY:
+            with contextlib.suppress(h11.LocalProtocolError):
+                self.conn.receive_data(b'')
+                self.handle_events()
+
+    def _watch_request(self) -> None:
+        answered = self.cycle is None or self.cycle.response_complete
+        waiting = answered and not self._lost and self._is_partial()
+        if not waiting and self._request_timer is not None:
+            self._request_timer.cancel()
+            self._request_timer = None
+        elif waiting and self._request_timer is None:
+            self._request_timer = self.loop.call_later(
+                REQUEST_LIMIT_S, self.transport.abort
+            )
+
+    def _is_partial(self) -> bool:
+        """Tells whether the first or a started request is incomplete."""
+        return (
+            self.cycle is None
+            or self.conn.their_state is h11.SEND_BODY
+            or bool(self.conn.trailing_data[0])
+        )
+
+    def send_400_response(self, msg: str) -> None:
+        """Answers a malformed request with a coded refusal."""
+        error = sys.exception()
+        status = getattr(error, 'error_status_hint', 400)
+        reason = errors.RefusalCode.BAD_REQUEST
+        if status == errors.RefusalCode.HEADERS_TOO_LARGE.status:
+            reason = errors.RefusalCode.HEADERS_TOO_LARGE
+        page = replies.make_refusal(
+            errors.Refusal(reason, f'{msg} {error}'), request_id=''
+        )
+        headers = {
+            **page.headers,
+            'content-length': str(len(page.body)),
+            'connection': 'close',
+        }
+        response = h11.Response(
+            status_code=page.status, headers=list(headers.items())
+        )
+        try:
+            for event in (response, h11.Data(page.body), h11.EndOfMessage()):
+                self.transport.write(self.conn.send(event))
+        except h11.LocalProtocolError:
+            # An answer was under way already; nothing more can be said.
+            self.transport.abort()
+            return
+        self.transport.close()
+
+    def shutdown(self) -> None:
+        """Closes when no request is in progress or on its way."""
+        if self.cycle is None or self.cycle.response_complete:
+            self.loop.call_later(CLOSING_DELAY_S, self._close_idle)
+        else:
+            self.cycle.keep_alive = False
+
+    def _close_idle(self) -> None:
+        if not self.transport.is_closing():
+            super().shutdown()
--- a/packages/node/src/radishcourse_node/engines.py
+++ b/packages/node/src/radishcourse_node/engines.py
@@ -1,20 +1,25 @@
 """Client of the model engines: whole and streamed chat completions."""
 
 import contextlib
+import socket
 import typing
 
+import anyio
 import httpcore
 import msgspec
-from radishcourse_model import ids
 from radishcourse_platform import http
 
 from radishcourse_node import errors
 from radishcourse_node import job as jobs
 
 CONNECT_TIMEOUT_S = 0.5
-MAX_EVENT_BYTES = 2**20
-MAX_CONNECTIONS = 256
-_DONE = b'[DONE]'
+MAX_CONNECTIONS = 1024
+CANCEL_TIMEOUT_S = 1.0
+# A small receive buffer makes a node that stops reading hold back the engine
+# instead of filling megabytes in the kernel; at 2 ms it still passes 16 MB/s
+# for each connection.
+RECEIVE_BUFFER_BYTES = 32 * 1024
+_SOCKET_OPTIONS = [(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)]
 
 
 class Call(msgspec.Struct):
@@ -50,13 +55,6 @@
     usage: _Usage
 
 
-class _Event(msgspec.Struct):
-    request_id: str
-    index: int
-    choices: list[_Choice]
-    usage: _Usage | None = None
-
-
 class Whole(typing.NamedTuple):
     """A whole answer."""
 
@@ -73,7 +71,19 @@
 
 
 _completion_decoder = msgspec.json.Decoder(_Completion)
-_event_decoder = msgspec.json.Decoder(_Event)
+
+
+class ResumeCall(msgspec.Struct):
+    """A request to go on with a stream."""
+
+    request_id: str
+    from_index: int
+
+
+class CancelCall(msgspec.Struct):
+    """A request to end the work for a request and free its slot."""
+
+    request_id: str
 
 
 class Sent:
@@ -100,7 +110,9 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
-                max_connections=MAX_CONNECTIONS, keepalive_expiry=30
+                max_connections=MAX_CONNECTIONS,
+                keepalive_expiry=30,
+                socket_options=_SOCKET_OPTIONS,
             )
             self._pools[address] = pool
         return pool
@@ -184,7 +196,7 @@
     """
     try:
         completion = _completion_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise errors.AttemptError(f'malformed: {error}', sent=True) from error
     if completion.request_id != request_id:
         raise errors.AttemptError('answer to another request', sent=True)
@@ -196,73 +208,19 @@
     )
 
 
-class StreamReader:
-    """Checks the server-sent events of one stream.
+async def cancel(
+    pool: httpcore.AsyncConnectionPool, address: str, request_id: str
+) -> None:
+    """Asks an engine to end the work for a request.
 
-    Events that were seen already are dropped, a gap or another request's
-    event is an error. The `[DONE]` mark is not passed on; the node writes
-    its own after the bill.
-
-    Args:
-      request_id: The request id that each event must carry.
-      start: Index of the first expected event.
+    It also runs while the task is being cancelled, and a failure is passed
+    over: an engine that can't be reached has nothing to free.
     """
-
-    def __init__(self, request_id: ids.RequestId | str, start: int = 0):
-        self._request_id = request_id
-        self._buffer = b''
-        self._next = start
-        self.tokens = 0
-        self.finished = False
-
-    @property
-    def next_index(self) -> int:
-        """Index of the next event; a resumed stream goes on from here."""
-        return self._next
-
-    def feed(self, chunk: bytes) -> bytes:
-        """Returns the checked events in a chunk, as they are passed on.
-
-        Raises:
-          AttemptError: The stream does not hold together.
-        """
-        self._buffer += chunk
-        *events, self._buffer = self._buffer.split(b'\n\n')
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise errors.AttemptError('an event is too large', sent=True)
-        kept = [event for event in events if self._accept(event)]
-        return b'\n\n'.join(kept) + b'\n\n' if kept else b''
-
-    def finish(self) -> None:
-        """Checks at the end of the body that the answer is whole.
-
-        Raises:
-          AttemptError: The last event did not come.
-        """
-        if not self.finished:
-            raise errors.AttemptError('the stream is cut short', sent=True)
-
-    def _accept(self, event: bytes) -> bool:
-        if not event.startswith(b'data: '):
-            return False
-        data = event[6:]
-        if data == _DONE:
-            return False
-        try:
-            decoded = _event_decoder.decode(data)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            message = f'malformed event: {error}'
-            raise errors.AttemptError(message, sent=True) from error
-        if decoded.request_id != self._request_id:
-            raise errors.AttemptError('event of another request', sent=True)
-        if decoded.index < self._next:
-            return False
-        if decoded.index > self._next or self.finished:
-            raise errors.AttemptError('a gap in the stream', sent=True)
-        self._next += 1
-        if decoded.choices and decoded.choices[0].finish_reason is not None:
-            self.finished = True
-            self.tokens = (
-                decoded.usage.completion_tokens if decoded.usage else 0
+    with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+        with contextlib.suppress(*http.CALL_ERRORS):
+            await pool.request(
+                'POST',
+                f'http://{address}/v1/cancel',
+                headers=[(b'content-type', b'application/json')],
+                content=msgspec.json.encode(CancelCall(request_id)),
             )
-        return True
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -17,6 +17,7 @@
 import uvicorn
 
 from radishcourse_node import app
+from radishcourse_node import connections
 from radishcourse_node import environment as environments
 from radishcourse_node import events
 from radishcourse_node import metrics
@@ -28,6 +29,7 @@
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
 from radishcourse_node.controllers import quality
+from radishcourse_node.controllers import readers
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
 
@@ -105,6 +107,7 @@
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
         self.bills = bills.Bills(environment, settings, self.incarnation, rows)
+        self.readers = readers.Readers(self.configuration, settings)
         self._draining = False
         self._requests = 0
 
@@ -117,6 +120,11 @@
             and self.freshness.may_start()
         )
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node is on its way to a planned stop."""
+        return self._draining
+
     @property
     def requests(self) -> int:
         """Requests in progress."""
@@ -156,6 +164,8 @@
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
             'radishcourse_bills_held': self.bills.held,
+            'radishcourse_held_bytes': self.readers.total,
+            'radishcourse_held_bytes_most': self.readers.most,
             'radishcourse_ready': int(self.ready),
         }
 
@@ -194,11 +204,12 @@
             app.App(self),
             host=host,
             port=port,
-            http='h11',
+            http=connections.Connection,
             lifespan='off',
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=False,
             h11_max_incomplete_event_size=MAX_LINE_BYTES,
             timeout_graceful_shutdown=int(self.settings.drain_limit_s),
         )
--- /dev/null
+++ b/packages/node/src/radishcourse_node/replies.py
@@ -0,0 +1,113 @@
+"""What callers are told: headers, closing events and bodies of errors."""
+
+import msgspec
+from radishcourse_model import states
+
+from radishcourse_node import errors
+from radishcourse_node import job as jobs
+from radishcourse_node import pages
+
+REQUEST_ID = 'x-radish-request-id'
+OUTCOME = 'x-radish-outcome'
+DONE = b'data: [DONE]\n\n'
+
+
+class ErrorDetail(msgspec.Struct):
+    """The code, and what became of the request."""
+
+    code: str
+    message: str
+    outcome: str
+    request_id: str
+
+
+class ErrorBody(msgspec.Struct):
+    """Body of an error."""
+
+    error: ErrorDetail
+
+
+def encode_error(refusal: errors.Refusal, request_id: str) -> bytes:
+    """Returns the body of a refusal."""
+    reason = refusal.reason
+    return msgspec.json.encode(
+        ErrorBody(
+            ErrorDetail(
+                reason.label, str(refusal), reason.outcome.value, request_id
+            )
+        )
+    )
+
+
+def make_refusal(refusal: errors.Refusal, request_id: str) -> pages.Page:
+    """Returns the whole response of a refusal."""
+    headers = {
+        'content-type': 'application/json',
+        REQUEST_ID: request_id,
+        OUTCOME: refusal.reason.outcome.value,
+    }
+    if refusal.retry_after_s is not None:
+        headers['retry-after'] = str(refusal.retry_after_s)
+    body = encode_error(refusal, request_id)
+    return pages.Page(refusal.reason.status, body, headers)
+
+
+def start_headers(job: jobs.Job, facts: jobs.Facts) -> dict[str, str]:
+    """Returns the headers that are known when a stream starts."""
+    return {
+        REQUEST_ID: job.request_id,
+        'x-radish-model': facts.model,
+        'x-radish-version': facts.version,
+        'x-radish-steps': str(facts.steps),
+        'x-radish-revision': str(facts.revision),
+    }
+
+
+def fact_headers(job: jobs.Job, facts: jobs.Facts) -> dict[str, str]:
+    """Returns the headers of a whole answer."""
+    headers = start_headers(job, facts)
+    headers['x-radish-cost'] = str(facts.cost)
+    headers[OUTCOME] = facts.outcome.value
+    if facts.rating is not None:
+        headers['x-radish-rating'] = f'{facts.rating:.3f}'
+    return headers
+
+
+def final_event(job: jobs.Job, facts: jobs.Facts) -> bytes:
+    """Returns the event with what is known only at a stream's end."""
+    data = msgspec.json.encode(fact_headers(job, facts))
+    return b'event: radishcourse\ndata: ' + data + b'\n\n' + DONE
+
+
+def error_event(job: jobs.Job, message: str) -> bytes:
+    """Returns the event that ends an interrupted stream."""
+    refusal = errors.Refusal(errors.RefusalCode.UPSTREAM_FAILED, message)
+    assert refusal.reason.outcome is states.Outcome.FAILED
+    data = encode_error(refusal, job.request_id)
+    return b'event: error\ndata: ' + data + b'\n\n'
+
+
+async def send_whole(send, page: pages.Page) -> None:
+    """Sends a whole response."""
+    headers = {**page.headers, 'content-length': str(len(page.body))}
+    await send_start(send, page.status, headers)
+    await send({'type': 'http.response.body', 'body': page.body})
+
+
+async def send_start(send, status: int, headers: dict[str, str]) -> None:
+    """Sends the status and the headers of a response."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': [
+                (name.encode('latin-1'), value.encode('latin-1'))
+                for name, value in headers.items()
+            ],
+        }
+    )
+
+
+async def send_part(send, part: bytes) -> None:
+    """Sends a part of a body."""
+    await send({'type': 'http.response.body', 'body': part, 'more_body': True})
--- /dev/null
+++ b/packages/node/src/radishcourse_node/sse.py
@@ -0,0 +1,165 @@
+"""Server-sent events of engines: parsing, checks and order."""
+
+import msgspec
+from radishcourse_model import ids
+
+from radishcourse_node import errors
+
+# Within the 256 KiB that a node may hold for a request.
+MAX_EVENT_BYTES = 64 * 1024
+# Events that arrive ahead of a missing one are kept up to these bounds; a
+# wider gap is taken as a loss and the stream is resumed.
+MAX_AHEAD = 64
+MAX_AHEAD_BYTES = 64 * 1024
+MAX_FOREIGN = 1024
+_DATA = b'data: '
+_DONE = b'[DONE]'
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int = 0
+
+
+class _Choice(msgspec.Struct):
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    request_id: str
+    index: int
+    choices: list[_Choice]
+    usage: _Usage | None = None
+
+
+_decoder = msgspec.json.Decoder(_Event)
+
+
+class LineSplitter:
+    """Splits a byte stream into the data of its events.
+
+    Lines may end with CR, LF or both, and chunks may end anywhere.
+    Comments and other fields than `data` are dropped.
+    """
+
+    def __init__(self):
+        self._buffer = b''
+        self._after_cr = False
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Returns the data of the events that a chunk completes.
+
+        Raises:
+          AttemptError: An event is too large.
+        """
+        if self._after_cr and chunk:
+            # The LF of a CR LF pair that was split between two chunks.
+            self._after_cr = False
+            chunk = chunk.removeprefix(b'\n')
+        if b'\r' in chunk:
+            self._after_cr = chunk.endswith(b'\r')
+            chunk = chunk.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
+        *events, self._buffer = (self._buffer + chunk).split(b'\n\n')
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise errors.AttemptError('an event is too large', sent=True)
+        return [data for data in map(_data_of, events) if data]
+
+
+def _data_of(event: bytes) -> bytes:
+    if event.startswith(_DATA) and b'\n' not in event:
+        return event[len(_DATA) :]
+    lines = [
+        line[len(b'data:') :].removeprefix(b' ')
+        for line in event.split(b'\n')
+        if line.startswith(b'data:')
+    ]
+    # A line feed within the data can only be white space between tokens of
+    # JSON; without it the event can be passed on in one line.
+    return b' '.join(lines)
+
+
+class StreamReader:
+    """Checks and orders the events of one stream.
+
+    Events that were seen already and events of other requests are dropped,
+    early ones wait for their turn. The `[DONE]` mark is not passed on; the
+    node writes its own after the bill.
+
+    Args:
+      request_id: The request id that each event must carry.
+      start: Index of the first expected event.
+    """
+
+    def __init__(self, request_id: ids.RequestId | str, start: int = 0):
+        self._request_id = request_id
+        self._splitter = LineSplitter()
+        self._next = start
+        self._ahead: dict[int, tuple[_Event, bytes]] = {}
+        self._foreign = 0
+        self.tokens = 0
+        self.finished = False
+
+    @property
+    def next_index(self) -> int:
+        """Index of the next event; a resumed stream goes on from here."""
+        return self._next
+
+    def restart(self) -> None:
+        """Prepares for a resumed stream, which starts at `next_index`."""
+        self._splitter = LineSplitter()
+        self._ahead.clear()
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Returns the events that are next, as they are passed on.
+
+        Raises:
+          AttemptError: The stream does not hold together.
+        """
+        kept: list[bytes] = []
+        for data in self._splitter.feed(chunk):
+            self._accept(data, kept)
+        if not kept:
+            return b''
+        return b''.join([_DATA + data + b'\n\n' for data in kept])
+
+    def finish(self) -> None:
+        """Checks at the end of the body that the answer is whole.
+
+        Raises:
+          AttemptError: The last event did not come.
+        """
+        if not self.finished:
+            raise errors.AttemptError('the stream is cut short', sent=True)
+
+    def _accept(self, data: bytes, kept: list[bytes]) -> None:
+        if data == _DONE:
+            return
+        try:
+            event = _decoder.decode(data)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            message = f'malformed event: {error}'
+            raise errors.AttemptError(message, sent=True) from error
+        if event.request_id != self._request_id:
+            self._drop_foreign()
+        elif event.index == self._next:
+            self._pass(event, data, kept)
+            while self._next in self._ahead:
+                self._pass(*self._ahead.pop(self._next), kept)
+        elif event.index > self._next and not self.finished:
+            self._ahead[event.index] = (event, data)
+            size = sum(len(item) for _, item in self._ahead.values())
+            if len(self._ahead) > MAX_AHEAD or size > MAX_AHEAD_BYTES:
+                raise errors.AttemptError('a gap in the stream', sent=True)
+
+    def _drop_foreign(self) -> None:
+        self._foreign += 1
+        if self._foreign > MAX_FOREIGN:
+            raise errors.AttemptError('events of other requests', sent=True)
+
+    def _pass(self, event: _Event, data: bytes, kept: list[bytes]) -> None:
+        if self.finished:
+            return
+        kept.append(data)
+        self._next += 1
+        if event.choices and event.choices[0].finish_reason is not None:
+            self.finished = True
+            self.tokens = event.usage.completion_tokens if event.usage else 0
--- /dev/null
+++ b/packages/node/src/radishcourse_node/streams.py
@@ -0,0 +1,303 @@
+"""Streamed answers: one attempt, resumed at the same engine if it breaks."""
+
+import contextlib
+
+import anyio
+import msgspec
+from radishcourse_model import states
+
+from radishcourse_node import engines
+from radishcourse_node import errors
+from radishcourse_node import events
+from radishcourse_node import guard
+from radishcourse_node import job as jobs
+from radishcourse_node import sse
+
+MAX_ATTEMPTS = 4
+# Resumes in a row that bring no event, and their delays in seconds; after
+# the last one the answer is interrupted.
+RESUME_DELAYS_S = (0.0, 0.0, 0.1, 0.4, 1.0, 2.0)
+MAX_RESUMES = 32
+# A caller that left bytes unread for this long loses its engine slot until
+# it has caught up.
+PARK_AFTER_S = 5.0
+# Wait for the end of a body whose last event has come.
+END_LIMIT_S = 0.25
+
+
+class Streams:
+    """Runs streamed jobs.
+
+    Args:
+      node: The node.
+      open_attempt: Context manager that places a job on an upstream and
+        yields the response with the call.
+      note_failure: Called with the job, its facts and a failed attempt.
+      may_retry: Tells whether another attempt may follow.
+      charge: Adds the cost of an answer to its facts.
+    """
+
+    def __init__(self, node, open_attempt, note_failure, may_retry, charge):
+        self.clock = node.environment.clock
+        self.guard = guard.Guard(node)
+        self.upstreams = node.upstreams
+        self.configuration = node.configuration
+        self.open_attempt = open_attempt
+        self.charge = charge
+        self._note_failure = note_failure
+        self._may_retry = may_retry
+
+    async def run(self, job: jobs.Job, model) -> jobs.Answer:
+        """Returns an answer whose first part has arrived.
+
+        Another upstream is tried only here, before the caller was given
+        anything, so that the output of two attempts is never joined.
+
+        Raises:
+          Refusal: No attempt gave a first part.
+        """
+        facts = jobs.Facts(steps=1)
+        tried: set = set()
+        for attempt in range(MAX_ATTEMPTS):
+            parts = Stream(self, job, model, facts, tried).parts()
+            try:
+                first = await anext(parts)
+            except errors.AttemptError as error:
+                self._note_failure(job, facts, error)
+                if not self._may_retry(job, facts, attempt):
+                    raise failed(error) from error
+                continue
+            headers = {'content-type': 'text/event-stream'}
+            whole = _prepend(first, parts)
+            return jobs.Answer(200, headers, b'', whole, facts)
+        raise AssertionError('the last attempt returns or raises')
+
+
+class _Parked(Exception):
+    """The caller reads too slowly; the engine's slot is given back."""
+
+
+class Stream:
+    """The one stream of an attempt, over one or more connections."""
+
+    def __init__(self, streams: Streams, job, model, facts, tried):
+        self._streams = streams
+        self._job = job
+        self._model = model
+        self._facts = facts
+        self._tried = tried
+        self._reader: sse.StreamReader | None = None
+        self._request_id = ''
+        self._boot = ''
+        self._given = False
+        self._can_resume = True
+
+    async def parts(self):
+        """Yields the events in order; ends when the answer is whole.
+
+        Raises:
+          AttemptError: The answer can't be made whole.
+          Refusal: The stream may not be resumed.
+        """
+        fruitless = resumes = 0
+        while self._reader is None or not self._reader.finished:
+            before = self._reader.next_index if self._reader else 0
+            try:
+                async with self._connect() as response:
+                    async for part in self._read(response):
+                        self._given = True
+                        yield part
+            except _Parked:
+                await self._wait_for_caller()
+                continue
+            except (errors.AttemptError, errors.Refusal) as error:
+                resumes += 1
+                fruitless += 1
+                if self._reader and self._reader.next_index > before:
+                    fruitless = 0
+                if resumes > MAX_RESUMES or not self._may_go_on(fruitless):
+                    raise
+                self._note_break(error)
+                await anyio.sleep(RESUME_DELAYS_S[fruitless])
+        self._streams.charge(self._facts, self._reader.tokens)
+        self._facts.outcome = states.Outcome.COMPLETED
+
+    def _may_go_on(self, fruitless: int) -> bool:
+        return (
+            self._given
+            and self._can_resume
+            and fruitless < len(RESUME_DELAYS_S)
+            and self._streams.clock.now() < self._job.deadline
+        )
+
+    def _note_break(self, error: errors.NodeError) -> None:
+        if isinstance(error, errors.AttemptError):
+            self._streams.upstreams.note_failure(self._facts.upstream, error)
+        elif error.reason is not errors.RefusalCode.NO_UPSTREAM:
+            # The guard refuses; an upstream that seems down may come back.
+            raise error
+        events.log(
+            events.Event.STREAM_RESUMED,
+            request=self._job.request_id,
+            upstream=self._facts.upstream,
+            index=self._reader.next_index,
+            error=str(error),
+        )
+
+    @contextlib.asynccontextmanager
+    async def _connect(self):
+        if self._reader is not None:
+            async with self._resume() as response:
+                self._reader.restart()
+                yield response
+            return
+        async with self._streams.open_attempt(
+            self._job, self._model, self._facts, self._tried
+        ) as opened:
+            response, call = opened
+            self._request_id = call.request_id
+            self._reader = sse.StreamReader(call.request_id)
+            self._boot = engines.read_signs(response).boot
+            yield response
+
+    async def _read(self, response):
+        chunks = response.aiter_stream()
+        reader = self._reader
+        while not reader.finished:
+            if not self._has_room():
+                await self._wait_for_room()
+            left = self._job.deadline - self._streams.clock.now()
+            with anyio.move_on_after(left) as scope:
+                chunk = await anext(chunks, None)
+            if scope.cancelled_caught or left <= 0:
+                self._can_resume = False
+                raise errors.AttemptError('the deadline passed', sent=True)
+            if chunk is None:
+                reader.finish()
+                return
+            part = reader.feed(chunk)
+            if part:
+                yield part
+        # The connection can be used again only after the body's end.
+        with anyio.move_on_after(END_LIMIT_S):
+            async for _ in chunks:
+                pass
+
+    def _has_room(self) -> bool:
+        caller = self._job.reader
+        return caller is None or caller.has_room()
+
+    async def _wait_for_room(self) -> None:
+        with anyio.move_on_after(PARK_AFTER_S):
+            await self._job.reader.wait_flushed()
+        if not self._has_room():
+            raise _Parked
+
+    async def _wait_for_caller(self) -> None:
+        events.log(
+            events.Event.STREAM_PARKED,
+            request=self._job.request_id,
+            upstream=self._facts.upstream,
+            index=self._reader.next_index,
+        )
+        left = self._job.deadline - self._streams.clock.now()
+        with anyio.move_on_after(left) as scope:
+            await self._job.reader.wait_flushed()
+        if scope.cancelled_caught:
+            raise errors.AttemptError(
+                'the caller did not read before the deadline', sent=True
+            )
+
+    @contextlib.asynccontextmanager
+    async def _resume(self):
+        """Yields the response that goes on with the very same stream.
+
+        A resumed stream is new work, so the guard is asked again.
+        """
+        job, facts = self._job, self._facts
+        self._check_guard()
+        async with self._streams.upstreams.reserve(
+            job, facts.model, facts.version, {facts.upstream}, self._is_same
+        ) as upstream:
+            # Waiting for the reservation may have taken long.
+            self._check_guard()
+            async with cancelling(upstream, self._request_id):
+                async with self._request_rest(upstream) as response:
+                    yield response
+
+    @contextlib.asynccontextmanager
+    async def _request_rest(self, upstream):
+        call = engines.ResumeCall(self._request_id, self._reader.next_index)
+        left = self._job.deadline - self._streams.clock.now()
+        async with engines.open_response(
+            upstream.pool,
+            'POST',
+            f'http://{upstream.address}/v1/resume',
+            [(b'content-type', b'application/json')],
+            msgspec.json.encode(call),
+            max(0.001, left),
+        ) as response:
+            signs = engines.read_signs(response)
+            upstream.note_signs(signs)
+            # Another boot id means that the engine restarted: what it sends
+            # now is another attempt, whatever its index.
+            self._can_resume = (
+                response.status == 200 and signs.boot == self._boot
+            )
+            if not self._can_resume:
+                raise errors.AttemptError(
+                    'the engine lost the stream', sent=True
+                )
+            yield response
+
+    def _check_guard(self) -> None:
+        self._streams.guard.check_view(self._job)
+        if not self._streams.guard.allows_version(
+            self._job, self._facts.model, self._facts.version
+        ):
+            raise errors.Refusal(
+                errors.RefusalCode.MODEL_NOT_ALLOWED,
+                f'{self._facts.model}/{self._facts.version} is not allowed '
+                'any more',
+            )
+        self._facts.revision = self._streams.configuration.revision
+
+    def _is_same(self, upstream_id) -> bool:
+        return (
+            upstream_id == self._facts.upstream
+            and self._streams.guard.allows_upstream(upstream_id)
+        )
+
+
+@contextlib.asynccontextmanager
+async def cancelling(upstream, request_id: str):
+    """Cancels the work at the engine when the block does not end well.
+
+    The engine goes on when its connection breaks, so that a stream can be
+    resumed; it must be told when nobody wants the rest.
+    """
+    try:
+        yield
+    except BaseException as error:
+        if isinstance(error, errors.AttemptError) and not error.sent:
+            raise
+        await engines.cancel(upstream.pool, upstream.address, request_id)
+        raise
+
+
+async def _prepend(first: bytes, rest):
+    try:
+        yield first
+        async for part in rest:
+            yield part
+    finally:
+        await rest.aclose()
+
+
+def failed(error: errors.AttemptError) -> errors.Refusal:
+    """Returns the refusal of a job whose attempts all failed."""
+    if not error.sent:
+        return errors.Refusal(
+            errors.RefusalCode.NO_UPSTREAM, str(error), retry_after_s=1
+        )
+    return errors.Refusal(errors.RefusalCode.UPSTREAM_FAILED, str(error))
--- a/packages/standins/src/radishcourse_standins/engine.py
+++ b/packages/standins/src/radishcourse_standins/engine.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import contextlib
 import enum
 import hashlib
 import secrets
@@ -29,6 +30,20 @@
     LEAVING = 'leaving'
 
 
+class Disorder(enum.Enum):
+    """What is wrong with the events of a stream.
+
+    DUPLICATE sends each event twice, REORDER swaps neighbours, FOREIGN adds
+    events of another request, CRLF ends lines with CR LF and adds comments.
+    """
+
+    NONE = 'none'
+    DUPLICATE = 'duplicate'
+    REORDER = 'reorder'
+    FOREIGN = 'foreign'
+    CRLF = 'crlf'
+
+
 class Settings(msgspec.Struct):
     """Behaviour that `POST /control/settings` changes.
 
@@ -38,8 +53,11 @@
       first_token_ms: Time to the first token when warm.
       cold_first_token_ms: Time to the first token when cold.
       warm_after: Answers after which a cold engine is warm.
-      truncate: Share of streams that end before their last part, by the
-        request's hash.
+      truncate: Share of answers that end before their last part, by the
+        request's hash; resumed streams are whole.
+      cut_at: Index at which streams end, when not 0; resumed streams are
+        whole.
+      disorder: What is wrong with the events of streams.
       fail: Share of requests answered with 500, by the request's hash.
     """
 
@@ -50,6 +68,8 @@
     warm_after: int = 3
     truncate: float = 0.0
     fail: float = 0.0
+    cut_at: int = 0
+    disorder: Disorder = Disorder.NONE
 
 
 class Completion(msgspec.Struct):
@@ -101,7 +121,9 @@
         self._streams: collections.OrderedDict[str, Completion] = (
             collections.OrderedDict()
         )
-        self._cancelled: set[str] = set()
+        # A stream that is cancelled or resumed ends its earlier generation.
+        self._generations: collections.Counter[str] = collections.Counter()
+        self._cancels: list[str] = []
         self._runs: collections.Counter[str] = collections.Counter()
         self._served: list[dict] = []
         self._max_cold = 0
@@ -179,22 +201,26 @@
 
     def _stream(self, job: Completion, start: int) -> asgi.Response:
         headers = {'content-type': 'text/event-stream', **self._headers}
-        return asgi.Response(200, b'', headers, self._events(job, start))
+        events = _disorder(self._events(job, start), self._settings.disorder)
+        return asgi.Response(200, b'', headers, events)
 
     async def _events(self, job: Completion, start: int):
+        cut = self._settings.cut_at
+        if _fraction(job.request_id, 'truncate') < self._settings.truncate:
+            cut = job.max_tokens // 2
         index = start
-        cut = _fraction(job.request_id, 'truncate') < self._settings.truncate
-        async for token in self._generate(job, start):
-            if job.request_id in self._cancelled:
-                return
-            yield _event(job, index, {'content': token}, None)
-            index += 1
-            if cut and index >= job.max_tokens // 2:
-                return
-        yield _event(job, index, {}, 'stop', completion_tokens=index)
-        yield b'data: [DONE]\n\n'
+        async with contextlib.aclosing(self._generate(job, start)) as tokens:
+            async for token in tokens:
+                yield _event(job, index, {'content': token}, None)
+                index += 1
+                if cut and start == 0 and index >= cut:
+                    return
+        if index == job.max_tokens:
+            yield _event(job, index, {}, 'stop', completion_tokens=index)
+            yield b'data: [DONE]\n\n'
 
     async def _generate(self, job: Completion, start: int):
+        generation = self._generations[job.request_id]
         self._queued += 1
         try:
             await self._slots.acquire()
@@ -206,6 +232,8 @@
             for index in range(start, job.max_tokens):
                 if index > start:
                     await anyio.sleep(self._settings.token_ms / 1000)
+                if self._generations[job.request_id] != generation:
+                    return
                 yield self._token(job, index)
             self._note_answer()
         finally:
@@ -239,11 +267,13 @@
         job = self._streams.get(wanted.request_id)
         if job is None:
             return asgi.reply({'error': 'no such stream'}, 404)
-        self._cancelled.discard(wanted.request_id)
+        self._generations[wanted.request_id] += 1
         return self._stream(job, wanted.from_index)
 
     async def _cancel(self, request: asgi.Request) -> asgi.Response:
-        self._cancelled.add(request.json(dict)['request_id'])
+        request_id = request.json(dict)['request_id']
+        self._generations[request_id] += 1
+        self._cancels.append(request_id)
         return asgi.reply({})
 
     async def _order(self, request: asgi.Request) -> asgi.Response:
@@ -273,11 +303,13 @@
         return asgi.reply(self._settings)
 
     async def _set_state(self, request: asgi.Request) -> asgi.Response:
-        self._state = State(request.json(dict)['state'])
+        wanted = request.json(dict)
+        self._state = State(wanted['state'])
         if self._state is State.COLD:
             self._boot = secrets.token_hex(4)
             self._answered_cold = 0
-            self._streams.clear()
+            if not wanted.get('keep_streams'):
+                self._streams.clear()
         return asgi.reply({})
 
     async def _get_served(self, request: asgi.Request) -> asgi.Response:
@@ -286,6 +318,7 @@
             {
                 'served': self._served,
                 'max_cold': self._max_cold,
+                'cancels': self._cancels,
                 'orders': self._orders,
             }
         )
@@ -296,6 +329,24 @@
     return int.from_bytes(digest[:6], 'big') / 2**48
 
 
+async def _disorder(events, disorder: Disorder):
+    held = b''
+    async for event in events:
+        if disorder is Disorder.DUPLICATE:
+            yield event * 2
+        elif disorder is Disorder.FOREIGN:
+            yield event.replace(b'"request_id":"', b'"request_id":"x') + event
+        elif disorder is Disorder.CRLF:
+            yield b': comment\r\n\r\n' + event.replace(b'\n', b'\r\n')
+        elif disorder is Disorder.REORDER and not held:
+            held = event
+        else:
+            yield event + held
+            held = b''
+    if held:
+        yield held
+
+
 def _event(job, index, delta, finish_reason, **usage) -> bytes:
     event = {
         'request_id': job.request_id,
--- /dev/null
+++ b/tests/streaming.py
@@ -0,0 +1,163 @@
+"""A caller of streamed answers, for tests."""
+
+import contextlib
+import dataclasses
+import json
+import socket
+import threading
+import time
+
+from tests import cluster as clusters
+
+READ_BYTES = 16 * 1024
+
+
+@dataclasses.dataclass
+class Answer:
+    """A streamed answer as its caller saw it."""
+
+    head: str
+    body: bytes
+
+    @property
+    def events(self) -> list[dict]:
+        """The engine's events."""
+        return [
+            json.loads(item[6:])
+            for item in self.body.decode().split('\n\n')
+            if item.startswith('data: {')
+        ]
+
+    @property
+    def done(self) -> bool:
+        """Whether the answer ended as a complete one does."""
+        return self.body.endswith(b'data: [DONE]\n\n')
+
+    @property
+    def interrupted(self) -> bool:
+        """Whether it ended as an interrupted one does."""
+        return b'event: error\n' in self.body and b'[DONE]' not in self.body
+
+    def fault(self, tokens: int) -> str:
+        """Tells what is wrong with a complete answer, or nothing."""
+        events = self.events
+        if [event['index'] for event in events] != list(range(tokens + 1)):
+            return f'indexes {[event["index"] for event in events]}'
+        names = {event['request_id'] for event in events}
+        if len(names) != 1:
+            return f'parts of several attempts: {names}'
+        tail = names.pop()[-6:]
+        for event in events[1:-1]:
+            if event['choices'][0]['delta']['content'] != (
+                f'{tail}.{event["index"]} '
+            ):
+                return f'not the token of its index: {event}'
+        return '' if self.done else 'no [DONE]'
+
+
+class Caller:
+    """One raw connection to a node, which reads only when it is told."""
+
+    def __init__(self, node, receive_buffer: int = 0, timeout_s: float = 60):
+        self._socket = socket.socket()
+        if receive_buffer:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
+            )
+        self._socket.settimeout(timeout_s)
+        self._socket.connect(('127.0.0.1', node.port))
+        self._data = bytearray()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self._socket.close()
+
+    def send(self, data: bytes) -> None:
+        """Sends raw bytes."""
+        self._socket.sendall(data)
+
+    def send_end(self) -> None:
+        """Closes the sending half."""
+        self._socket.shutdown(socket.SHUT_WR)
+
+    def ask(self, headers=None, key=clusters.KEY, kind='quote', **body):
+        """Sends a chat request."""
+        body.setdefault('messages', [{'role': 'user', 'content': 'Hello'}])
+        self.send(make_request(json.dumps(body).encode(), key, kind, headers))
+
+    def read(self, size: int = READ_BYTES) -> bytes:
+        """Returns the next bytes; empty at the connection's end."""
+        with contextlib.suppress(ConnectionResetError):
+            part = self._socket.recv(size)
+            self._data += part
+            return part
+        return b''
+
+    def read_until(self, mark: bytes) -> bytes:
+        """Returns all bytes up to a mark, or up to the end."""
+        while mark not in self._data and self.read():
+            pass
+        return bytes(self._data)
+
+    def read_stream(self, pause_s: float = 0.0) -> Answer:
+        """Returns a streamed answer, read with pauses."""
+        while not self._data.endswith(b'0\r\n\r\n') and self.read():
+            time.sleep(pause_s)
+        head, _, body = bytes(self._data).partition(b'\r\n\r\n')
+        self._data.clear()
+        return Answer(head.decode('latin-1').lower(), _join_chunks(body))
+
+
+def make_request(
+    body: bytes,
+    key: str = clusters.KEY,
+    kind: str = 'quote',
+    headers=None,
+) -> bytes:
+    """Returns the bytes of a chat request."""
+    lines = {
+        'Host': 'node',
+        'Authorization': f'Bearer {key}',
+        'X-Radish-Kind': kind,
+        'Content-Length': str(len(body)),
+        **(headers or {}),
+    }
+    text = ''.join(f'{name}: {value}\r\n' for name, value in lines.items())
+    head = f'POST /v1/chat/completions HTTP/1.1\r\n{text}\r\n'
+    return head.encode('latin-1') + body
+
+
+def stream(node, headers=None, **body) -> Answer:
+    """Returns a streamed answer."""
+    with Caller(node) as caller:
+        caller.ask(headers, stream=True, **body)
+        return caller.read_stream()
+
+
+def at_once(count: int, work) -> list:
+    """Returns the results of work(0), work(1), ... run at the same time."""
+    results = [None] * count
+
+    def run(index: int) -> None:
+        results[index] = work(index)
+
+    threads = [
+        threading.Thread(target=run, args=(index,)) for index in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+def _join_chunks(body: bytes) -> bytes:
+    parts = []
+    while body:
+        size, _, body = body.partition(b'\r\n')
+        length = int(size, 16)
+        parts.append(body[:length])
+        body = body[length + 2 :]
+    return b''.join(parts)
