Complete the operators' commands

Cause: operators had check and a bare apply; an apply could silently undo what a zone command had changed. Ruled out: a lock around apply (a dead operator would hold it) and basing every apply on the newest revision without a note (it undoes others' changes). Conclusion: a lost race names the revision and its author and exits 3; the version command keeps shares at 100.

--- /dev/null
+++ b/packages/cli/src/radishcourse_cli/changes.py
@@ -0,0 +1,63 @@
+"""Differences between two documents, as lines for people."""
+
+import typing
+
+import msgspec
+from radishcourse_model import merge
+from radishcourse_model import paths
+
+# Values under these keys are not shown.
+HIDDEN_KEYS = frozenset({'secret', 'keys'})
+HIDDEN = '(hidden)'
+
+
+class Difference(typing.NamedTuple):
+    """A value that is added (old is absent), removed or changed."""
+
+    path: paths.Path
+    old: object
+    new: object
+
+    def __str__(self) -> str:
+        place = paths.render(self.path)
+        if self.old is _ABSENT:
+            return f'+ {place} {_show(self.path, self.new)}'
+        if self.new is _ABSENT:
+            return f'- {place} {_show(self.path, self.old)}'
+        old, new = _show(self.path, self.old), _show(self.path, self.new)
+        return f'~ {place} {old} -> {new}'
+
+
+_ABSENT = object()
+
+
+def compare(
+    old: merge.Document, new: merge.Document
+) -> typing.Iterator[Difference]:
+    """Yields the differences between two documents, in order of keys."""
+    yield from _compare(old, new, paths.ROOT)
+
+
+def hide_secrets(value: object, path: paths.Path = paths.ROOT) -> object:
+    """Returns a value whose secrets are replaced."""
+    if path and path[-1] in HIDDEN_KEYS:
+        return HIDDEN
+    if isinstance(value, dict):
+        return {
+            key: hide_secrets(item, (*path, key)) for key, item in value.items()
+        }
+    return value
+
+
+def _compare(old, new, path: paths.Path):
+    for key in sorted({*old, *new}):
+        below = (*path, key)
+        before, after = old.get(key, _ABSENT), new.get(key, _ABSENT)
+        if isinstance(before, dict) and isinstance(after, dict):
+            yield from _compare(before, after, below)
+        elif before is _ABSENT or after is _ABSENT or before != after:
+            yield Difference(below, before, after)
+
+
+def _show(path: paths.Path, value: object) -> str:
+    return msgspec.json.encode(hide_secrets(value, path)).decode()
--- a/packages/cli/src/radishcourse_cli/commands.py
+++ b/packages/cli/src/radishcourse_cli/commands.py
@@ -1,19 +1,43 @@
-"""The operators' commands."""
+"""The operators' commands.
+
+The first line of each docstring is the command's line in the help.
+"""
 
 import pathlib
-import uuid
+import time
 
 import anyio
+from fire import decorators
+import msgspec
 from radishcourse_model import check as checks
 from radishcourse_model import ids
-from radishcourse_platform import http
-from radishcourse_platform import objects
-from radishcourse_platform import revisions
-from radishcourse_platform import table
+from radishcourse_model import merge
+from radishcourse_model import states
+from radishcourse_platform import vms
 
+from radishcourse_cli import base as bases
+from radishcourse_cli import bills as bill_sums
+from radishcourse_cli import changes
 from radishcourse_cli import environment as environments
 from radishcourse_cli import errors
-from radishcourse_cli import status
+from radishcourse_cli import fleet
+from radishcourse_cli import platform as platforms
+from radishcourse_cli import refinements
+from radishcourse_cli import status as statuses
+from radishcourse_cli import tables
+
+# Fire reads arguments as Python values, which would turn the version 1.10
+# into the number 1.1.
+_as_text = decorators.SetParseFns(
+    folder=str,
+    nodes=str,
+    state=str,
+    zone=str,
+    model=str,
+    version=str,
+    rollout=str,
+    organisation=str,
+)
 
 
 class Commands:
@@ -22,41 +46,220 @@
     def __init__(self, environment: environments.Environment):
         self._environment = environment
 
+    @_as_text
     def check(self, folder: str) -> None:
-        """Checks a configuration folder; needs no platform.
+        """Check a configuration folder; needs no platform.
 
         Args:
           folder: Folder of JSON files, merged in the order of their names.
         """
         self._checked(folder)
 
-    def apply(self, folder: str) -> None:
-        """Puts a configuration folder in force and prints its revision.
+    @_as_text
+    def apply(self, folder: str, base: int | None = None) -> None:
+        """Put a configuration folder in force and print its revision.
+
+        Fails when the newest revision is not the one that the folder is
+        based on, so that nobody's change is lost.
 
         Args:
           folder: Folder of JSON files, merged in the order of their names.
+          base: Revision that the folder is based on. Default: the one noted
+            in the folder by the last apply, else the newest one.
         """
-        checked = self._checked(folder)
-        head = anyio.run(self._propose, checked.document)
-        self._environment.stdout.write(f'{head.revision}\n')
+        document = self._checked(folder).document
+        path = pathlib.Path(folder)
+        known = bases.read(path) if base is None else ids.Revision(base)
+        revision = anyio.run(
+            platforms.change, self._environment, lambda _: document, known
+        )
+        bases.write(path, revision)
+        self._print(f'{revision}')
 
-    async def _propose(self, document) -> revisions.Head:
-        async with http.open_http(self._environment.platform) as client:
-            source = revisions.Revisions(
-                table.Table(client), objects.Objects(client)
-            )
-            base = await source.latest()
-            return await source.propose(
-                base,
-                document,
-                self._environment.author,
-                ids.WriteId(uuid.uuid4().hex),
+    @_as_text
+    def diff(self, folder: str) -> None:
+        """Show what an apply of a folder would change.
+
+        Args:
+          folder: Folder of JSON files, merged in the order of their names.
+        """
+        document = self._checked(folder).document
+        latest = anyio.run(platforms.read_latest, self._environment)
+        for difference in changes.compare(latest.document, document):
+            self._print(str(difference))
+
+    def show(self) -> None:
+        """Show the configuration in force, without its secrets."""
+        latest = anyio.run(platforms.read_latest, self._environment)
+        document = changes.hide_secrets(latest.document)
+        encoded = msgspec.json.encode(document, order='sorted')
+        self._print(msgspec.json.format(encoded).decode())
+
+    def history(self, last: int = 20) -> None:
+        """List the last revisions with their authors.
+
+        Args:
+          last: How many.
+        """
+        rows = anyio.run(self._read_history, last)
+        self._write(tables.render(('REVISION', 'AUTHOR', 'CHANGES'), rows))
+
+    @_as_text
+    def status(self, nodes: str = '', json: bool = False) -> None:
+        """Show each node's revision, the zones, versions and upstreams.
+
+        Args:
+          nodes: Nodes' addresses for callers, comma-separated. Default: the
+            platform's list of VMs.
+          json: Print JSON instead of tables.
+        """
+        found = anyio.run(self._read_fleet, nodes)
+        if json:
+            self._print(msgspec.json.encode(found).decode())
+        else:
+            self._write(fleet.render(found))
+
+    @_as_text
+    def zone(self, state: str, zone: str, folder: str = '') -> None:
+        """Take an availability zone out, or in again: `zone out sofia-a`.
+
+        Args:
+          state: `out` or `in`.
+          zone: The zone.
+          folder: Folder to note the change in; else note it there yourself.
+        """
+        value = refinements.choose(states.ZoneState, state)
+        self._refine(folder, ('zones', zone), {'state': value})
+
+    @_as_text
+    def version(
+        self, state: str, model: str, version: str, folder: str = ''
+    ) -> None:
+        """Set a version's state: `version withdrawn small v2`.
+
+        Its share goes to the model's other active versions, in proportion.
+
+        Args:
+          state: `active`, `canary` or `withdrawn`.
+          model: The model.
+          version: The version.
+          folder: Folder to note the change in; else note it there yourself.
+        """
+        value = refinements.choose(states.VersionState, state)
+        path = ('models', model, 'versions')
+
+        def make(document: merge.Document) -> merge.Document:
+            versions = refinements.find(document, (*path, version), path)
+            return refinements.nest(
+                path, refinements.set_version_state(versions, version, value)
             )
 
+        self._refine(folder, (*path, version), make)
+
+    @_as_text
+    def rollout(self, state: str, rollout: str, folder: str = '') -> None:
+        """Run, pause or stop a roll-out: `rollout paused small-v2`.
+
+        Args:
+          state: `running`, `paused` or `stopped`.
+          rollout: The roll-out.
+          folder: Folder to note the change in; else note it there yourself.
+        """
+        value = refinements.choose(states.RolloutState, state)
+        self._refine(folder, ('rollouts', rollout), {'state': value})
+
+    @_as_text
+    def bills(
+        self, organisation: str = '', hours: float = 0, json: bool = False
+    ) -> None:
+        """Add up jobs and cost by organisation, kind and model.
+
+        Args:
+          organisation: Only this one.
+          hours: Only bills of the last hours. Default: all.
+          json: Print JSON instead of a table.
+        """
+        since = time.time() - hours * 3600 if hours else 0.0
+        lines = anyio.run(self._add_up, organisation or None, since)
+        if json:
+            self._print(msgspec.json.encode(lines).decode())
+            return
+        header = ('ORGANISATION', 'KIND', 'MODEL', 'JOBS', 'COST')
+        rows = (
+            (line.organisation, line.kind, line.model, line.jobs, line.cost)
+            for line in lines
+        )
+        self._write(tables.render(header, rows))
+
     def _checked(self, folder: str) -> checks.Checked:
         checked = checks.check(pathlib.Path(folder))
         for fault in checked.faults:
             self._environment.stderr.write(f'{fault}\n')
         if checked.faults:
-            raise errors.CommandError('', status.ExitStatus.INVALID)
+            raise errors.CommandError('', statuses.ExitStatus.INVALID)
         return checked
+
+    def _refine(self, folder: str, path, refinement) -> None:
+        """Refines the newest revision below a path that must exist.
+
+        `refinement` is what is merged at the path, or makes a whole
+        refinement from the newest document.
+        """
+        noted: merge.Document = {}
+
+        def make(document: merge.Document) -> merge.Document:
+            refinements.find(document, path, path[:1])
+            change = (
+                refinement(document)
+                if callable(refinement)
+                else refinements.nest(path, refinement)
+            )
+            noted.update(change)
+            changed = merge.merge(document, change)
+            refinements.require_sound(changed)
+            return changed
+
+        revision = anyio.run(platforms.change, self._environment, make)
+        if folder:
+            refinements.note(pathlib.Path(folder), noted, revision)
+        self._print(f'{revision}')
+
+    async def _read_history(self, last: int):
+        async with platforms.opened(self._environment) as platform:
+            head = await platform.revisions.head()
+            newest = head.revision if head else 0
+            found = []
+            for number in range(max(1, newest - last + 1), newest + 1):
+                change = await platform.revisions.change(ids.Revision(number))
+                if change is not None:
+                    keys = ', '.join(change.patch)
+                    found.append((number, change.author, keys))
+            return found
+
+    async def _read_fleet(self, nodes: str) -> fleet.Fleet:
+        async with platforms.opened(self._environment) as platform:
+            latest = await platform.revisions.latest()
+            if nodes:
+                given = nodes.split(',')
+                addresses = dict(zip(given, given, strict=True))
+            else:
+                addresses = _entry_addresses(await platform.vms.read())
+        return fleet.summarise(latest, await fleet.ask(addresses))
+
+    async def _add_up(self, organisation, since) -> list[bill_sums.Line]:
+        async with platforms.opened(self._environment) as platform:
+            return await bill_sums.add_up(platform.rows, organisation, since)
+
+    def _print(self, line: str) -> None:
+        self._write(f'{line}\n')
+
+    def _write(self, text: str) -> None:
+        self._environment.stdout.write(text)
+
+
+def _entry_addresses(listed: list[vms.Vm]) -> dict[str, str]:
+    return {
+        vm.vm: vm.http
+        for vm in listed
+        if vm.role is vms.VmRole.ENTRY and vm.http
+    }
--- a/packages/cli/src/radishcourse_cli/environment.py
+++ b/packages/cli/src/radishcourse_cli/environment.py
@@ -6,6 +6,10 @@
 import sys
 import typing
 
+PLATFORM_VARIABLE = 'RADISHCOURSE_PLATFORM'
+AUTHOR_VARIABLE = 'RADISHCOURSE_AUTHOR'
+DEFAULT_PLATFORM = 'http://127.0.0.1:9000'
+
 
 @dataclasses.dataclass
 class Environment:
@@ -20,7 +24,7 @@
 
     stdout: typing.TextIO = sys.stdout
     stderr: typing.TextIO = sys.stderr
-    platform: str = ''
+    platform: str = DEFAULT_PLATFORM
     author: str = ''
 
 
@@ -29,6 +33,6 @@
     return Environment(
         sys.stdout,
         sys.stderr,
-        os.environ.get('RADISHCOURSE_PLATFORM', 'http://127.0.0.1:9000'),
-        os.environ.get('RADISHCOURSE_AUTHOR', '') or getpass.getuser(),
+        os.environ.get(PLATFORM_VARIABLE, DEFAULT_PLATFORM),
+        os.environ.get(AUTHOR_VARIABLE) or getpass.getuser(),
     )
--- /dev/null
+++ b/packages/cli/src/radishcourse_cli/fleet.py
@@ -0,0 +1,144 @@
+"""The nodes' own view of the fleet."""
+
+import typing
+
+import anyio
+import msgspec
+from radishcourse_platform import errors as platform_errors
+from radishcourse_platform import http
+
+from radishcourse_cli import tables
+
+TIMEOUT_S = 2.0
+
+
+class Upstream(msgspec.Struct):
+    """An upstream as one node sees it."""
+
+    upstream: str
+    zone: str
+    state: str
+    in_flight: int = 0
+
+
+class Node(msgspec.Struct):
+    """What a node tells about itself; further keys are left out."""
+
+    node: str
+    zone: str = '-'
+    state: str = 'unreachable'
+    revision: int = 0
+    view: str = '-'
+    in_progress: int = 0
+    bills_held: int = 0
+    upstreams: list[Upstream] = []
+
+
+class Fleet(msgspec.Struct):
+    """Status of the whole fleet.
+
+    Attributes:
+      revision: The newest accepted revision.
+      nodes: What each node tells.
+      zones: State of each zone, as configured.
+      versions: State and share of each version, by `model/version`.
+      upstreams: For each upstream, the nodes by the state they see.
+    """
+
+    revision: int
+    nodes: list[Node]
+    zones: dict[str, str]
+    versions: dict[str, str]
+    upstreams: dict[str, dict[str, list[str]]]
+
+
+async def ask(addresses: dict[str, str]) -> list[Node]:
+    """Returns what nodes tell, in order of their names.
+
+    Args:
+      addresses: For each node its address for callers.
+    """
+    nodes: list[Node] = []
+
+    async def ask_one(name: str, address: str) -> None:
+        nodes.append(await _ask(name, address))
+
+    async with anyio.create_task_group() as tasks:
+        for name, address in addresses.items():
+            tasks.start_soon(ask_one, name, address)
+    return sorted(nodes, key=lambda node: node.node)
+
+
+async def _ask(name: str, address: str) -> Node:
+    async with http.open_http(f'http://{address}', TIMEOUT_S) as client:
+        try:
+            reply = await client.call('GET', '/v1/node/status')
+            return msgspec.json.decode(reply.body, type=Node)
+        except (platform_errors.PlatformError, msgspec.MsgspecError):
+            return Node(node=name)
+
+
+def summarise(snapshot, nodes: list[Node]) -> Fleet:
+    """Returns the status of the fleet for a snapshot and its nodes."""
+    document = snapshot.document
+    return Fleet(
+        revision=snapshot.revision,
+        nodes=nodes,
+        zones={
+            name: zone.get('state', 'in')
+            for name, zone in document.get('zones', {}).items()
+        },
+        versions={
+            f'{model}/{version}': _describe_version(item)
+            for model, value in document.get('models', {}).items()
+            for version, item in value['versions'].items()
+        },
+        upstreams=_group_upstreams(nodes),
+    )
+
+
+def _describe_version(version: dict[str, typing.Any]) -> str:
+    return f'{version.get("state", "active")} {version.get("share", 0)}%'
+
+
+def _group_upstreams(nodes: list[Node]) -> dict[str, dict[str, list[str]]]:
+    groups: dict[str, dict[str, list[str]]] = {}
+    for node in nodes:
+        for upstream in node.upstreams:
+            states = groups.setdefault(upstream.upstream, {})
+            states.setdefault(upstream.state, []).append(node.node)
+    return groups
+
+
+def render(fleet: Fleet) -> str:
+    """Returns the status as tables."""
+    return '\n'.join(
+        (
+            f'revision {fleet.revision}\n',
+            tables.render(
+                ('NODE', 'ZONE', 'STATE', 'REVISION', 'VIEW', 'JOBS', 'BILLS'),
+                (
+                    (
+                        node.node,
+                        node.zone,
+                        node.state,
+                        node.revision or '-',
+                        node.view,
+                        node.in_progress,
+                        node.bills_held,
+                    )
+                    for node in fleet.nodes
+                ),
+            ),
+            tables.render(('ZONE', 'STATE'), fleet.zones.items()),
+            tables.render(('VERSION', 'STATE'), fleet.versions.items()),
+            tables.render(
+                ('UPSTREAM', 'STATE', 'SEEN BY'),
+                (
+                    (upstream, state, ' '.join(nodes))
+                    for upstream, states in fleet.upstreams.items()
+                    for state, nodes in states.items()
+                ),
+            ),
+        )
+    )
--- a/packages/cli/src/radishcourse_cli/main.py
+++ b/packages/cli/src/radishcourse_cli/main.py
@@ -1,5 +1,6 @@
 """The binary `radishcourse`."""
 
+import inspect
 import sys
 import typing
 
@@ -13,6 +14,24 @@
 from radishcourse_cli import errors
 from radishcourse_cli import status
 
+_HELP = f"""\
+radishcourse: configures and watches a fleet of routers
+
+usage: radishcourse COMMAND [ARGUMENTS]
+
+{{commands}}
+radishcourse COMMAND --help describes a command. For example:
+
+  radishcourse check config/
+  radishcourse apply config/
+  radishcourse zone out sofia-a
+  radishcourse status --json
+
+{environments.PLATFORM_VARIABLE} is the platform's base URL, default
+{environments.DEFAULT_PLATFORM}; {environments.AUTHOR_VARIABLE} is shown to
+operators who lose a race.
+"""
+
 
 def main(
     arguments: list[str],
@@ -25,6 +44,9 @@
       environment: Streams and defaults; the process's own when None.
     """
     environment = environment or environments.from_process()
+    if not arguments or arguments[0] in ('--help', '-h', 'help'):
+        environment.stdout.write(_help())
+        return status.ExitStatus.SUCCESS
     try:
         fire.Fire(
             commands.Commands(environment),
@@ -36,7 +58,8 @@
     except errors.CommandError as error:
         return _fail(environment, str(error), error.exit_status)
     except revisions.Superseded as error:
-        return _fail(environment, str(error), status.ExitStatus.CONFLICT)
+        message = f'{error}; see `radishcourse diff`, then use --base'
+        return _fail(environment, message, status.ExitStatus.CONFLICT)
     except platform_errors.AnswerLost as error:
         return _fail(environment, str(error), status.ExitStatus.UNKNOWN)
     except platform_errors.PlatformError as error:
@@ -44,6 +67,20 @@
     return status.ExitStatus.SUCCESS
 
 
+def _help() -> str:
+    names = [
+        name
+        for name, member in inspect.getmembers(commands.Commands)
+        if inspect.isfunction(member) and not name.startswith('_')
+    ]
+    width = max(map(len, names))
+    lines = []
+    for name in names:
+        text = inspect.getdoc(getattr(commands.Commands, name))
+        lines.append(f'  {name.ljust(width)}  {text.splitlines()[0]}\n')
+    return _HELP.format(commands=''.join(lines))
+
+
 def _fire_status(code: typing.Any) -> status.ExitStatus:
     return status.ExitStatus.INVALID if code else status.ExitStatus.SUCCESS
 
--- /dev/null
+++ b/packages/cli/src/radishcourse_cli/platform.py
@@ -0,0 +1,83 @@
+"""What the commands do with the platform."""
+
+import contextlib
+import dataclasses
+import typing
+import uuid
+
+from radishcourse_model import ids
+from radishcourse_model import merge
+from radishcourse_platform import http
+from radishcourse_platform import objects
+from radishcourse_platform import revisions
+from radishcourse_platform import table
+from radishcourse_platform import vms
+
+from radishcourse_cli import environment as environments
+
+Change = typing.Callable[[merge.Document], merge.Document]
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """Clients of the platform's services."""
+
+    rows: table.Table
+    revisions: revisions.Revisions
+    vms: vms.Vms
+
+
+@contextlib.asynccontextmanager
+async def opened(environment: environments.Environment):
+    """Yields clients of the platform and closes them at the end."""
+    async with http.open_http(environment.platform) as client:
+        rows = table.Table(client)
+        source = revisions.Revisions(rows, objects.Objects(client))
+        yield Platform(rows, source, vms.Vms(client))
+
+
+async def read_latest(
+    environment: environments.Environment,
+) -> revisions.Snapshot:
+    """Returns the newest revision.
+
+    Raises:
+      PlatformError: The platform did not answer.
+    """
+    async with opened(environment) as platform:
+        return await platform.revisions.latest()
+
+
+async def change(
+    environment: environments.Environment,
+    make: Change,
+    base: ids.Revision | None = None,
+) -> ids.Revision:
+    """Makes a change on the newest revision and returns its number.
+
+    Args:
+      environment: Streams and defaults of the command.
+      make: Returns the new document for the newest one.
+      base: The revision that the change is based on; None for the newest.
+
+    Returns:
+      The accepted revision, or the newest one when nothing changes.
+
+    Raises:
+      Superseded: The newest revision is not the base.
+      PlatformError: The platform did not answer.
+    """
+    async with opened(environment) as platform:
+        latest = await platform.revisions.latest()
+        if base is not None and base != latest.revision:
+            raise revisions.Superseded(await platform.revisions.head())
+        document = make(latest.document)
+        if merge.digest(document) == latest.digest:
+            return latest.revision
+        head = await platform.revisions.propose(
+            latest,
+            document,
+            environment.author,
+            ids.WriteId(uuid.uuid4().hex),
+        )
+        return head.revision
--- /dev/null
+++ b/packages/cli/src/radishcourse_cli/refinements.py
@@ -0,0 +1,111 @@
+"""Small changes of the configuration in force, made by a command."""
+
+import json
+import pathlib
+import typing
+
+from radishcourse_model import check as checks
+from radishcourse_model import ids
+from radishcourse_model import merge
+from radishcourse_model import states
+
+from radishcourse_cli import base as bases
+from radishcourse_cli import errors
+from radishcourse_cli import status as statuses
+
+NOTES_FILE = '99-operations.json'
+
+
+def choose(kind: type, text: str) -> str:
+    """Returns a state's name.
+
+    Raises:
+      CommandError: The text names no state of this kind.
+    """
+    allowed = [item.value for item in kind]
+    if text not in allowed:
+        raise errors.CommandError(
+            f'{text!r} is not known, allowed are {", ".join(allowed)}',
+            statuses.ExitStatus.INVALID,
+        )
+    return text
+
+
+def find(document: merge.Document, path, shown) -> dict[str, typing.Any]:
+    """Returns the object above the end of a path that must exist.
+
+    Raises:
+      CommandError: There is no such path.
+    """
+    value: typing.Any = document
+    for part in path[:-1]:
+        value = value.get(part, {})
+    if path[-1] not in value:
+        raise errors.CommandError(
+            f'{".".join(shown)} has no {path[-1]!r},'
+            f' allowed are {", ".join(value) or "none"}',
+            statuses.ExitStatus.INVALID,
+        )
+    return value
+
+
+def set_version_state(versions, name: str, state: str) -> merge.Document:
+    """Returns a refinement of versions whose shares still sum to 100."""
+    active = states.VersionState.ACTIVE.value
+    others = {
+        other: item.get('share', 0)
+        for other, item in versions.items()
+        if other != name and item.get('state', active) == active
+    }
+    refinement: merge.Document = {name: {'state': state}}
+    if state == active:
+        share = 100 - sum(others.values())
+        refinement[name]['share'] = share
+        return refinement
+    if not others:
+        return refinement
+    refinement[name]['share'] = 0
+    for other, share in _spread(others).items():
+        refinement[other] = {'share': share}
+    return refinement
+
+
+def _spread(shares: dict[str, int]) -> dict[str, int]:
+    """Returns shares in the same proportion that sum to 100."""
+    total = sum(shares.values())
+    if total == 0:
+        shares, total = dict.fromkeys(shares, 1), len(shares)
+    spread = {name: share * 100 // total for name, share in shares.items()}
+    largest = max(shares, key=shares.get)
+    spread[largest] += 100 - sum(spread.values())
+    return spread
+
+
+def nest(path, value) -> merge.Document:
+    """Returns a document with a value at a path."""
+    for part in reversed(path):
+        value = {part: value}
+    return value
+
+
+def require_sound(document: merge.Document) -> None:
+    """Checks a document that a command is about to put in force.
+
+    Raises:
+      CommandError: The document has faults.
+    """
+    problems = checks.check_document(document)
+    if problems:
+        lines = '\n'.join(
+            f'{item.code.value} {item.message}' for item in problems
+        )
+        raise errors.CommandError(lines, statuses.ExitStatus.INVALID)
+
+
+def note(folder: pathlib.Path, change, revision: ids.Revision) -> None:
+    """Notes a change in a folder, in a file that is merged last."""
+    path = folder / NOTES_FILE
+    noted = json.loads(path.read_text()) if path.exists() else {}
+    merged = merge.merge(noted, change)
+    path.write_text(json.dumps(merged, indent=2) + '\n')
+    bases.write(folder, revision)
--- a/packages/platform/src/radishcourse_platform/revisions.py
+++ b/packages/platform/src/radishcourse_platform/revisions.py
@@ -65,7 +65,7 @@
     def __init__(self, head: Head | None):
         number = head.revision if head else 0
         author = head.author if head else 'nobody'
-        super().__init__(f'revision {number} by {author} is in force')
+        super().__init__(f'conflict: revision {number} by {author} is in force')
         self.head = head
 
 
--- a/packages/platform/src/radishcourse_platform/vms.py
+++ b/packages/platform/src/radishcourse_platform/vms.py
@@ -25,7 +25,8 @@
 class Vm(msgspec.Struct, frozen=True):
     """A VM; `address` is the IP address and port it is reached by.
 
-    For an entry VM this is the address of the node's peer protocol.
+    For an entry VM this is the address of the node's peer protocol, and
+    `http` is its address for callers.
     """
 
     vm: str
@@ -33,6 +34,7 @@
     zone: str
     role: VmRole
     state: VmState = VmState.LIVE
+    http: str = ''
 
 
 class _Vms(msgspec.Struct):
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -109,6 +109,7 @@
             self._settings[name] = {
                 'node': name,
                 'zone': ZONES[index % len(ZONES)],
+                'listen': f'127.0.0.1:{processes.free_port()}',
                 'peer_listen': peers[name],
                 'peer_routes': routes,
                 'peer_keys': {'k1': PEER_SECRET},
@@ -141,6 +142,7 @@
                 'address': self._settings[name]['peer_listen'],
                 'zone': self._settings[name]['zone'],
                 'role': 'entry',
+                'http': self._settings[name]['listen'],
             }
             for name in names
         ]
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -160,7 +160,17 @@
     )
     documents = strategies.dictionaries(
         strategies.sampled_from(
-            ['organisations', 'models', 'cascades', 'zones', 'upstreams', 'services', 'rollouts', 'session_keys', 'other']
+            [
+                'organisations',
+                'models',
+                'cascades',
+                'zones',
+                'upstreams',
+                'services',
+                'rollouts',
+                'session_keys',
+                'other',
+            ]
         ),
         values,
     )
