--- a/packages/cli/src/radishcourse_cli/commands.py
+++ b/packages/cli/src/radishcourse_cli/commands.py
@@ -21,6 +21,7 @@
 from radishcourse_cli import environment as environments
 from radishcourse_cli import errors
 from radishcourse_cli import fleet
+from radishcourse_cli import latency as latencies
 from radishcourse_cli import platform as platforms
 from radishcourse_cli import refinements
 from radishcourse_cli import status as statuses
@@ -119,6 +120,18 @@
         else:
             self._write(fleet.render(found))
 
+    @_as_text
+    def latency(self, nodes: str = '') -> None:
+        """Show latencies by organisation and kind, merged over all nodes.
+
+        Args:
+          nodes: Nodes' addresses for callers, comma-separated. Default: the
+            platform's list of VMs.
+        """
+        merged = anyio.run(self._read_latency, nodes)
+        rows = latencies.list_rows(merged)
+        self._write(tables.render(latencies.HEADER, rows))
+
     @_as_text
     def zone(self, state: str, zone: str, folder: str = '') -> None:
         """Take an availability zone out, or in again: `zone out sofia-a`.
@@ -239,13 +252,14 @@
     async def _read_fleet(self, nodes: str) -> fleet.Fleet:
         async with platforms.opened(self._environment) as platform:
             latest = await platform.revisions.latest()
-            if nodes:
-                given = nodes.split(',')
-                addresses = dict(zip(given, given, strict=True))
-            else:
-                addresses = _entry_addresses(await platform.vms.read())
+            addresses = await _find_nodes(platform, nodes)
         return fleet.summarise(latest, await fleet.ask(addresses))
 
+    async def _read_latency(self, nodes: str):
+        async with platforms.opened(self._environment) as platform:
+            addresses = await _find_nodes(platform, nodes)
+        return await latencies.read(list(addresses.values()))
+
     async def _add_up(self, organisation, since) -> list[bill_sums.Line]:
         async with platforms.opened(self._environment) as platform:
             return await bill_sums.add_up(platform.rows, organisation, since)
@@ -257,9 +271,12 @@
         self._environment.stdout.write(text)
 
 
-def _entry_addresses(listed: list[vms.Vm]) -> dict[str, str]:
+async def _find_nodes(platform: platforms.Platform, given: str):
+    """Returns nodes' addresses for callers, by name."""
+    if given:
+        return {address: address for address in given.split(',')}
     return {
         vm.vm: vm.http
-        for vm in listed
+        for vm in await platform.vms.read()
         if vm.role is vms.VmRole.ENTRY and vm.http
     }
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -129,6 +129,11 @@
     def test_shows_nodes_versions_upstreams_and_bills(self):
         with clusters.running(flush_s=0.2) as cluster:
             cluster.chat('entry-0')
+            cluster.chat('entry-1')
+            _, latencies = operators.run(['latency'], cluster.platform)
+            line = latencies.splitlines()[-1].split()
+            self.assertEqual(['roofers', 'quote', '2'], line[1:4])
+            clusters.wait_until(lambda: len(cluster.bills()) == 2)
             cluster.nodes['entry-1'].kill()
             _, output = operators.run(['status', '--json'], cluster.platform)
             fleet = json.loads(output)
@@ -141,6 +146,5 @@
             )
             _, table = operators.run(['status'], cluster.platform)
             self.assertIn('unreachable', table)
-            clusters.wait_until(cluster.bills)
             _, bills = operators.run(['bills', '--json'], cluster.platform)
-            self.assertEqual([1], [line['jobs'] for line in json.loads(bills)])
+            self.assertEqual([2], [line['jobs'] for line in json.loads(bills)])
