Prove the bound on memory held for slow readers

Cause: nothing counted what callers leave unread, no bound held over an organisation or the node, and a stopped caller kept its engine slot until its deadline.

Ruled out: a queue with its own task for each stream (more memory and a second copy); counting only what the node's own code holds (uvicorn's transport buffers up to its high-water mark for each connection); leaving the kernel's buffers at their automatic size (loopback takes several MB for each connection before the node notices a slow reader).

The stand-in can pad its tokens.

--- a/packages/standins/src/radishcourse_standins/engine.py
+++ b/packages/standins/src/radishcourse_standins/engine.py
@@ -57,6 +57,7 @@
         request's hash; resumed streams are whole.
       cut_at: Index at which streams end, when not 0; resumed streams are
         whole.
+      padding: Bytes added to each token.
       disorder: What is wrong with the events of streams.
       fail: Share of requests answered with 500, by the request's hash.
     """
@@ -69,6 +70,7 @@
     truncate: float = 0.0
     fail: float = 0.0
     cut_at: int = 0
+    padding: int = 0
     disorder: Disorder = Disorder.NONE
 
 
@@ -248,7 +250,8 @@
     def _token(self, job: Completion, index: int) -> str:
         if index == 0:
             return f'[q={self._quality(job):.3f}] '
-        return f'{job.request_id[-6:]}.{index} '
+        padding = '.' * self._settings.padding
+        return f'{job.request_id[-6:]}.{index} {padding}'
 
     def _quality(self, job: Completion) -> float:
         name = f'{job.model}/{job.version}'
--- /dev/null
+++ b/tests/test_readers.py
@@ -0,0 +1,186 @@
+"""Callers that read slowly: bounded memory, free slots, no harm to others."""
+
+import contextlib
+import copy
+import hashlib
+import pathlib
+import time
+import types
+
+import anyio
+from radishcourse_model import schema
+from radishcourse_node.controllers import readers
+import testtools
+
+from tests import cluster as clusters
+from tests import streaming
+
+OTHER_KEY = 'key-of-another-organisation'
+SLOW = 200
+HELD_BYTES = 2 * 2**20
+PART_BYTES = 32 * 1024
+TOKENS = 400
+
+
+def _document(cluster):
+    document = clusters.make_document(cluster)
+    organisations = document['organisations']
+    roofers = organisations['roofers']
+    roofers['limits'] = {'held_bytes': HELD_BYTES}
+    roofers['kinds']['tag']['deadline_ms'] = 120_000
+    other = copy.deepcopy(roofers)
+    digest = hashlib.sha256(OTHER_KEY.encode()).hexdigest()
+    other['keys'] = [f'sha256:{digest}']
+    organisations['builders'] = other
+    for upstream in document['upstreams'].values():
+        upstream['slots'] = 400
+    return document
+
+
+def _resident_bytes(process) -> int:
+    path = pathlib.Path(f'/proc/{process.popen.pid}/status')
+    for line in path.read_text().splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) * 1024
+    raise AssertionError('the process has no resident memory')
+
+
+def _gauge(cluster, name: str) -> float:
+    text = cluster.get(cluster.nodes['entry-0'], '/metrics').body.decode()
+    for line in text.splitlines():
+        if line.startswith(f'{name} '):
+            return float(line.split()[1])
+    raise AssertionError(f'no gauge {name}')
+
+
+def _latency(cluster, count: int = 30) -> float:
+    """Returns the median latency of the other organisation in seconds."""
+    seconds = []
+    headers = {'Authorization': f'Bearer {OTHER_KEY}'}
+    for _ in range(count):
+        start = time.monotonic()
+        reply = cluster.chat('entry-0', 'tag', headers, max_tokens=8)
+        seconds.append(time.monotonic() - start)
+        assert reply.status == 200, reply.body
+    return sorted(seconds)[count // 2]
+
+
+class _Connection:
+    """A caller's connection that takes nothing."""
+
+    def __init__(self):
+        self.held = 0
+        self.aborted = False
+
+    def held_bytes(self) -> int:
+        return self.held
+
+    async def wait_flushed(self) -> None:
+        await anyio.sleep_forever()
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class ReadersTest(testtools.TestCase):
+    """Guards against a bound that is not kept, or keeps others waiting."""
+
+    def _open(self, stack, organisation='roofers'):
+        connection = _Connection()
+        reader = self.readers.open(organisation, connection)
+        return connection, stack.enter_context(reader)
+
+    def setUp(self):
+        super().setUp()
+        limits = schema.Limits(held_bytes=100_000)
+        organisation = schema.Organisation(keys=[], limits=limits)
+        names = ('roofers', 'builders', 'masons')
+        config = schema.Config(organisations=dict.fromkeys(names, organisation))
+        holder = types.SimpleNamespace(config=config, held_bytes=150_000)
+        self.readers = readers.Readers(holder, holder)
+
+    def test_each_bound_stops_only_those_that_hold_bytes(self):
+        with contextlib.ExitStack() as stack:
+            slow, slow_reader = self._open(stack)
+            slow.held = readers.HIGH_BYTES
+            self.assertTrue(slow_reader.has_room())
+            slow.held += 1
+            self.assertFalse(slow_reader.has_room())
+            second, second_reader = self._open(stack)
+            second.held = 40_000
+            self.assertFalse(second_reader.has_room())
+            _, fast_reader = self._open(stack)
+            self.assertTrue(fast_reader.has_room())
+            other, other_reader = self._open(stack, 'builders')
+            other.held = 10_000
+            self.assertTrue(other_reader.has_room())
+            other.held = 50_000
+            self.assertFalse(other_reader.has_room())
+            _, last_reader = self._open(stack, 'masons')
+            self.assertTrue(last_reader.has_room())
+            self.assertEqual(slow.held + 90_000, self.readers.total)
+        self.assertEqual(0, self.readers.total)
+
+    def test_a_caller_that_never_takes_the_rest_is_cut_off(self):
+        self.patch(readers, 'FLUSH_LIMIT_S', 0.01)
+        with contextlib.ExitStack() as stack:
+            connection, reader = self._open(stack)
+            connection.held = 10
+            anyio.run(reader.finish)
+            self.assertTrue(connection.aborted)
+
+
+class SlowReaderTest(testtools.TestCase):
+    """Guards against memory and slots taken by callers that do not read."""
+
+    def test_hundreds_of_stopped_callers_hold_little_and_free_their_slots(self):
+        with clusters.running(
+            engines=(), desks=(), node_count=1, held_bytes=4 * HELD_BYTES
+        ) as cluster:
+            engine = cluster.add_engine('small-1', slots=400)
+            other = cluster.add_engine('large-1', slots=400)
+            document = _document(cluster)
+            cascades = document['organisations']['builders']['kinds']
+            cascades['tag']['cascade'] = 'dear'
+            document['cascades']['dear'] = {'steps': ['large']}
+            cluster.apply(document)
+            cluster.wait_revision(2)
+            node = cluster.nodes['entry-0']
+            paced = {'token_ms': 50, 'padding': 8000}
+            cluster.control(engine, 'settings', paced)
+            cluster.control(other, 'settings', {'first_token_ms': 30})
+
+            def running():
+                return cluster.get(engine, '/v1/state').json['running']
+
+            _latency(cluster)
+            before_s = _latency(cluster)
+            before = _resident_bytes(node)
+            callers = [streaming.Caller(node, 4096) for _ in range(SLOW)]
+            for caller in callers:
+                caller.ask(stream=True, max_tokens=TOKENS, kind='tag')
+            clusters.wait_until(lambda: running() > SLOW // 2)
+            clusters.wait_until(lambda: running() == 0, 60)
+            during_s = _latency(cluster)
+            held = _gauge(cluster, 'radishcourse_held_bytes_most')
+            grown = _resident_bytes(node) - before
+            print(
+                f'held {held:.0f} B, resident +{grown} B, other organisation '
+                f'{before_s * 1e3:.1f} ms, then {during_s * 1e3:.1f} ms'
+            )
+            self.assertLess(held, HELD_BYTES + SLOW * PART_BYTES)
+            self.assertLess(grown, SLOW * 256 * 1024)
+            self.assertLess(during_s, before_s * 1.1)
+            log = node.log.read_text()
+            self.assertEqual(SLOW, log.count('"stream_parked"'))
+            quick = {'token_ms': 1, 'padding': 8000}
+            cluster.control(engine, 'settings', quick)
+            answers = streaming.at_once(
+                4, lambda index: callers[index].read_stream()
+            )
+            self.assertEqual([''] * 4, [item.fault(TOKENS) for item in answers])
+            for caller in callers:
+                caller.__exit__()
+            clusters.wait_until(
+                lambda: _gauge(cluster, 'radishcourse_held_bytes') == 0
+            )
