Keep sessions' versions when a version is withdrawn before an attempt

Cause: a version withdrawn between the session filter and an attempt gave model_not_allowed instead of session_version_withdrawn or a move, a caller was not told that its session had moved, and with no signing key a job ran and was billed before its token failed to be signed.

Ruled out: checking in the filter only (a job waits behind it for permits and retries); choosing another version inside the reservation (the place was reserved for the withdrawn one) - the attempt fails unsent instead and the next one chooses again.

Change: sessions.check runs in the filter and at each attempt; the header X-Radish-Session-Moved names the version that was left; openings without a signing key are refused unrun. Tests cover any node, a replaced node, a roll-out, key rotation, forged, foreign and truncated tokens (Hypothesis), the token in the headers of a stream, withdrawal with refuse and with move, and an opening that was escalated.

Without the check at the attempt the withdrawal before a retry gives 500 "small/v1 is not allowed" and the test fails.

--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -12,6 +12,7 @@
 from radishcourse_node import events
 from radishcourse_node import guard
 from radishcourse_node import job as jobs
+from radishcourse_node import sessions
 from radishcourse_node import streams
 from radishcourse_node.controllers import upstreams
 
@@ -126,6 +127,7 @@
     @contextlib.asynccontextmanager
     async def _open(self, job, model, facts, tried):
         self._guard.check_view(job)
+        sessions.check(job, self._configuration.config)
         version = self._versions.choose(job, model)
         if not self._guard.allows_version(job, model, version):
             raise errors.Refusal(
@@ -141,10 +143,11 @@
             facts.revision = self._configuration.revision
             # Waiting for the reservation may have taken long.
             self._guard.check_view(job)
+            sessions.check(job, self._configuration.config)
             if not self._guard.allows_version(job, model, version):
-                raise errors.Refusal(
-                    errors.RefusalCode.MODEL_NOT_ALLOWED,
-                    f'{model}/{version} is not allowed any more',
+                # The next attempt chooses another version.
+                raise errors.AttemptError(
+                    f'{model}/{version} is not allowed any more', sent=False
                 )
             call = _make_call(job, model, version, len(tried))
             async with streams.cancelling(upstream, call.request_id):
--- a/packages/node/src/radishcourse_node/filters/session.py
+++ b/packages/node/src/radishcourse_node/filters/session.py
@@ -1,13 +1,13 @@
 """Filter 40: sessions and the versions that they keep."""
 
-from radishcourse_model import states
-
 from radishcourse_node import errors
 from radishcourse_node import filters
 from radishcourse_node import job as jobs
+from radishcourse_node import sessions
 from radishcourse_node import tokens
 
 HEADER = 'x-radish-session'
+MOVED_HEADER = 'x-radish-session-moved'
 NEW = 'new'
 
 
@@ -27,9 +27,17 @@
             job.opens_session = True
         else:
             self._pin(job, text)
+        # The keys are taken ahead of the run, so that an answer is not lost
+        # because its token can't be signed.
+        keys = self._configuration.config.session_keys
+        if job.opens_session:
+            _check_signing(keys)
         answer = await proceed(job)
         if job.opens_session:
-            answer.headers[HEADER] = self._open(job, answer.facts)
+            answer.headers[HEADER] = _open(job, answer.facts, keys)
+        if job.left_session is not None:
+            left = job.left_session
+            answer.headers[MOVED_HEADER] = f'{left.model}/{left.version}'
         return answer
 
     def _pin(self, job: jobs.Job, text: str) -> None:
@@ -40,40 +48,27 @@
             raise _invalid(str(error)) from error
         if session.organisation != job.organisation_id:
             raise _invalid('the session belongs to another organisation')
-        if self._is_withdrawn(session):
-            self._leave(job, session)
-            return
         job.session = session
-        job.steps = [session.model]
+        sessions.check(job, self._configuration.config)
+        if job.session is not None:
+            job.steps = [session.model]
 
-    def _is_withdrawn(self, session: jobs.Session) -> bool:
-        model = self._configuration.config.models.get(session.model)
-        version = model and model.versions.get(session.version)
-        return not version or version.state is states.VersionState.WITHDRAWN
 
-    def _leave(self, job: jobs.Job, session: jobs.Session) -> None:
-        if job.organisation.on_withdrawn is states.WithdrawnAction.REFUSE:
-            raise withdrawn(session)
-        job.opens_session = True
-        job.session_moved = True
-
-    def _open(self, job: jobs.Job, facts: jobs.Facts) -> str:
-        session = jobs.Session(
-            tokens.new_session_id(),
-            job.organisation_id,
-            facts.model,
-            facts.version,
-        )
-        keys = self._configuration.config.session_keys
-        return tokens.sign(session, keys)
+def _check_signing(keys: tokens.Keys) -> None:
+    try:
+        tokens.find_signing(keys)
+    except tokens.TokenError as error:
+        raise _invalid(str(error)) from error
 
 
-def withdrawn(session: jobs.Session) -> errors.Refusal:
-    """Returns the refusal of a session whose version is withdrawn."""
-    return errors.Refusal(
-        errors.RefusalCode.SESSION_VERSION_WITHDRAWN,
-        f'{session.model}/{session.version} is withdrawn; open a new session',
+def _open(job: jobs.Job, facts: jobs.Facts, keys: tokens.Keys) -> str:
+    session = jobs.Session(
+        tokens.new_session_id(),
+        job.organisation_id,
+        facts.model,
+        facts.version,
     )
+    return tokens.sign(session, keys)
 
 
 def _invalid(message: str) -> errors.Refusal:
--- a/packages/node/src/radishcourse_node/job.py
+++ b/packages/node/src/radishcourse_node/job.py
@@ -84,7 +84,7 @@
       steps: Models that may serve it, from the cheapest.
       session: Its session, or None.
       opens_session: Whether the answer is to carry a new session token.
-      session_moved: Whether its session left a withdrawn version.
+      left_session: The session that it left, as its version is withdrawn.
       reader: What its caller has left unread, once the answer has started.
       sent: Whether any byte of it may have reached an upstream; while this
         is false, "not run" is true.
@@ -109,7 +109,7 @@
     steps: list[ids.ModelId] = dataclasses.field(default_factory=list)
     session: Session | None = None
     opens_session: bool = False
-    session_moved: bool = False
+    left_session: Session | None = None
     reader: typing.Any = None
     sent: bool = False
 
--- a/packages/node/src/radishcourse_node/tokens.py
+++ b/packages/node/src/radishcourse_node/tokens.py
@@ -48,7 +48,7 @@
     Raises:
       TokenError: No key is configured for signing.
     """
-    key_id = _find_signing(keys)
+    key_id = find_signing(keys)
     key = keys[key_id]
     payload = msgspec.json.encode(
         _Payload(
@@ -62,7 +62,12 @@
     return f'{_encode(payload)}.{_encode(_mac(key, payload))}'
 
 
-def _find_signing(keys: Keys) -> ids.KeyId:
+def find_signing(keys: Keys) -> ids.KeyId:
+    """Returns the id of the key that signs.
+
+    Raises:
+      TokenError: No key is configured for signing.
+    """
     for key_id, key in keys.items():
         if key.state is states.KeyState.SIGNING:
             return key_id
@@ -82,7 +87,7 @@
         payload = _decode(encoded)
         fields = msgspec.json.decode(payload, type=_Payload)
         given = _decode(signature)
-    except (ValueError, msgspec.MsgspecError) as error:
+    except (ValueError, msgspec.MsgspecError, RecursionError) as error:
         raise TokenError('the token is malformed') from error
     key = keys.get(fields.key)
     if key is None or not hmac.compare_digest(_mac(key, payload), given):
