Count the work that a cold engine receives

Cause: the engine stand-in counted its load when a request came in, not the requests that it received while it was cold, and it finished work whose caller was gone.

Ruled out: counting at the nodes, which can't see each other's jobs.

Change: the engine counts requests that it received while cold, at most at once and in total; it ends work when the caller disconnects; a cancelled request ends at once, and is refused when it arrives after its cancellation.

--- a/packages/standins/src/radishcourse_standins/asgi.py
+++ b/packages/standins/src/radishcourse_standins/asgi.py
@@ -67,9 +67,14 @@
 
 
 class App:
-    """An ASGI application with exact and prefix routes."""
+    """An ASGI application with exact and prefix routes.
 
-    def __init__(self):
+    Args:
+      abort_on_disconnect: Whether work ends when its caller disconnects.
+    """
+
+    def __init__(self, abort_on_disconnect: bool = False):
+        self._abort_on_disconnect = abort_on_disconnect
         self._routes: list[tuple[str, str, Handler]] = []
 
     def route(self, method: str, path: str):
@@ -87,6 +92,15 @@
             return
         body = await _read_body(receive)
         request = Request(scope, body, receive)
+        if not self._abort_on_disconnect:
+            await self._answer(request, send)
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_left, receive, tasks.cancel_scope)
+            await self._answer(request, send)
+            tasks.cancel_scope.cancel()
+
+    async def _answer(self, request: Request, send) -> None:
         handler = self._find(request)
         if handler is None:
             await _send(send, reply({'error': 'not found'}, 404))
@@ -133,6 +147,12 @@
             server.should_exit = True
 
 
+async def _cancel_when_left(receive, scope: anyio.CancelScope) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+    scope.cancel()
+
+
 async def _read_body(receive) -> bytes:
     parts = []
     while True:
--- a/packages/standins/src/radishcourse_standins/engine.py
+++ b/packages/standins/src/radishcourse_standins/engine.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import contextlib
 import enum
 import hashlib
 import secrets
@@ -19,6 +20,7 @@
 from radishcourse_standins import asgi
 
 MAX_KEPT_STREAMS = 1024
+CANCEL_CHECK_S = 0.02
 
 
 class State(enum.Enum):
@@ -104,8 +106,11 @@
         self._cancelled: set[str] = set()
         self._runs: collections.Counter[str] = collections.Counter()
         self._served: list[dict] = []
+        # Work received while cold: now in progress, most at once, and all.
+        self._cold_work = 0
         self._max_cold = 0
-        self.app = asgi.App()
+        self._cold_total = 0
+        self.app = asgi.App(abort_on_disconnect=True)
         for method, path, handler in (
             ('POST', '/v1/chat/completions', self._complete),
             ('POST', '/v1/resume', self._resume),
@@ -118,6 +123,13 @@
         ):
             self.app.route(method, path)(handler)
 
+    @property
+    def _names(self) -> dict[str, str]:
+        return {
+            name.replace('-', '_'): value
+            for name, value in self._headers.items()
+        }
+
     @property
     def _headers(self) -> dict[str, str]:
         return {
@@ -127,6 +139,8 @@
 
     async def _complete(self, request: asgi.Request) -> asgi.Response:
         job = request.json(Completion)
+        if job.request_id in self._cancelled:
+            return asgi.reply({'error': 'cancelled'}, 409, **self._names)
         self._note_start(job)
         if _fraction(job.request_id, 'fail') < self._settings.fail:
             return asgi.reply({'error': 'engine failed'}, 500)
@@ -136,6 +150,8 @@
         if job.stream:
             return self._stream(job, 0)
         tokens = [token async for token in self._generate(job, 0)]
+        if job.request_id in self._cancelled:
+            return asgi.reply({'error': 'cancelled'}, 409, **self._names)
         body = {
             'request_id': job.request_id,
             'model': job.model,
@@ -162,10 +178,6 @@
 
     def _note_start(self, job: Completion) -> None:
         self._runs[job.request_id] += 1
-        if self._state is State.COLD:
-            self._max_cold = max(
-                self._max_cold, self._running + self._queued + 1
-            )
         self._served.append(
             {
                 'request_id': job.request_id,
@@ -195,22 +207,44 @@
         yield b'data: [DONE]\n\n'
 
     async def _generate(self, job: Completion, start: int):
-        self._queued += 1
+        with self._count_cold():
+            self._queued += 1
+            try:
+                await self._slots.acquire()
+            finally:
+                self._queued -= 1
+            self._running += 1
+            try:
+                await self._pause(job, self._first_token_s())
+                for index in range(start, job.max_tokens):
+                    if index > start:
+                        await self._pause(job, self._settings.token_ms / 1000)
+                    if job.request_id in self._cancelled:
+                        return
+                    yield self._token(job, index)
+                self._note_answer()
+            finally:
+                self._running -= 1
+                self._slots.release()
+
+    @contextlib.contextmanager
+    def _count_cold(self):
+        cold = self._state is State.COLD
+        self._cold_work += cold
+        self._cold_total += cold
+        self._max_cold = max(self._max_cold, self._cold_work)
         try:
-            await self._slots.acquire()
+            yield
         finally:
-            self._queued -= 1
-        self._running += 1
-        try:
-            await anyio.sleep(self._first_token_s())
-            for index in range(start, job.max_tokens):
-                if index > start:
-                    await anyio.sleep(self._settings.token_ms / 1000)
-                yield self._token(job, index)
-            self._note_answer()
-        finally:
-            self._running -= 1
-            self._slots.release()
+            self._cold_work -= cold
+
+    async def _pause(self, job: Completion, seconds: float) -> None:
+        """Waits until some time has passed or the request is cancelled."""
+        end = anyio.current_time() + seconds
+        while (left := end - anyio.current_time()) > 0:
+            if job.request_id in self._cancelled:
+                return
+            await anyio.sleep(min(left, CANCEL_CHECK_S))
 
     def _first_token_s(self) -> float:
         if self._state is State.COLD:
@@ -286,6 +320,7 @@
             {
                 'served': self._served,
                 'max_cold': self._max_cold,
+                'cold_total': self._cold_total,
                 'orders': self._orders,
             }
         )
