--- a/packages/standins/src/radishcourse_standins/engine.py
+++ b/packages/standins/src/radishcourse_standins/engine.py
@@ -20,6 +20,7 @@
 from radishcourse_standins import asgi
 
 MAX_KEPT_STREAMS = 1024
+CANCEL_CHECK_S = 0.02
 
 
 class State(enum.Enum):
@@ -124,10 +125,15 @@
         # A stream that is cancelled or resumed ends its earlier generation.
         self._generations: collections.Counter[str] = collections.Counter()
         self._cancels: list[str] = []
+        # A request that comes after its cancellation is refused.
+        self._cancelled: set[str] = set()
         self._runs: collections.Counter[str] = collections.Counter()
         self._served: list[dict] = []
+        # Work received while cold: now in progress, most at once, and all.
+        self._cold_work = 0
         self._max_cold = 0
-        self.app = asgi.App()
+        self._cold_total = 0
+        self.app = asgi.App(abort_on_disconnect=True)
         for method, path, handler in (
             ('POST', '/v1/chat/completions', self._complete),
             ('POST', '/v1/resume', self._resume),
@@ -140,6 +146,13 @@
         ):
             self.app.route(method, path)(handler)
 
+    @property
+    def _names(self) -> dict[str, str]:
+        return {
+            name.replace('-', '_'): value
+            for name, value in self._headers.items()
+        }
+
     @property
     def _headers(self) -> dict[str, str]:
         return {
@@ -149,6 +162,8 @@
 
     async def _complete(self, request: asgi.Request) -> asgi.Response:
         job = request.json(Completion)
+        if job.request_id in self._cancelled:
+            return asgi.reply({'error': 'cancelled'}, 409, **self._names)
         self._note_start(job)
         if _fraction(job.request_id, 'fail') < self._settings.fail:
             return asgi.reply({'error': 'engine failed'}, 500)
@@ -158,6 +173,8 @@
         if job.stream:
             return self._stream(job, 0)
         tokens = [token async for token in self._generate(job, 0)]
+        if job.request_id in self._cancelled:
+            return asgi.reply({'error': 'cancelled'}, 409, **self._names)
         body = {
             'request_id': job.request_id,
             'model': job.model,
@@ -184,10 +201,6 @@
 
     def _note_start(self, job: Completion) -> None:
         self._runs[job.request_id] += 1
-        if self._state is State.COLD:
-            self._max_cold = max(
-                self._max_cold, self._running + self._queued + 1
-            )
         self._served.append(
             {
                 'request_id': job.request_id,
@@ -221,24 +234,47 @@
 
     async def _generate(self, job: Completion, start: int):
         generation = self._generations[job.request_id]
-        self._queued += 1
-        try:
-            await self._slots.acquire()
-        finally:
-            self._queued -= 1
-        self._running += 1
+        with self._count_cold():
+            self._queued += 1
+            try:
+                await self._slots.acquire()
+            finally:
+                self._queued -= 1
+            self._running += 1
+            try:
+                await self._pause(job, generation, self._first_token_s())
+                for index in range(start, job.max_tokens):
+                    if index > start:
+                        seconds = self._settings.token_ms / 1000
+                        await self._pause(job, generation, seconds)
+                    if self._generations[job.request_id] != generation:
+                        return
+                    yield self._token(job, index)
+                self._note_answer()
+            finally:
+                self._running -= 1
+                self._slots.release()
+
+    @contextlib.contextmanager
+    def _count_cold(self):
+        cold = self._state is State.COLD
+        self._cold_work += cold
+        self._cold_total += cold
+        self._max_cold = max(self._max_cold, self._cold_work)
         try:
-            await anyio.sleep(self._first_token_s())
-            for index in range(start, job.max_tokens):
-                if index > start:
-                    await anyio.sleep(self._settings.token_ms / 1000)
-                if self._generations[job.request_id] != generation:
-                    return
-                yield self._token(job, index)
-            self._note_answer()
+            yield
         finally:
-            self._running -= 1
-            self._slots.release()
+            self._cold_work -= cold
+
+    async def _pause(
+        self, job: Completion, generation: int, seconds: float
+    ) -> None:
+        """Waits until some time has passed or the request is cancelled."""
+        end = anyio.current_time() + seconds
+        while (left := end - anyio.current_time()) > 0:
+            if self._generations[job.request_id] != generation:
+                return
+            await anyio.sleep(min(left, CANCEL_CHECK_S))
 
     def _first_token_s(self) -> float:
         if self._state is State.COLD:
@@ -268,11 +304,13 @@
         if job is None:
             return asgi.reply({'error': 'no such stream'}, 404)
         self._generations[wanted.request_id] += 1
+        self._cancelled.discard(wanted.request_id)
         return self._stream(job, wanted.from_index)
 
     async def _cancel(self, request: asgi.Request) -> asgi.Response:
         request_id = request.json(dict)['request_id']
         self._generations[request_id] += 1
+        self._cancelled.add(request_id)
         self._cancels.append(request_id)
         return asgi.reply({})
 
@@ -319,6 +357,7 @@
                 'served': self._served,
                 'max_cold': self._max_cold,
                 'cancels': self._cancels,
+                'cold_total': self._cold_total,
                 'orders': self._orders,
             }
         )
