Observe the configuration head without lagging reads

Cause: a plain read of config/head may return an earlier row. A node that still has that earlier revision can't tell, takes the read for a confirmation and goes on with rules that were withdrawn.

Ruled out: comparing the read with the node's own revision only (that catches a lag behind the node, not a lag that it shares); a second read (may lag as well).

Change: the head is observed by a transaction of one condition and no writes. Its success says that the head is unchanged, its conflict carries the head as it is. The stand-in counts such a transaction as a read.

Seen beside it: test_commands StatusTest fails in about 1 of 5 runs, because the cascade escalates by a hash of the random request id; not caused by this change, not touched.

--- a/packages/platform/src/radishcourse_platform/errors.py
+++ b/packages/platform/src/radishcourse_platform/errors.py
@@ -21,6 +21,18 @@
     code = 'platform_answer_lost'
 
 
+class RateLimited(Unavailable):
+    """The service is up, but refused the call over a limit on their number."""
+
+    code = 'platform_rate_limited'
+
+
+class UnexpectedAnswer(AnswerLost):
+    """The service is up, but its answer is not one of its protocol."""
+
+    code = 'platform_unexpected_answer'
+
+
 class Conflict(PlatformError):
     """A condition of a transaction did not hold; nothing took effect.
 
--- a/packages/platform/src/radishcourse_platform/http.py
+++ b/packages/platform/src/radishcourse_platform/http.py
@@ -49,8 +49,8 @@
         """Sends one request and returns the whole response.
 
         Raises:
-          Unavailable: The request was not sent, or was refused with 429 or
-            503 before it took effect.
+          Unavailable: The request was not sent, or was refused with 429
+            (`RateLimited`) or 503 before it took effect.
           AnswerLost: The request may have been sent, and no whole response
             came back in time.
         """
@@ -71,7 +71,9 @@
                     f'{method} {path}: {error!r}'
                 ) from error
             raise errors.Unavailable(f'{method} {path}: {error!r}') from error
-        if response.status in (429, 503):
+        if response.status == 429:
+            raise errors.RateLimited(f'{method} {path}: 429')
+        if response.status == 503:
             raise errors.Unavailable(f'{method} {path}: {response.status}')
         return Reply(response.status, response.content)
 
--- a/packages/platform/src/radishcourse_platform/objects.py
+++ b/packages/platform/src/radishcourse_platform/objects.py
@@ -22,7 +22,7 @@
         if reply.status == 404:
             return None
         if reply.status != 200:
-            raise errors.AnswerLost(f'unexpected status {reply.status}')
+            raise errors.UnexpectedAnswer(f'unexpected status {reply.status}')
         return reply.body
 
     async def write(self, key: str, body: bytes) -> None:
@@ -33,7 +33,7 @@
         """
         reply = await self._client.call('PUT', _path(key), body)
         if reply.status != 200:
-            raise errors.AnswerLost(f'unexpected status {reply.status}')
+            raise errors.UnexpectedAnswer(f'unexpected status {reply.status}')
 
 
 def _path(key: str) -> str:
--- a/packages/platform/src/radishcourse_platform/revisions.py
+++ b/packages/platform/src/radishcourse_platform/revisions.py
@@ -50,6 +50,31 @@
         return merge.digest(self.document)
 
 
+class Observed(msgspec.Struct, frozen=True):
+    """The head as it was at some time during the call.
+
+    Attributes:
+      head: The newest revision, or None before the first.
+      version: Version of the head's row, to be passed to the next call.
+    """
+
+    head: Head | None
+    version: int
+
+
+class Step(msgspec.Struct, frozen=True):
+    """A document on the way to a revision.
+
+    Attributes:
+      snapshot: The document.
+      change: The change that led to it; None for a stored snapshot.
+    """
+
+    snapshot: Snapshot
+    change: Change | None
+
+
+UNOBSERVED = Observed(None, table.ABSENT)
 EMPTY = Snapshot(revision=ids.Revision(0), document={})
 
 
@@ -82,8 +107,7 @@
         Raises:
           Unavailable, AnswerLost: The platform did not answer.
         """
-        row = await self._rows.read(HEAD_KEY)
-        return None if row is None else _convert(row.value, Head)
+        return (await self.observe(UNOBSERVED)).head
 
     async def change(self, revision: ids.Revision) -> Change | None:
         """Returns the change that made `revision`, or None.
@@ -94,20 +118,65 @@
         row = await self._rows.read(_change_key(revision))
         return None if row is None else _convert(row.value, Change)
 
+    async def observe(self, last: Observed) -> Observed:
+        """Returns the newest revision, as no lagging read can tell it.
+
+        A plain read may return an earlier row. The condition of a
+        transaction is checked against the row as it is, so a transaction
+        without writes tells whether the head is still the one seen last,
+        and its conflict tells what the head is instead.
+
+        Args:
+          last: What was observed last.
+
+        Raises:
+          Unavailable, AnswerLost: The platform did not answer.
+        """
+        condition = table.Condition(HEAD_KEY, last.version)
+        try:
+            await self._rows.transact(table.Transaction(conditions=[condition]))
+        except errors.Conflict as conflict:
+            return _observed(conflict)
+        return last
+
     async def load(self, start: Snapshot, target: Head) -> Snapshot:
         """Returns the document at `target`, starting from a snapshot.
 
-        Takes the newest stored snapshot when it is ahead of `start`.
+        Raises:
+          Unavailable, AnswerLost: The platform did not answer.
+          PatchError: A change does not fit, which means that `start` is
+            not the document it claims to be.
+        """
+        steps = await self.steps(start, target)
+        return steps[-1].snapshot if steps else start
+
+    async def steps(self, start: Snapshot, target: Head) -> list[Step]:
+        """Returns the documents from `start`, without it, to `target`.
+
+        Starts with the newest stored snapshot when that is ahead of
+        `start`; a stored snapshot that does not lead to the digests of the
+        changes is left aside.
 
         Raises:
           Unavailable, AnswerLost: The platform did not answer.
           PatchError: A change does not fit, which means that `start` is
             not the document it claims to be.
         """
-        current = start
         stored_at = target.revision - target.revision % SNAPSHOT_EVERY
-        if stored_at > current.revision:
-            current = await self._read_snapshot(stored_at) or current
+        stored = None
+        if stored_at > start.revision:
+            stored = await self._read_snapshot(stored_at)
+        if stored is not None:
+            try:
+                following = await self._follow(stored, target)
+                return [Step(stored, None), *following]
+            except model_errors.PatchError:
+                pass
+        return await self._follow(start, target)
+
+    async def _follow(self, start: Snapshot, target: Head) -> list[Step]:
+        steps = []
+        current = start
         while current.revision < target.revision:
             following = ids.Revision(current.revision + 1)
             change = await self.change(following)
@@ -117,7 +186,10 @@
                 current.document, change.patch, change.digest
             )
             current = Snapshot(following, document)
-        return current
+            steps.append(Step(current, change))
+        if current.digest != target.digest:
+            raise model_errors.PatchError('the document has another digest')
+        return steps
 
     async def latest(self) -> Snapshot:
         """Returns the newest document; revision 0 is the empty one.
@@ -182,12 +254,11 @@
         return head
 
     async def _conditions(self, base, revision):
-        row = await self._rows.read(HEAD_KEY)
-        current = None if row is None else _convert(row.value, Head)
-        if (current.revision if current else 0) != base.revision:
-            raise Superseded(current)
+        seen = await self.observe(UNOBSERVED)
+        if (seen.head.revision if seen.head else 0) != base.revision:
+            raise Superseded(seen.head)
         return [
-            table.Condition(HEAD_KEY, row.version if row else table.ABSENT),
+            table.Condition(HEAD_KEY, seen.version),
             table.Condition(_change_key(revision), table.ABSENT),
         ]
 
@@ -195,7 +266,7 @@
         row = await self._rows.read(_change_key(head.revision))
         if row is not None and row.value.get('write_id') == head.write_id:
             return
-        raise Superseded(await self.head()) from conflict
+        raise Superseded(_observed(conflict).head) from conflict
 
     async def _resolve_lost(self, head):
         # Reads the change's own row: the head may already be a later one.
@@ -223,6 +294,14 @@
         return Snapshot(ids.Revision(revision), document)
 
 
+def _observed(conflict: errors.Conflict) -> Observed:
+    """Returns the head that a conflict shows; a plain read may lag."""
+    for row in conflict.rows:
+        if row.key == HEAD_KEY and row.version != table.ABSENT:
+            return Observed(_convert(row.value, Head), row.version)
+    return UNOBSERVED
+
+
 def _convert(value, kind):
     try:
         return msgspec.convert(value, kind)
--- a/packages/platform/src/radishcourse_platform/table.py
+++ b/packages/platform/src/radishcourse_platform/table.py
@@ -102,15 +102,15 @@
             'POST', '/v1/table/transact', msgspec.json.encode(transaction)
         )
         if reply.status == 409:
-            conflicts = _decode(reply, _Conflicts).conflicts
+            conflicts = _decode(reply, _Conflicts, 409).conflicts
             raise errors.Conflict(tuple(conflicts))
         return _decode(reply, _Versions).versions
 
 
-def _decode(reply: http.Reply, kind: type):
-    if reply.status != 200:
-        raise errors.AnswerLost(f'unexpected status {reply.status}')
+def _decode(reply: http.Reply, kind: type, status: int = 200):
+    if reply.status != status:
+        raise errors.UnexpectedAnswer(f'unexpected status {reply.status}')
     try:
         return msgspec.json.decode(reply.body, type=kind)
     except msgspec.MsgspecError as error:
-        raise errors.AnswerLost(f'malformed answer: {error}') from error
+        raise errors.UnexpectedAnswer(f'malformed answer: {error}') from error
--- a/packages/platform/src/radishcourse_platform/vms.py
+++ b/packages/platform/src/radishcourse_platform/vms.py
@@ -55,8 +55,10 @@
         """
         reply = await self._client.call('GET', '/v1/vms')
         if reply.status != 200:
-            raise errors.AnswerLost(f'unexpected status {reply.status}')
+            raise errors.UnexpectedAnswer(f'unexpected status {reply.status}')
         try:
             return msgspec.json.decode(reply.body, type=_Vms).vms
         except msgspec.MsgspecError as error:
-            raise errors.AnswerLost(f'malformed answer: {error}') from error
+            raise errors.UnexpectedAnswer(
+                f'malformed answer: {error}'
+            ) from error
--- a/packages/standins/src/radishcourse_standins/platform.py
+++ b/packages/standins/src/radishcourse_standins/platform.py
@@ -118,23 +118,20 @@
             ('GET', '/v1/table/rows', self._scan),
             ('GET', '/v1/vms', self._read_vms),
             ('GET', '/v1/object', self._read_object),
-        ]
-        for method, path, handler in routes:
-            self.app.route(method, path)(self._guard(handler, self._reads))
-        writes = [
             ('POST', '/v1/table/transact', self._transact),
             ('PUT', '/v1/object', self._write_object),
         ]
-        for method, path, handler in writes:
-            self.app.route(method, path)(self._guard(handler, self._writes))
+        for method, path, handler in routes:
+            self.app.route(method, path)(self._guard(handler))
         self.app.route('POST', '/control/faults')(self._set_faults)
         self.app.route('POST', '/control/vms')(self._set_vms)
         self.app.route('GET', '/control/counts')(self._get_counts)
         self.app.route('GET', '/control/rows')(self._scan)
 
-    def _guard(self, handler, limit: RateLimit):
+    def _guard(self, handler):
         async def guarded(request: asgi.Request) -> asgi.Response:
-            writing = limit is self._writes
+            writing = _is_write(request)
+            limit = self._writes if writing else self._reads
             self._counts['writes' if writing else 'reads'] += 1
             if not limit.take():
                 self._counts['refused'] += 1
@@ -211,6 +208,17 @@
         return asgi.reply(self._counts)
 
 
+def _is_write(request: asgi.Request) -> bool:
+    """Tells whether a request changes anything.
+
+    A transaction of conditions only is a read, for limits and faults too.
+    """
+    if request.path != '/v1/table/transact':
+        return request.method != 'GET'
+    transaction = request.json(table.Transaction)
+    return bool(transaction.puts or transaction.deletes)
+
+
 def serve(
     host: str = '127.0.0.1',
     port: int = 9000,
--- /dev/null
+++ b/tests/test_revisions.py
@@ -0,0 +1,140 @@
+"""Configuration revisions against the platform stand-in."""
+
+import concurrent.futures
+import contextlib
+import pathlib
+import tempfile
+
+import anyio
+import httpcore
+import msgspec
+from radishcourse_model import ids
+from radishcourse_platform import errors
+from radishcourse_platform import http
+from radishcourse_platform import objects
+from radishcourse_platform import revisions
+from radishcourse_platform import table
+from radishcourse_standins import processes
+import testtools
+
+RACERS = 6
+
+
+@contextlib.contextmanager
+def platform():
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        processes.started(pathlib.Path(folder)) as started,
+    ):
+        process = started.stand_in('platform')
+        processes.wait_http(process, '/', None)
+        yield process
+
+
+def set_fault(process, mode: str) -> None:
+    body = msgspec.json.encode({'mode': mode})
+    httpcore.request('POST', f'{process.url}/control/faults', content=body)
+
+
+def call(process, operation):
+    """Returns the result of `operation(source)` with its own client."""
+
+    async def main():
+        async with http.open_http(process.url) as client:
+            source = revisions.Revisions(
+                table.Table(client), objects.Objects(client)
+            )
+            return await operation(source)
+
+    return anyio.run(main)
+
+
+def propose(base, document, author: str = 'tester'):
+    write_id = ids.WriteId(f'{author}-{base.revision}')
+    return lambda source: source.propose(base, document, author, write_id)
+
+
+class ObserveTest(testtools.TestCase):
+    """Guards against lagging reads that confirm a revision that is past."""
+
+    def test_lagging_reads_change_nothing_in_what_is_observed(self):
+        with platform() as process:
+            first = {'a': 1}
+            call(process, propose(revisions.EMPTY, first))
+            base = call(process, lambda source: source.latest())
+            seen = call(
+                process, lambda source: source.observe(revisions.UNOBSERVED)
+            )
+            set_fault(process, 'stale_reads')
+            call(process, propose(base, {'a': 2}))
+            after = call(process, lambda source: source.observe(seen))
+            self.assertEqual((1, 2), (seen.head.revision, after.head.revision))
+            again = call(process, lambda source: source.observe(after))
+            self.assertEqual(after, again)
+            latest = call(process, lambda source: source.latest())
+            self.assertEqual({'a': 2}, latest.document)
+
+    def test_refusal_over_the_rate_limit_is_told_from_an_outage(self):
+        with platform() as process:
+            set_fault(process, 'down')
+            error = self.assertRaises(
+                errors.Unavailable, call, process, lambda source: source.head()
+            )
+            self.assertNotIsInstance(error, errors.RateLimited)
+
+
+class RaceTest(testtools.TestCase):
+    """Guards against lost changes when operators race."""
+
+    def _race(self, process) -> tuple[list, list]:
+        def run(index: int):
+            author = f'operator-{index}'
+            try:
+                return call(
+                    process,
+                    propose(revisions.EMPTY, {'winner': index}, author),
+                )
+            except revisions.Superseded as error:
+                return error
+
+        with concurrent.futures.ThreadPoolExecutor(RACERS) as pool:
+            results = list(pool.map(run, range(RACERS)))
+        winners = [item for item in results if isinstance(item, revisions.Head)]
+        losers = [item for item in results if item not in winners]
+        return winners, losers
+
+    def test_exactly_one_wins_and_the_others_learn_who(self):
+        for mode in ('up', 'lose_answers', 'stale_reads'):
+            with platform() as process:
+                set_fault(process, mode)
+                winners, losers = self._race(process)
+                self.assertEqual(1, len(winners), mode)
+                told = {(item.head.revision, item.head.author)
+                        for item in losers}  # fmt: skip
+                self.assertEqual({(1, winners[0].author)}, told, mode)
+                latest = call(process, lambda source: source.latest())
+                author = f'operator-{latest.document["winner"]}'
+                self.assertEqual(winners[0].author, author, mode)
+
+
+class SnapshotTest(testtools.TestCase):
+    """Guards against a stored document that is not what it claims to be."""
+
+    def test_wrong_stored_snapshot_is_left_aside(self):
+        with platform() as process:
+
+            async def fill(source):
+                base = revisions.EMPTY
+                for number in range(1, revisions.SNAPSHOT_EVERY + 1):
+                    document = {'n': number}
+                    await propose(base, document)(source)
+                    base = revisions.Snapshot(ids.Revision(number), document)
+
+            call(process, fill)
+            key = f'config/snapshot/{revisions.SNAPSHOT_EVERY:012d}'
+            wrong = msgspec.json.encode({'n': 'wrong'})
+            httpcore.request(
+                'PUT', f'{process.url}/v1/object?key={key}', content=wrong
+            )
+            latest = call(process, lambda source: source.latest())
+            self.assertEqual({'n': revisions.SNAPSHOT_EVERY}, latest.document)
