Copy bills to two holders before an answer is completed

Cause: bills were in the memory of one node until its next flush, so a killed node lost them, and the buffer was bounded by a guess of 256 bytes a bill and flushed in a burst after an outage. Change: policy/billing (bounded buffer of packed records, plan of a flush), controllers/holders (choice and copies), controllers/bills (copy, flush before the answer without holders, one bounded row each interval, flush for silent owners, copies restored during an outage), tests/histories (guarantees as functions of a history), tests/load, faults of the order desk, tests/test_bills. Zones of holders are used once membership is merged; until then seeds are the candidates.

--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -13,6 +13,7 @@
 from radishcourse_platform import table
 from radishcourse_wire import client as peer_client
 from radishcourse_wire import credentials
+from radishcourse_wire import messages
 from radishcourse_wire import server as peer_server
 import uvicorn
 
@@ -27,6 +28,7 @@
 from radishcourse_node.controllers import claims
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
+from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
@@ -55,6 +57,8 @@
     view: str
     in_progress: int
     bills_held: int
+    bills_held_for_others: int
+    bills_at_risk: int
     upstreams: list[UpstreamStatus]
 
 
@@ -104,7 +108,16 @@
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
-        self.bills = bills.Bills(environment, settings, self.incarnation, rows)
+        self.bills = bills.Bills(
+            environment,
+            settings,
+            self.incarnation,
+            rows,
+            holders.Holders(
+                environment.clock, settings, self.incarnation, self.peers
+            ),
+        )
+        self.peer_server.register(messages.Kind.HOLD_BILLS, self.bills.hold)
         self._draining = False
         self._requests = 0
 
@@ -142,6 +155,8 @@
             view=self.freshness.view.value,
             in_progress=self._requests,
             bills_held=self.bills.held,
+            bills_held_for_others=self.bills.held_for_others,
+            bills_at_risk=self.bills.at_risk,
             upstreams=[
                 self._describe(upstream_id, upstream)
                 for upstream_id, upstream in (
@@ -156,6 +171,9 @@
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
             'radishcourse_bills_held': self.bills.held,
+            'radishcourse_bills_held_for_others': self.bills.held_for_others,
+            'radishcourse_bills_at_risk': self.bills.at_risk,
+            'radishcourse_bills_bytes': self.bills.held_bytes,
             'radishcourse_ready': int(self.ready),
         }
 
@@ -234,8 +252,12 @@
             await anyio.sleep_forever()
 
     async def _finish_bills(self) -> None:
-        if not await self.bills.flush():
-            events.log(events.Event.BILLS_AT_RISK, held=self.bills.held)
+        if not await self.bills.finish():
+            events.log(
+                events.Event.BILLS_LEFT,
+                held=self.bills.held,
+                at_risk=self.bills.at_risk,
+            )
 
     async def aclose(self) -> None:
         """Closes all connections."""
--- a/packages/policy/src/radishcourse_policy/intervals.py
+++ b/packages/policy/src/radishcourse_policy/intervals.py
@@ -15,7 +15,12 @@
 
 def add(intervals: Intervals, numbers: typing.Iterable[int]) -> Intervals:
     """Returns the set with more numbers."""
-    pieces = [*intervals, *((number, number) for number in numbers)]
+    return union(intervals, ((number, number) for number in numbers))
+
+
+def union(intervals: Intervals, others: typing.Iterable[Interval]) -> Intervals:
+    """Returns the set of the numbers of both."""
+    pieces = [*intervals, *others]
     merged: list[Interval] = []
     for first, last in sorted(pieces):
         if merged and first <= merged[-1][1] + 1:
--- a/packages/standins/src/radishcourse_standins/asgi.py
+++ b/packages/standins/src/radishcourse_standins/asgi.py
@@ -95,6 +95,11 @@
             response = await handler(request)
         except msgspec.MsgspecError as error:
             response = reply({'error': str(error)}, 400)
+        except DropConnection:
+            # uvicorn answers an exception with 500 unless the response was
+            # started; then it closes the connection.
+            await _start(send, Response(headers={'content-length': '1'}))
+            raise
         await _send(send, response)
 
     def _find(self, request: Request) -> Handler | None:
@@ -148,24 +153,28 @@
     headers = dict(response.headers)
     if response.stream is None:
         headers['content-length'] = str(len(response.body))
+    await _start(send, response._replace(headers=headers))
+    if response.stream is None:
+        await send({'type': 'http.response.body', 'body': response.body})
+        return
+    async for part in response.stream:
+        await send(
+            {'type': 'http.response.body', 'body': part, 'more_body': True}
+        )
+    await send({'type': 'http.response.body', 'body': b''})
+
+
+async def _start(send, response: Response) -> None:
     await send(
         {
             'type': 'http.response.start',
             'status': response.status,
             'headers': [
                 (name.encode('latin-1'), value.encode('latin-1'))
-                for name, value in headers.items()
+                for name, value in response.headers.items()
             ],
         }
     )
-    if response.stream is None:
-        await send({'type': 'http.response.body', 'body': response.body})
-        return
-    async for part in response.stream:
-        await send(
-            {'type': 'http.response.body', 'body': part, 'more_body': True}
-        )
-    await send({'type': 'http.response.body', 'body': b''})
 
 
 def _parse_query(raw: bytes) -> dict[str, str]:
--- a/packages/standins/src/radishcourse_standins/desk.py
+++ b/packages/standins/src/radishcourse_standins/desk.py
@@ -1,6 +1,8 @@
 """Stand-in for a plain service: an order desk that counts its runs."""
 
 import collections
+import enum
+import itertools
 
 import anyio
 import fire
@@ -8,56 +10,111 @@
 
 from radishcourse_standins import asgi
 
+# Longer than any deadline of the tests.
+HANG_S = 60.0
+
+
+class Fault(enum.Enum):
+    """What happens to a call after the order ran.
+
+    HANG never answers, CLOSE closes the connection, ERROR answers with 500,
+    TRUNCATE sends half of the announced body.
+    """
+
+    NONE = 'none'
+    HANG = 'hang'
+    CLOSE = 'close'
+    ERROR = 'error'
+    TRUNCATE = 'truncate'
+
 
 class Settings(msgspec.Struct):
     """Behaviour that `POST /control/settings` changes.
 
     Attributes:
       delay_ms: Time that an order takes.
+      fault: The fault of some orders.
+      every: Each how-many-th order has the fault.
     """
 
     delay_ms: float = 2.0
-
-
-def make_app() -> asgi.App:
-    """Returns the HTTP interface of the stand-in."""
-    app = asgi.App()
-    current = [Settings()]
-    runs: collections.Counter[str] = collections.Counter()
-
-    @app.route('POST', '/orders')
-    async def order(request: asgi.Request) -> asgi.Response:
+    fault: Fault = Fault.NONE
+    every: int = 1
+
+
+class Desk:
+    """The HTTP interface of the stand-in."""
+
+    def __init__(self):
+        self._settings = Settings()
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._requests: collections.Counter[str] = collections.Counter()
+        self._calls = itertools.count(1)
+        self.app = asgi.App()
+        for method, path, handler in (
+            ('POST', '/orders', self._order),
+            ('GET', '/stock/*', self._stock),
+            ('GET', '/v1/state', self._state),
+            ('GET', '/control/orders', self._get_runs),
+            ('GET', '/control/requests', self._get_requests),
+            ('POST', '/control/settings', self._configure),
+        ):
+            self.app.route(method, path)(handler)
+
+    async def _order(self, request: asgi.Request) -> asgi.Response:
         name = request.json(dict).get('order', '')
-        runs[name] += 1
-        await anyio.sleep(current[0].delay_ms / 1000)
-        return asgi.reply({'order': name, 'run': runs[name]}, 201)
-
-    @app.route('GET', '/stock/*')
-    async def stock(request: asgi.Request) -> asgi.Response:
+        self._runs[name] += 1
+        self._requests[request.headers.get('x-request-id', '')] += 1
+        await anyio.sleep(self._settings.delay_ms / 1000)
+        answer = asgi.reply({'order': name, 'run': self._runs[name]}, 201)
+        if next(self._calls) % self._settings.every:
+            return answer
+        return await self._spoil(answer)
+
+    async def _spoil(self, answer: asgi.Response) -> asgi.Response:
+        match self._settings.fault:
+            case Fault.HANG:
+                await anyio.sleep(HANG_S)
+            case Fault.CLOSE:
+                raise asgi.DropConnection
+            case Fault.ERROR:
+                return asgi.reply({'error': 'the desk failed'}, 500)
+            case Fault.TRUNCATE:
+                size = str(len(answer.body))
+                headers = {**answer.headers, 'content-length': size}
+                half = answer.body[: len(answer.body) // 2]
+                return answer._replace(stream=_once(half), headers=headers)
+        return answer
+
+    async def _stock(self, request: asgi.Request) -> asgi.Response:
         item = request.path.rpartition('/')[2]
         return asgi.reply({'item': item, 'pallets': 7})
 
-    @app.route('GET', '/v1/state')
-    async def state(request: asgi.Request) -> asgi.Response:
+    async def _state(self, request: asgi.Request) -> asgi.Response:
         del request
         return asgi.reply({'boot': 'desk', 'state': 'warm', 'slots': 64})
 
-    @app.route('GET', '/control/orders')
-    async def counts(request: asgi.Request) -> asgi.Response:
+    async def _get_runs(self, request: asgi.Request) -> asgi.Response:
         del request
-        return asgi.reply(runs)
+        return asgi.reply(self._runs)
+
+    async def _get_requests(self, request: asgi.Request) -> asgi.Response:
+        """Runs by the id of the request that the node passed on."""
+        del request
+        return asgi.reply(self._requests)
+
+    async def _configure(self, request: asgi.Request) -> asgi.Response:
+        self._settings = request.json(Settings)
+        return asgi.reply(self._settings)
 
-    @app.route('POST', '/control/settings')
-    async def configure(request: asgi.Request) -> asgi.Response:
-        current[0] = request.json(Settings)
-        return asgi.reply(current[0])
 
-    return app
+async def _once(part: bytes):
+    yield part
 
 
 def serve(host: str = '127.0.0.1', port: int = 9300) -> None:
     """Serves the stand-in."""
-    anyio.run(asgi.serve, make_app(), host, port)
+    anyio.run(asgi.serve, Desk().app, host, port)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/tests/load.py
@@ -0,0 +1,161 @@
+"""Sends requests to a cluster and records them as a history."""
+
+import collections
+import concurrent.futures
+import contextlib
+import json
+import pathlib
+import random
+import tempfile
+
+import httpcore
+import msgspec
+
+from tests import cluster as clusters
+from tests import histories
+
+ORDERS = '/v1/services/order-desk/orders'
+
+
+class Recorder:
+    """Sends requests and keeps what came of each.
+
+    Args:
+      cluster: The cluster.
+      seed: Seed of the choices; part of the names.
+    """
+
+    def __init__(self, cluster: clusters.Cluster, seed: int):
+        self.cluster = cluster
+        self.random = random.Random(seed)
+        self.seed = seed
+        self._calls: list[histories.Call] = []
+        self._number = 0
+
+    def new_name(self) -> str:
+        """Returns a name that no order of this run has yet."""
+        self._number += 1
+        return f'o{self.seed}-{self._number}'
+
+    def order(
+        self, node: str, name: str = '', keyed: bool = True, **options
+    ) -> histories.Call:
+        """Sends an order, by default under its name as key."""
+        name = name or self.new_name()
+        call = histories.Call('order', name, node, name if keyed else '')
+        body = {'order': name}
+        return self._send(call, ORDERS, body, {}, options)
+
+    def chat(
+        self, node: str, stream: bool = False, keyed: bool = False, **options
+    ) -> histories.Call:
+        """Sends a model job."""
+        name = options.pop('name', '') or self.new_name()
+        call = histories.Call('stream' if stream else 'chat', name, node)
+        call.key = name if keyed else ''
+        body = {
+            'messages': [{'role': 'user', 'content': name}],
+            'stream': stream,
+            'max_tokens': 12,
+        }
+        headers = {'X-Radish-Kind': 'tag'}
+        return self._send(call, '/v1/chat/completions', body, headers, options)
+
+    def any(self, node: str) -> histories.Call:
+        """Sends a request of a sort that is drawn."""
+        drawn = self.random.random()
+        if drawn < 0.6:
+            return self.order(node, keyed=drawn < 0.45)
+        return self.chat(node, drawn < 0.8, drawn < 0.65)
+
+    def _send(self, call, path, body, headers, options) -> histories.Call:
+        self._calls.append(call)
+        headers = {**headers, **options.pop('headers', {})}
+        if call.key:
+            headers['Idempotency-Key'] = call.key
+        try:
+            reply = self.cluster.post(call.node, path, body, headers, **options)
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as error:
+            call.note = repr(error)
+            return call
+        _read_reply(call, reply)
+        return call
+
+    def history(self) -> histories.History:
+        """Returns the history so far."""
+        ran: collections.Counter[str] = collections.Counter()
+        runs: collections.Counter[str] = collections.Counter()
+        for name, process in self.cluster.upstreams.items():
+            if name.startswith('desk'):
+                page = self.cluster.get(process, '/control/requests')
+                ran.update(page.json)
+                page = self.cluster.get(process, '/control/orders')
+                runs.update(page.json)
+            else:
+                for item in self.cluster.served(name):
+                    ran[item['request_id'].rpartition('-')[0]] += 1
+        billed = [bill[1] for bill in self.cluster.bills()]
+        return histories.History(
+            self.seed, self._calls, dict(runs), dict(ran), billed
+        )
+
+    def wait_bills(self, timeout_s: float = 30.0) -> None:
+        """Waits until no more bills are missing, or for some time."""
+        with contextlib.suppress(AssertionError):
+            clusters.wait_until(
+                lambda: not histories.billed_once(self.history()).violations,
+                timeout_s,
+            )
+
+
+def _read_reply(call: histories.Call, reply: clusters.Reply) -> None:
+    call.status, call.code = reply.status, reply.code
+    headers = reply.headers
+    call.request_id = headers.get('x-radish-request-id', '')
+    call.repeated = headers.get('x-radish-repeated', '')
+    call.outcome = headers.get('x-radish-outcome', '')
+    if call.kind == 'order':
+        done = call.status == 201
+        call.whole = done and reply.json.get('order') == call.name
+    elif call.kind == 'chat':
+        call.whole = call.status == 200 and bool(reply.json['choices'])
+    elif call.status == 200:
+        _read_stream(call, reply.body)
+
+
+def _read_stream(call: histories.Call, body: bytes) -> None:
+    events = body.split(b'\n\n')
+    call.whole = events[-2:] == [b'data: [DONE]', b'']
+    for event in events:
+        if event.startswith(b'event: radishcourse\n'):
+            facts = json.loads(event.partition(b'data: ')[2])
+            call.outcome = facts['x-radish-outcome']
+        elif event.startswith(b'event: error\n'):
+            call.outcome = 'failed'
+
+
+@contextlib.contextmanager
+def at_once(count: int):
+    """Yields an executor with `count` threads; all work is done at the end."""
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        yield pool
+
+
+def check(case, recorder: Recorder) -> histories.History:
+    """Fails a test with the whole history when a guarantee is violated."""
+    recorder.wait_bills()
+    history = recorder.history()
+    if histories.violated(history):
+        path = pathlib.Path(tempfile.gettempdir())
+        path /= f'radishcourse-history-{recorder.seed}.json'
+        histories.save(history, path)
+        data = msgspec.json.encode(history).decode()
+        case.fail(
+            f'{histories.describe(history)}\n{data}\n'
+            f'check again: python -m tests.histories {path}'
+        )
+    return history
