--- a/packages/standins/src/radishcourse_standins/asgi.py
+++ b/packages/standins/src/radishcourse_standins/asgi.py
@@ -67,9 +67,14 @@
 
 
 class App:
-    """An ASGI application with exact and prefix routes."""
+    """An ASGI application with exact and prefix routes.
 
-    def __init__(self):
+    Args:
+      abort_on_disconnect: Whether work ends when its caller disconnects.
+    """
+
+    def __init__(self, abort_on_disconnect: bool = False):
+        self._abort_on_disconnect = abort_on_disconnect
         self._routes: list[tuple[str, str, Handler]] = []
 
     def route(self, method: str, path: str):
@@ -87,6 +92,15 @@
             return
         body = await _read_body(receive)
         request = Request(scope, body, receive)
+        if not self._abort_on_disconnect:
+            await self._answer(request, send)
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_left, receive, tasks.cancel_scope)
+            await self._answer(request, send)
+            tasks.cancel_scope.cancel()
+
+    async def _answer(self, request: Request, send) -> None:
         handler = self._find(request)
         if handler is None:
             await _send(send, reply({'error': 'not found'}, 404))
@@ -95,6 +109,11 @@
             response = await handler(request)
         except msgspec.MsgspecError as error:
             response = reply({'error': str(error)}, 400)
+        except DropConnection:
+            # uvicorn answers an exception with 500 unless the response was
+            # started; then it closes the connection.
+            await _start(send, Response(headers={'content-length': '1'}))
+            raise
         await _send(send, response)
 
     def _find(self, request: Request) -> Handler | None:
@@ -133,6 +152,12 @@
             server.should_exit = True
 
 
+async def _cancel_when_left(receive, scope: anyio.CancelScope) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+    scope.cancel()
+
+
 async def _read_body(receive) -> bytes:
     parts = []
     while True:
@@ -148,24 +173,28 @@
     headers = dict(response.headers)
     if response.stream is None:
         headers['content-length'] = str(len(response.body))
+    await _start(send, response._replace(headers=headers))
+    if response.stream is None:
+        await send({'type': 'http.response.body', 'body': response.body})
+        return
+    async for part in response.stream:
+        await send(
+            {'type': 'http.response.body', 'body': part, 'more_body': True}
+        )
+    await send({'type': 'http.response.body', 'body': b''})
+
+
+async def _start(send, response: Response) -> None:
     await send(
         {
             'type': 'http.response.start',
             'status': response.status,
             'headers': [
                 (name.encode('latin-1'), value.encode('latin-1'))
-                for name, value in headers.items()
+                for name, value in response.headers.items()
             ],
         }
     )
-    if response.stream is None:
-        await send({'type': 'http.response.body', 'body': response.body})
-        return
-    async for part in response.stream:
-        await send(
-            {'type': 'http.response.body', 'body': part, 'more_body': True}
-        )
-    await send({'type': 'http.response.body', 'body': b''})
 
 
 def _parse_query(raw: bytes) -> dict[str, str]:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -128,11 +128,11 @@
 
     def test_shows_nodes_versions_upstreams_and_bills(self):
         with clusters.running(flush_s=0.2) as cluster:
-            cluster.chat('entry-0')
-            cluster.chat('entry-1')
+            cluster.chat('entry-0', 'tag')
+            cluster.chat('entry-1', 'tag')
             _, latencies = operators.run(['latency'], cluster.platform)
             line = latencies.splitlines()[-1].split()
-            self.assertEqual(['roofers', 'quote', '2'], line[1:4])
+            self.assertEqual(['roofers', 'tag', '2'], line[1:4])
             clusters.wait_until(lambda: len(cluster.bills()) == 2)
             cluster.nodes['entry-1'].kill()
             _, output = operators.run(['status', '--json'], cluster.platform)
