--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -18,6 +18,7 @@
 import uvicorn
 
 from radishcourse_node import app
+from radishcourse_node import connections
 from radishcourse_node import environment as environments
 from radishcourse_node import events
 from radishcourse_node import metrics
@@ -30,6 +31,7 @@
 from radishcourse_node.controllers import freshness
 from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import quality
+from radishcourse_node.controllers import readers
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
 
@@ -118,6 +120,7 @@
             ),
         )
         self.peer_server.register(messages.Kind.HOLD_BILLS, self.bills.hold)
+        self.readers = readers.Readers(self.configuration, settings)
         self._draining = False
         self._requests = 0
 
@@ -130,6 +133,11 @@
             and self.freshness.may_start()
         )
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node is on its way to a planned stop."""
+        return self._draining
+
     @property
     def requests(self) -> int:
         """Requests in progress."""
@@ -174,6 +182,8 @@
             'radishcourse_bills_held_for_others': self.bills.held_for_others,
             'radishcourse_bills_at_risk': self.bills.at_risk,
             'radishcourse_bills_bytes': self.bills.held_bytes,
+            'radishcourse_held_bytes': self.readers.total,
+            'radishcourse_held_bytes_most': self.readers.most,
             'radishcourse_ready': int(self.ready),
         }
 
@@ -212,11 +222,12 @@
             app.App(self),
             host=host,
             port=port,
-            http='h11',
+            http=connections.Connection,
             lifespan='off',
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=False,
             h11_max_incomplete_event_size=MAX_LINE_BYTES,
             timeout_graceful_shutdown=int(self.settings.drain_limit_s),
         )
--- a/packages/standins/src/radishcourse_standins/engine.py
+++ b/packages/standins/src/radishcourse_standins/engine.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import contextlib
 import enum
 import hashlib
 import secrets
@@ -19,6 +20,7 @@
 from radishcourse_standins import asgi
 
 MAX_KEPT_STREAMS = 1024
+CANCEL_CHECK_S = 0.02
 
 
 class State(enum.Enum):
@@ -29,6 +31,20 @@
     LEAVING = 'leaving'
 
 
+class Disorder(enum.Enum):
+    """What is wrong with the events of a stream.
+
+    DUPLICATE sends each event twice, REORDER swaps neighbours, FOREIGN adds
+    events of another request, CRLF ends lines with CR LF and adds comments.
+    """
+
+    NONE = 'none'
+    DUPLICATE = 'duplicate'
+    REORDER = 'reorder'
+    FOREIGN = 'foreign'
+    CRLF = 'crlf'
+
+
 class Settings(msgspec.Struct):
     """Behaviour that `POST /control/settings` changes.
 
@@ -38,8 +54,11 @@
       first_token_ms: Time to the first token when warm.
       cold_first_token_ms: Time to the first token when cold.
       warm_after: Answers after which a cold engine is warm.
-      truncate: Share of streams that end before their last part, by the
-        request's hash.
+      truncate: Share of answers that end before their last part, by the
+        request's hash; resumed streams are whole.
+      cut_at: Index at which streams end, when not 0; resumed streams are
+        whole.
+      disorder: What is wrong with the events of streams.
       fail: Share of requests answered with 500, by the request's hash.
     """
 
@@ -50,6 +69,8 @@
     warm_after: int = 3
     truncate: float = 0.0
     fail: float = 0.0
+    cut_at: int = 0
+    disorder: Disorder = Disorder.NONE
 
 
 class Completion(msgspec.Struct):
@@ -101,11 +122,18 @@
         self._streams: collections.OrderedDict[str, Completion] = (
             collections.OrderedDict()
         )
+        # A stream that is cancelled or resumed ends its earlier generation.
+        self._generations: collections.Counter[str] = collections.Counter()
+        self._cancels: list[str] = []
+        # A request that comes after its cancellation is refused.
         self._cancelled: set[str] = set()
         self._runs: collections.Counter[str] = collections.Counter()
         self._served: list[dict] = []
+        # Work received while cold: now in progress, most at once, and all.
+        self._cold_work = 0
         self._max_cold = 0
-        self.app = asgi.App()
+        self._cold_total = 0
+        self.app = asgi.App(abort_on_disconnect=True)
         for method, path, handler in (
             ('POST', '/v1/chat/completions', self._complete),
             ('POST', '/v1/resume', self._resume),
@@ -118,6 +146,13 @@
         ):
             self.app.route(method, path)(handler)
 
+    @property
+    def _names(self) -> dict[str, str]:
+        return {
+            name.replace('-', '_'): value
+            for name, value in self._headers.items()
+        }
+
     @property
     def _headers(self) -> dict[str, str]:
         return {
@@ -127,6 +162,8 @@
 
     async def _complete(self, request: asgi.Request) -> asgi.Response:
         job = request.json(Completion)
+        if job.request_id in self._cancelled:
+            return asgi.reply({'error': 'cancelled'}, 409, **self._names)
         self._note_start(job)
         if _fraction(job.request_id, 'fail') < self._settings.fail:
             return asgi.reply({'error': 'engine failed'}, 500)
@@ -136,6 +173,8 @@
         if job.stream:
             return self._stream(job, 0)
         tokens = [token async for token in self._generate(job, 0)]
+        if job.request_id in self._cancelled:
+            return asgi.reply({'error': 'cancelled'}, 409, **self._names)
         body = {
             'request_id': job.request_id,
             'model': job.model,
@@ -162,10 +201,6 @@
 
     def _note_start(self, job: Completion) -> None:
         self._runs[job.request_id] += 1
-        if self._state is State.COLD:
-            self._max_cold = max(
-                self._max_cold, self._running + self._queued + 1
-            )
         self._served.append(
             {
                 'request_id': job.request_id,
@@ -179,38 +214,67 @@
 
     def _stream(self, job: Completion, start: int) -> asgi.Response:
         headers = {'content-type': 'text/event-stream', **self._headers}
-        return asgi.Response(200, b'', headers, self._events(job, start))
+        events = _disorder(self._events(job, start), self._settings.disorder)
+        return asgi.Response(200, b'', headers, events)
 
     async def _events(self, job: Completion, start: int):
+        cut = self._settings.cut_at
+        if _fraction(job.request_id, 'truncate') < self._settings.truncate:
+            cut = job.max_tokens // 2
         index = start
-        cut = _fraction(job.request_id, 'truncate') < self._settings.truncate
-        async for token in self._generate(job, start):
-            if job.request_id in self._cancelled:
-                return
-            yield _event(job, index, {'content': token}, None)
-            index += 1
-            if cut and index >= job.max_tokens // 2:
-                return
-        yield _event(job, index, {}, 'stop', completion_tokens=index)
-        yield b'data: [DONE]\n\n'
+        async with contextlib.aclosing(self._generate(job, start)) as tokens:
+            async for token in tokens:
+                yield _event(job, index, {'content': token}, None)
+                index += 1
+                if cut and start == 0 and index >= cut:
+                    return
+        if index == job.max_tokens:
+            yield _event(job, index, {}, 'stop', completion_tokens=index)
+            yield b'data: [DONE]\n\n'
 
     async def _generate(self, job: Completion, start: int):
-        self._queued += 1
+        generation = self._generations[job.request_id]
+        with self._count_cold():
+            self._queued += 1
+            try:
+                await self._slots.acquire()
+            finally:
+                self._queued -= 1
+            self._running += 1
+            try:
+                await self._pause(job, generation, self._first_token_s())
+                for index in range(start, job.max_tokens):
+                    if index > start:
+                        seconds = self._settings.token_ms / 1000
+                        await self._pause(job, generation, seconds)
+                    if self._generations[job.request_id] != generation:
+                        return
+                    yield self._token(job, index)
+                self._note_answer()
+            finally:
+                self._running -= 1
+                self._slots.release()
+
+    @contextlib.contextmanager
+    def _count_cold(self):
+        cold = self._state is State.COLD
+        self._cold_work += cold
+        self._cold_total += cold
+        self._max_cold = max(self._max_cold, self._cold_work)
         try:
-            await self._slots.acquire()
+            yield
         finally:
-            self._queued -= 1
-        self._running += 1
-        try:
-            await anyio.sleep(self._first_token_s())
-            for index in range(start, job.max_tokens):
-                if index > start:
-                    await anyio.sleep(self._settings.token_ms / 1000)
-                yield self._token(job, index)
-            self._note_answer()
-        finally:
-            self._running -= 1
-            self._slots.release()
+            self._cold_work -= cold
+
+    async def _pause(
+        self, job: Completion, generation: int, seconds: float
+    ) -> None:
+        """Waits until some time has passed or the request is cancelled."""
+        end = anyio.current_time() + seconds
+        while (left := end - anyio.current_time()) > 0:
+            if self._generations[job.request_id] != generation:
+                return
+            await anyio.sleep(min(left, CANCEL_CHECK_S))
 
     def _first_token_s(self) -> float:
         if self._state is State.COLD:
@@ -239,11 +303,15 @@
         job = self._streams.get(wanted.request_id)
         if job is None:
             return asgi.reply({'error': 'no such stream'}, 404)
+        self._generations[wanted.request_id] += 1
         self._cancelled.discard(wanted.request_id)
         return self._stream(job, wanted.from_index)
 
     async def _cancel(self, request: asgi.Request) -> asgi.Response:
-        self._cancelled.add(request.json(dict)['request_id'])
+        request_id = request.json(dict)['request_id']
+        self._generations[request_id] += 1
+        self._cancelled.add(request_id)
+        self._cancels.append(request_id)
         return asgi.reply({})
 
     async def _order(self, request: asgi.Request) -> asgi.Response:
@@ -273,11 +341,13 @@
         return asgi.reply(self._settings)
 
     async def _set_state(self, request: asgi.Request) -> asgi.Response:
-        self._state = State(request.json(dict)['state'])
+        wanted = request.json(dict)
+        self._state = State(wanted['state'])
         if self._state is State.COLD:
             self._boot = secrets.token_hex(4)
             self._answered_cold = 0
-            self._streams.clear()
+            if not wanted.get('keep_streams'):
+                self._streams.clear()
         return asgi.reply({})
 
     async def _get_served(self, request: asgi.Request) -> asgi.Response:
@@ -286,6 +356,8 @@
             {
                 'served': self._served,
                 'max_cold': self._max_cold,
+                'cancels': self._cancels,
+                'cold_total': self._cold_total,
                 'orders': self._orders,
             }
         )
@@ -296,6 +368,24 @@
     return int.from_bytes(digest[:6], 'big') / 2**48
 
 
+async def _disorder(events, disorder: Disorder):
+    held = b''
+    async for event in events:
+        if disorder is Disorder.DUPLICATE:
+            yield event * 2
+        elif disorder is Disorder.FOREIGN:
+            yield event.replace(b'"request_id":"', b'"request_id":"x') + event
+        elif disorder is Disorder.CRLF:
+            yield b': comment\r\n\r\n' + event.replace(b'\n', b'\r\n')
+        elif disorder is Disorder.REORDER and not held:
+            held = event
+        else:
+            yield event + held
+            held = b''
+    if held:
+        yield held
+
+
 def _event(job, index, delta, finish_reason, **usage) -> bytes:
     event = {
         'request_id': job.request_id,
