Grant permits for cold upstreams under leases

Cause: each node judged a cold upstream by itself; eight nodes that each sent one job put 8 requests at once into an engine with cold_limit 1.

Ruled out: comparing wall clocks of nodes; freeing a permit when its time is over, because its job may still run (its owner may be paused), so the grantor cancels the job first; granting during the quiet time after a takeover.

Change: leases in the platform's table, taken after a whole lease length with the row's version unchanged and the platform up, used only while the holder's own count runs or outage evidence carries it on. The holder of the upstream's shard grants permits. Upstreams are split into health (order of news), probes, permits, slots (deadline-aware waiting), reservations (checks until the first byte; a new connection is probed before it is used as warm).

Figures: `.venv/bin/python -m tests test_cold`: before 8 requests at once in the cold engine, after 1. Stateful test of leases (60 runs of 30 steps): two holders at once never seen. Trials with faults put in on purpose are found: holder counts from the renewal's answer, lease never lapses, taker waits 3 s, taker ignores the platform's uptime, epoch does not grow, and (by the directed test) a holder that counts longer than takers wait.

--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -12,7 +12,7 @@
 from radishcourse_node import events
 from radishcourse_node import guard
 from radishcourse_node import job as jobs
-from radishcourse_node.controllers import upstreams
+from radishcourse_node.controllers import reservations
 
 MAX_ATTEMPTS = 4
 
@@ -174,12 +174,12 @@
                     errors.RefusalCode.MODEL_NOT_ALLOWED,
                     f'{model}/{version} is not allowed any more',
                 )
-            call = _make_call(job, model, version, len(tried))
+            call = _make_call(job, model, version, upstream.request_id)
             async with self._request(job, upstream, call) as response:
                 yield response, call
 
     @contextlib.asynccontextmanager
-    async def _request(self, job, upstream: upstreams.Reservation, call):
+    async def _request(self, job, upstream: reservations.Reservation, call):
         async with engines.open_response(
             upstream.pool,
             'POST',
@@ -187,6 +187,7 @@
             [(b'content-type', b'application/json')],
             msgspec.json.encode(call),
             max(0.001, job.deadline - self._clock.now()),
+            upstream.trace,
         ) as response:
             job.sent = True
             upstream.note_signs(engines.read_signs(response))
@@ -195,7 +196,6 @@
 
     def _note_failure(self, job, facts, error: errors.AttemptError) -> None:
         job.sent = job.sent or error.sent
-        self._upstreams.note_failure(facts.upstream, error)
         events.log(
             events.Event.ATTEMPT_FAILED,
             request=job.request_id,
@@ -217,9 +217,9 @@
         facts.tokens = tokens
 
 
-def _make_call(job, model, version, attempt: int) -> engines.Call:
+def _make_call(job, model, version, request_id: str) -> engines.Call:
     return engines.Call(
-        request_id=f'{job.request_id}-{attempt}',
+        request_id=request_id,
         model=model,
         version=version,
         messages=job.chat.messages,
--- /dev/null
+++ b/packages/node/src/radishcourse_node/controllers/health.py
@@ -0,0 +1,264 @@
+"""What this node knows of each upstream, and how news of it is ordered."""
+
+import dataclasses
+
+from radishcourse_model import ids
+from radishcourse_model import states
+from radishcourse_wire import client as peer_client
+from radishcourse_wire.gen.peer import ttypes
+
+from radishcourse_node import events
+
+WARMTH_S = 1.0
+NEWS_S = 10.0
+TICK_S = 0.1
+# A tick that is later than this shows that the process was paused.
+PAUSE_S = 0.5
+# After a pause, answers that wait in socket buffers are as old as the pause;
+# reading them takes less than this.
+DISTRUST_S = 0.5
+_State = states.UpstreamState
+
+
+@dataclasses.dataclass
+class Health:
+    """What this node knows of one upstream.
+
+    Attributes:
+      state: Its state by the latest news.
+      boot: The boot id that it told last.
+      observed_at: When the latest news was true at the latest.
+      changed_at: When this node learned of the latest change.
+      observer: Node that observed the latest change.
+      listed_leaving: Whether the VM list says that it leaves.
+      listed_at: When the VM list was read last.
+      heard_leaving_at: When it was leaving by the news of a peer. Its own
+        word does not end this, as the peer may have it from the VM list.
+      in_flight: Requests of this node that it runs now.
+      reported: Requests that it reported last.
+      reported_own: Requests of this node that it ran then.
+      reported_at: When its report was true.
+      refused_until: No permit is asked for before this.
+    """
+
+    state: _State = _State.UNKNOWN
+    boot: str = ''
+    observed_at: float = float('-inf')
+    changed_at: float = float('-inf')
+    observer: str = ''
+    listed_leaving: bool = False
+    listed_at: float = float('-inf')
+    heard_leaving_at: float = float('-inf')
+    in_flight: int = 0
+    reported: float = 0.0
+    reported_own: int = 0
+    reported_at: float = float('-inf')
+    refused_until: float = 0.0
+
+
+class Registry:
+    """Health of all upstreams; later news replaces earlier news.
+
+    Args:
+      clock: The node's clock.
+      node: This node.
+    """
+
+    def __init__(self, clock, node: ids.NodeId):
+        self._clock = clock
+        self._node = node
+        self._health: dict[ids.UpstreamId, Health] = {}
+        self._counter = 0
+        self._merged_at = float('-inf')
+        self._ticked_at = clock.now()
+        self._distrust_until = float('-inf')
+
+    @property
+    def health(self) -> dict[ids.UpstreamId, Health]:
+        """Health of each upstream that was seen."""
+        return self._health
+
+    @property
+    def merged_at(self) -> float:
+        """When gossip last brought news."""
+        return self._merged_at
+
+    def get(self, upstream: ids.UpstreamId) -> Health:
+        """Returns the health of an upstream."""
+        return self._health.setdefault(upstream, Health())
+
+    def state(self, upstream: ids.UpstreamId) -> _State:
+        """Returns the state of an upstream; leaving outranks all others."""
+        health = self.get(upstream)
+        heard_age = self._clock.now() - health.heard_leaving_at
+        if health.listed_leaving or heard_age <= NEWS_S:
+            return _State.LEAVING
+        return health.state
+
+    def is_warm(self, upstream: ids.UpstreamId) -> bool:
+        """Tells whether warmth was confirmed a short time ago."""
+        age = self._clock.now() - self.get(upstream).observed_at
+        return self.state(upstream) is _State.WARM and age <= WARMTH_S
+
+    def tick(self) -> None:
+        """Notes that the process runs; called every `TICK_S`."""
+        now = self._clock.now()
+        if now - self._ticked_at > PAUSE_S:
+            self._distrust_until = now + DISTRUST_S
+        self._ticked_at = now
+
+    def note_header(self, upstream, boot: str, state: str) -> None:
+        """Takes news from the headers of an answer that was read now."""
+        now = self._clock.now()
+        paused = now - self._ticked_at > PAUSE_S or now < self._distrust_until
+        if paused and state == _State.WARM.value:
+            return
+        self.note_told(upstream, boot, state, now)
+
+    def note_told(
+        self, upstream, boot: str, state: str, at: float, observer: str = ''
+    ) -> None:
+        """Takes news that an upstream told of itself.
+
+        Args:
+          upstream: The upstream.
+          boot: Its boot id, or an empty text.
+          state: Its state in text.
+          at: When this was true at the latest, by this node's clock.
+          observer: Node that heard it from the upstream.
+        """
+        health = self.get(upstream)
+        told = _parse(state)
+        if boot and health.boot and boot != health.boot:
+            # The next news of the same boot decides whether it is warm.
+            told = _State.COLD if told is _State.WARM else told
+        elif at < health.observed_at:
+            return
+        health.boot = boot or health.boot
+        health.observed_at = max(at, health.observed_at)
+        self._change(upstream, health, told, observer or self._node)
+
+    def note_reset(self, upstream: ids.UpstreamId) -> None:
+        """Takes a refused or reset connection as a sign of a restart."""
+        health = self.get(upstream)
+        health.observed_at = self._clock.now()
+        if health.state in (_State.WARM, _State.UNKNOWN):
+            self._change(upstream, health, _State.COLD, self._node)
+
+    def note_down(self, upstream: ids.UpstreamId, at: float) -> None:
+        """Notes that an upstream did not answer a question asked at `at`."""
+        health = self.get(upstream)
+        if at >= health.observed_at:
+            health.observed_at = at
+            self._change(upstream, health, _State.DOWN, self._node)
+
+    def note_load(self, upstream, load: float, at: float) -> None:
+        """Notes the load that an upstream reported."""
+        health = self.get(upstream)
+        if at >= health.reported_at:
+            health.reported = load
+            health.reported_own = health.in_flight
+            health.reported_at = at
+
+    def note_listed(self, upstream: ids.UpstreamId, leaving: bool) -> None:
+        """Notes what the VM list says."""
+        health = self.get(upstream)
+        health.listed_at = self._clock.now()
+        if health.listed_leaving is not leaving:
+            health.listed_leaving = leaving
+            health.changed_at = health.listed_at
+            health.observer = self._node
+            events.log(
+                events.Event.UPSTREAM_CHANGED,
+                upstream=upstream,
+                before=health.state.value,
+                state=self.state(upstream).value,
+            )
+
+    def records(self) -> list[ttypes.UpstreamRecord]:
+        """Returns the news that peers are to have.
+
+        These are the changes of the last `NEWS_S`, and every upstream that
+        is leaving, for as long as this node or the news of a peer says so.
+        """
+        now = self._clock.now()
+        self._counter += 1
+        return [
+            self._make_record(upstream, health, now)
+            for upstream, health in self._health.items()
+            if now - health.changed_at <= NEWS_S
+            or self.state(upstream) is _State.LEAVING
+        ]
+
+    def _make_record(self, upstream, health: Health, now: float):
+        state = self.state(upstream)
+        observed_at = health.observed_at
+        if health.listed_leaving:
+            observed_at = health.listed_at
+        elif state is not health.state:
+            observed_at = health.heard_leaving_at
+        return ttypes.UpstreamRecord(
+            upstream=upstream,
+            state=state.value,
+            boot=health.boot,
+            observer=health.observer,
+            counter=self._counter,
+            load=int(health.reported),
+            age_ms=int(min(now - observed_at, NEWS_S) * 1000),
+        )
+
+    def merge(
+        self,
+        records: list[ttypes.UpstreamRecord],
+        asked_at: float | None = None,
+    ) -> None:
+        """Takes over the news of a peer.
+
+        Args:
+          records: The news, with their ages.
+          asked_at: When the peer was asked; without it the longest time
+            that a call may take is assumed.
+        """
+        now = self._clock.now()
+        self._merged_at = now
+        if asked_at is None:
+            asked_at = now - peer_client.TIMEOUT_S
+        for record in records:
+            age_s = record.age_ms / 1000
+            if record.state == _State.LEAVING.value:
+                health = self.get(ids.UpstreamId(record.upstream))
+                health.heard_leaving_at = max(
+                    health.heard_leaving_at, now - age_s
+                )
+                continue
+            # Warmth must not seem newer than it is; all other news must not
+            # seem older than it is.
+            warm = record.state == _State.WARM.value
+            at = (asked_at if warm else now) - age_s
+            self.note_told(
+                ids.UpstreamId(record.upstream),
+                record.boot,
+                record.state,
+                at,
+                record.observer,
+            )
+
+    def _change(self, upstream, health: Health, state, observer) -> None:
+        if health.state is state:
+            return
+        events.log(
+            events.Event.UPSTREAM_CHANGED,
+            upstream=upstream,
+            before=health.state.value,
+            state=state.value,
+        )
+        health.state = state
+        health.changed_at = self._clock.now()
+        health.observer = observer
+
+
+def _parse(state: str) -> _State:
+    try:
+        return _State(state)
+    except ValueError:
+        return _State.UNKNOWN
--- /dev/null
+++ b/packages/node/src/radishcourse_node/controllers/slots.py
@@ -0,0 +1,100 @@
+"""Jobs that wait for a free slot of an upstream."""
+
+import dataclasses
+
+import anyio
+from radishcourse_model import ids
+from radishcourse_policy import slots as policy
+
+from radishcourse_node import errors
+from radishcourse_node import job as jobs
+
+# Reports of load and permits change without a sign, so waiters look again.
+LOOK_AGAIN_S = 0.1
+RETRY_AFTER_S = 1
+
+
+@dataclasses.dataclass
+class _Waiter:
+    rank: tuple[int, float]
+    choices: frozenset[ids.UpstreamId]
+    woken: anyio.Event
+
+
+class Slots:
+    """Orders waiting jobs by priority, then by deadline."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._waiting: list[_Waiter] = []
+        self._means: dict[ids.UpstreamId, float] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Jobs that wait."""
+        return len(self._waiting)
+
+    def note_done(self, upstream: ids.UpstreamId, seconds: float) -> None:
+        """Notes how long an attempt held a slot, and wakes the next job."""
+        self._means[upstream] = policy.mean(self._means.get(upstream), seconds)
+        self.wake(upstream)
+
+    def wake(self, upstream: ids.UpstreamId) -> None:
+        """Wakes the first job that waits for an upstream."""
+        for waiter in self._waiting:
+            if upstream in waiter.choices and not waiter.woken.is_set():
+                waiter.woken.set()
+                return
+
+    def has_turn(self, job: jobs.Job, choices) -> bool:
+        """Tells whether no other job that waits for these comes first."""
+        rank = _rank(job)
+        return not any(
+            waiter.rank < rank and not waiter.choices.isdisjoint(choices)
+            for waiter in self._waiting
+        )
+
+    async def wait(self, job: jobs.Job, choices: dict) -> None:
+        """Waits until it makes sense to look for a slot again.
+
+        Args:
+          job: The job.
+          choices: Configured upstreams that may take it.
+
+        Raises:
+          Refusal: The job could not be on time.
+        """
+        waiter = _Waiter(_rank(job), frozenset(choices), anyio.Event())
+        self._check(job, waiter, choices)
+        self._waiting.append(waiter)
+        self._waiting.sort(key=lambda item: item.rank)
+        try:
+            with anyio.move_on_after(LOOK_AGAIN_S):
+                await waiter.woken.wait()
+        finally:
+            self._waiting.remove(waiter)
+
+    def _check(self, job: jobs.Job, waiter: _Waiter, choices) -> None:
+        ahead = sum(
+            other.rank < waiter.rank
+            and not other.choices.isdisjoint(waiter.choices)
+            for other in self._waiting
+        )
+        means = [self._means[key] for key in choices if key in self._means]
+        on_time = policy.can_be_on_time(
+            job.deadline - self._clock.now(),
+            ahead,
+            sum(item.slots for item in choices.values()),
+            min(means, default=None),
+        )
+        if not on_time:
+            raise errors.Refusal(
+                errors.RefusalCode.OVERLOADED,
+                f'{ahead} jobs wait before this one; it would be late',
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+
+def _rank(job: jobs.Job) -> tuple[int, float]:
+    priority = job.kind.priority if job.kind is not None else 0
+    return -priority, job.deadline
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -1,132 +1,92 @@
-"""Upstreams: health, load, connections and reservations."""
+"""Upstreams: choice, reservations and retry budgets.
+
+What is known of them is in `health`, how it is found out in `probes`, who
+may use a cold one in `permits`, and who waits in `slots`.
+"""
 
 import contextlib
-import dataclasses
 
 import anyio
-import httpcore
-import msgspec
 from radishcourse_model import ids
 from radishcourse_model import schema
 from radishcourse_model import states
-from radishcourse_platform import http
 from radishcourse_policy import placement
 from radishcourse_policy import retrybudget
+from radishcourse_policy import slots as slot_policy
+from radishcourse_wire.gen.peer import ttypes
 
+from radishcourse_node import enginecontrol
 from radishcourse_node import engines
 from radishcourse_node import errors
-from radishcourse_node import events
-
-POLL_S = 0.5
-PROBE_TIMEOUT_S = 0.5
-
-
-class _State(msgspec.Struct):
-    boot: str = ''
-    state: str = 'warm'
-    running: int = 0
-    queued: int = 0
-    slots: int = 1
-    age_ms: float = 0
-
-
-@dataclasses.dataclass
-class Health:
-    """What this node knows of one upstream.
-
-    Attributes:
-      state: Its state.
-      boot: The boot id that it told last.
-      confirmed_at: When its state was last heard from itself.
-      in_flight: Requests of this node that it runs now.
-      reported: Requests that it reported last.
-      reported_at: When it reported them.
-    """
-
-    state: states.UpstreamState = states.UpstreamState.UNKNOWN
-    boot: str = ''
-    confirmed_at: float = 0.0
-    in_flight: int = 0
-    reported: float = 0.0
-    reported_at: float = 0.0
-
-
-class Reservation:
-    """A place on an upstream for one attempt."""
-
-    def __init__(self, controller, upstream_id, upstream, pool):
-        self.upstream_id: ids.UpstreamId = upstream_id
-        self.address: str = upstream.address
-        self.pool: httpcore.AsyncConnectionPool = pool
-        self._controller = controller
+from radishcourse_node import job as jobs
+from radishcourse_node.controllers import health
+from radishcourse_node.controllers import permits
+from radishcourse_node.controllers import probes
+from radishcourse_node.controllers import reservations
+from radishcourse_node.controllers import slots
 
-    def note_signs(self, signs: engines.Signs) -> None:
-        """Takes note of what the upstream tells of itself."""
-        self._controller.note_signs(self.upstream_id, signs)
+# How often a node offers a job to a cold upstream while warm ones are free.
+TRIAL_S = 1.0
+_STARTABLE = (states.UpstreamState.WARM, states.UpstreamState.COLD)
 
 
 class Upstreams:
-    """Keeps the health of all upstreams and hands out reservations."""
-
-    def __init__(self, environment, configuration, settings):
-        self._clock = environment.clock
-        self._random = environment.random
-        self._configuration = configuration
-        self._settings = settings
-        self._health: dict[ids.UpstreamId, Health] = {}
+    """Hands out reservations on upstreams."""
+
+    def __init__(self, node):
+        self._clock = node.environment.clock
+        self._random = node.environment.random
+        self._configuration = node.configuration
+        self._settings = node.settings
         self._pools = engines.Pools()
         self._budgets: dict[tuple, retrybudget.RetryBudget] = {}
+        self._trial_at: dict[ids.UpstreamId, float] = {}
+        self.registry = health.Registry(self._clock, node.settings.node)
+        self.probes = probes.Probes(node, self.registry, self.engine)
+        self.permits = permits.Permits(node, self.registry, self.engine)
+        self.slots = slots.Slots(self._clock)
 
     @property
-    def health(self) -> dict[ids.UpstreamId, Health]:
+    def health(self) -> dict[ids.UpstreamId, health.Health]:
         """Health of each upstream that was seen."""
-        return self._health
+        return self.registry.health
 
     def state(self, upstream_id: ids.UpstreamId) -> states.UpstreamState:
         """Returns the state of an upstream."""
-        return self._get(upstream_id).state
+        return self.registry.state(upstream_id)
+
+    def records(self) -> list[ttypes.UpstreamRecord]:
+        """Returns the news that peers are to have."""
+        return self.registry.records()
+
+    def merge(
+        self,
+        records: list[ttypes.UpstreamRecord],
+        asked_at: float | None = None,
+    ) -> None:
+        """Takes over the news of a peer that was asked at `asked_at`."""
+        self.registry.merge(records, asked_at)
+
+    def engine(
+        self, upstream_id: ids.UpstreamId
+    ) -> enginecontrol.Engine | None:
+        """Returns the control calls of a configured upstream."""
+        upstream = self._configuration.config.upstreams.get(upstream_id)
+        if upstream is None:
+            return None
+        pool = self._pools.get(upstream.address)
+        return enginecontrol.Engine(upstream.address, pool)
 
     async def run(self) -> None:
-        """Asks the upstreams for their state again and again."""
-        while True:
-            upstreams = self._configuration.config.upstreams
-            async with anyio.create_task_group() as tasks:
-                for upstream_id, upstream in upstreams.items():
-                    tasks.start_soon(self._probe, upstream_id, upstream)
-            await anyio.sleep(POLL_S)
-
-    async def _probe(self, upstream_id, upstream) -> None:
-        pool = self._pools.get(upstream.address)
-        try:
-            with anyio.fail_after(PROBE_TIMEOUT_S):
-                response = await pool.request(
-                    'GET', f'http://{upstream.address}/v1/state'
-                )
-            told = msgspec.json.decode(response.content, type=_State)
-        except (*http.CALL_ERRORS, msgspec.MsgspecError):
-            self._change(upstream_id, states.UpstreamState.DOWN)
-            return
-        health = self._get(upstream_id)
-        health.reported = told.running + told.queued
-        health.reported_at = self._clock.now()
-        self.note_signs(upstream_id, engines.Signs(told.boot, told.state))
-
-    def note_signs(self, upstream_id, signs: engines.Signs) -> None:
-        """Takes note of what an upstream tells of itself."""
-        if not signs.state:
-            return
-        health = self._get(upstream_id)
-        health.confirmed_at = self._clock.now()
-        health.boot = signs.boot
-        try:
-            self._change(upstream_id, states.UpstreamState(signs.state))
-        except ValueError:
-            self._change(upstream_id, states.UpstreamState.UNKNOWN)
+        """Runs the background work on upstreams."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.probes.run)
+            tasks.start_soon(self.permits.run)
 
     def note_failure(self, upstream_id, error: errors.AttemptError) -> None:
         """Takes note of a failed attempt."""
         if error.reset:
-            self._change(upstream_id, states.UpstreamState.COLD)
+            self.registry.note_reset(upstream_id)
 
     def spend_retry(self, organisation_id, pool_name: str) -> bool:
         """Takes a retry from the budget of an organisation and a pool."""
@@ -139,14 +99,18 @@
         Raises:
           Refusal: No upstream may or can take the attempt.
         """
-        configured = self._configuration.config.upstreams
-        choices = {
-            upstream_id: upstream
-            for upstream_id, upstream in configured.items()
-            if version in upstream.serves.get(model, ())
-            and allowed(upstream_id)
-        }
-        async with self._take(job, choices, tried) as reservation:
+
+        def find() -> dict[ids.UpstreamId, schema.Upstream]:
+            return {
+                upstream_id: upstream
+                for upstream_id, upstream in (
+                    self._configuration.config.upstreams.items()
+                )
+                if version in upstream.serves.get(model, ())
+                and allowed(upstream_id)
+            }
+
+        async with self._take(job, find, tried) as reservation:
             yield reservation
 
     @contextlib.asynccontextmanager
@@ -156,80 +120,151 @@
         Raises:
           Refusal: No upstream may or can take the attempt.
         """
-        config = self._configuration.config
-        service = config.services.get(job.call.service)
-        choices = {
-            upstream_id: config.upstreams[upstream_id]
-            for upstream_id in (service.upstreams if service else ())
-            if upstream_id in config.upstreams and allowed(upstream_id)
-        }
-        async with self._take(job, choices, tried) as reservation:
+
+        def find() -> dict[ids.UpstreamId, schema.Upstream]:
+            config = self._configuration.config
+            service = config.services.get(job.call.service)
+            return {
+                upstream_id: config.upstreams[upstream_id]
+                for upstream_id in (service.upstreams if service else ())
+                if upstream_id in config.upstreams and allowed(upstream_id)
+            }
+
+        async with self._take(job, find, tried) as reservation:
             yield reservation
 
     @contextlib.asynccontextmanager
-    async def _take(self, job, choices, tried):
+    async def _take(self, job: jobs.Job, find, tried):
+        job.attempts += 1
+        request_id = f'{job.request_id}-{job.attempts}'
+        while True:
+            choices = self._narrow(find(), tried)
+            chosen = await self._choose(job, choices)
+            if chosen is None:
+                await self.slots.wait(job, choices)
+                continue
+            async with self._admit(chosen, request_id) as reservation:
+                # Probes and permits take time in which the view may change.
+                if reservation is None or chosen not in find():
+                    continue
+                if not tried:
+                    self._note_request(job, choices[chosen])
+                yield reservation
+                return
+
+    def _narrow(self, choices, tried):
         untried = {key: choices[key] for key in choices if key not in tried}
-        chosen = placement.choose(
-            [self._describe(*item) for item in (untried or choices).items()],
-            self._random,
-        )
-        if chosen is None:
+        if not choices:
             raise errors.Refusal(
                 errors.RefusalCode.NO_UPSTREAM,
                 'no upstream may take the request',
                 retry_after_s=1,
             )
-        upstream_id = chosen.upstream
-        upstream = choices[upstream_id]
-        if not tried:
-            self._budget(job.organisation_id, upstream.pool).note_request()
-        health = self._get(upstream_id)
-        health.in_flight += 1
+        return untried or choices
+
+    async def _choose(self, job, choices) -> ids.UpstreamId | None:
+        """Returns an upstream to try now, or None when the job must wait."""
+        await self._probe_unknown(choices)
+        if not self.slots.has_turn(job, choices):
+            return None
+        now = self._clock.now()
+        usable = [
+            self._describe(*item)
+            for item in choices.items()
+            if self.state(item[0]) in _STARTABLE and self._has_room(*item)
+        ]
+        trials = [item for item in usable if item.cold]
+        warm = [item for item in usable if not item.cold]
+        due = [
+            item
+            for item in trials
+            if now >= self._trial_at.get(item.upstream, 0.0) or not warm
+        ]
+        chosen = placement.choose(due or warm, self._random)
+        if chosen is None:
+            return None
+        if chosen.cold:
+            self._trial_at[chosen.upstream] = now + TRIAL_S
+        return chosen.upstream
+
+    async def _probe_unknown(self, choices) -> None:
+        for upstream_id in choices:
+            if self.state(upstream_id) is states.UpstreamState.UNKNOWN:
+                await self.probes.probe(upstream_id)
+
+    def _has_room(self, upstream_id, upstream: schema.Upstream) -> bool:
+        known = self.registry.get(upstream_id)
+        now = self._clock.now()
+        if self.state(upstream_id) is states.UpstreamState.COLD:
+            return now >= known.refused_until
+        return slot_policy.is_free(
+            upstream.slots,
+            known.in_flight,
+            known.reported,
+            known.reported_own,
+            now - known.reported_at,
+        )
+
+    @contextlib.asynccontextmanager
+    async def _admit(self, upstream_id: ids.UpstreamId, request_id: str):
+        """Yields a reservation, or None where the upstream is out of reach."""
+        if self.state(upstream_id) is states.UpstreamState.WARM:
+            if not self.registry.is_warm(upstream_id):
+                await self.probes.probe(upstream_id)
+            if not self.registry.is_warm(upstream_id):
+                yield None
+                return
+            async with self._hold(upstream_id, request_id, None) as reservation:
+                yield reservation
+            return
+        async with self.permits.acquire(upstream_id, request_id) as permit:
+            if permit is None:
+                yield None
+                return
+            async with self._hold(
+                upstream_id, request_id, permit
+            ) as reservation:
+                yield reservation
+
+    @contextlib.asynccontextmanager
+    async def _hold(self, upstream_id, request_id: str, permit):
+        known = self.registry.get(upstream_id)
+        started_at = self._clock.now()
+        known.in_flight += 1
         try:
-            yield Reservation(
-                self,
-                upstream_id,
-                upstream,
-                self._pools.get(upstream.address),
+            yield reservations.Reservation(
+                self, upstream_id, request_id, permit
             )
+        except errors.AttemptError as error:
+            self.note_failure(upstream_id, error)
+            raise
         finally:
-            health.in_flight -= 1
+            known.in_flight -= 1
+            self.slots.note_done(upstream_id, self._clock.now() - started_at)
 
     def _describe(
         self, upstream_id: ids.UpstreamId, upstream: schema.Upstream
     ) -> placement.Candidate:
-        health = self._get(upstream_id)
+        known = self.registry.get(upstream_id)
         return placement.Candidate(
             upstream=upstream_id,
             slots=upstream.slots,
-            in_flight=health.in_flight,
-            reported=health.reported,
-            report_age_s=self._clock.now() - health.reported_at,
+            in_flight=known.in_flight,
+            reported=known.reported,
+            report_age_s=self._clock.now() - known.reported_at,
             same_zone=upstream.zone == self._settings.zone,
-            cold=health.state is states.UpstreamState.COLD,
+            cold=self.state(upstream_id) is states.UpstreamState.COLD,
         )
 
+    def _note_request(self, job, upstream: schema.Upstream) -> None:
+        self._budget(job.organisation_id, upstream.pool).note_request()
+
     def _budget(self, organisation_id, pool) -> retrybudget.RetryBudget:
         key = (organisation_id, pool)
         if key not in self._budgets:
             self._budgets[key] = retrybudget.RetryBudget()
         return self._budgets[key]
 
-    def _get(self, upstream_id: ids.UpstreamId) -> Health:
-        return self._health.setdefault(upstream_id, Health())
-
-    def _change(self, upstream_id, state: states.UpstreamState) -> None:
-        health = self._get(upstream_id)
-        if health.state is state:
-            return
-        events.log(
-            events.Event.UPSTREAM_CHANGED,
-            upstream=upstream_id,
-            before=health.state.value,
-            state=state.value,
-        )
-        health.state = state
-
     async def aclose(self) -> None:
         """Closes all connections."""
         await self._pools.aclose()
--- a/packages/node/src/radishcourse_node/engines.py
+++ b/packages/node/src/radishcourse_node/engines.py
@@ -79,12 +79,15 @@
 class Sent:
     """Tells whether any byte of a request may have left the node."""
 
-    def __init__(self):
+    def __init__(self, check=None):
         self.started = False
+        self._check = check
 
     async def trace(self, name: str, info: object) -> None:
         """Takes note of the progress of a request in httpcore."""
         del info
+        if self._check is not None:
+            await self._check(name)
         if name.endswith('send_request_headers.started'):
             self.started = True
 
@@ -119,6 +122,7 @@
     headers: list[tuple[bytes, bytes]],
     body: bytes,
     timeout_s: float,
+    check=None,
 ):
     """Yields the response of an upstream with its body unread.
 
@@ -129,11 +133,13 @@
       headers: Request headers.
       body: Request body.
       timeout_s: Longest wait for each read, in seconds.
+      check: Called with the name of each step of httpcore; it may raise
+        `AttemptError` before the first byte is sent.
 
     Raises:
       AttemptError: There is no whole response.
     """
-    sent = Sent()
+    sent = Sent(check)
     extensions = {
         'trace': sent.trace,
         'timeout': {
--- a/packages/node/src/radishcourse_node/job.py
+++ b/packages/node/src/radishcourse_node/job.py
@@ -85,6 +85,7 @@
       session: Its session, or None.
       opens_session: Whether the answer is to carry a new session token.
       session_moved: Whether its session left a withdrawn version.
+      attempts: Attempts on upstreams that were begun.
       sent: Whether any byte of it may have reached an upstream; while this
         is false, "not run" is true.
     """
@@ -109,6 +110,7 @@
     session: Session | None = None
     opens_session: bool = False
     session_moved: bool = False
+    attempts: int = 0
     sent: bool = False
 
     @property
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -8,9 +8,12 @@
 import msgspec
 from radishcourse_model import ids
 from radishcourse_platform import http
+from radishcourse_platform import leases as lease_rows
 from radishcourse_platform import objects
 from radishcourse_platform import revisions
 from radishcourse_platform import table
+from radishcourse_platform import vms
+from radishcourse_policy import leases as lease_policy
 from radishcourse_wire import client as peer_client
 from radishcourse_wire import credentials
 from radishcourse_wire import server as peer_server
@@ -27,6 +30,7 @@
 from radishcourse_node.controllers import claims
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
+from radishcourse_node.controllers import leases
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
@@ -96,9 +100,17 @@
             revisions.Revisions(rows, store),
             self.freshness,
         )
-        self.upstreams = upstreams.Upstreams(
-            environment, self.configuration, settings
+        self.vms = vms.Vms(platform)
+        self.leases = leases.Leases(
+            environment,
+            settings,
+            self.incarnation,
+            lease_rows.LeaseRows(rows),
+            self.freshness,
+            self._lease_names,
+            self._roster,
         )
+        self.upstreams = upstreams.Upstreams(self)
         self.admissions = admissions.Admissions()
         self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
@@ -122,6 +134,28 @@
         """Requests in progress."""
         return self._requests
 
+    def peer_address(self, node: ids.NodeId) -> str | None:
+        """Returns the address at which another node is reached."""
+        if node in self.settings.peer_routes:
+            return self.settings.peer_routes[node]
+        seeds = {seed.node: seed.address for seed in self.settings.seeds}
+        return seeds.get(node)
+
+    def _roster(self) -> leases.Roster:
+        seeds = {seed.node for seed in self.settings.seeds}
+        return leases.Roster(sorted({*seeds, self.settings.node}), live=False)
+
+    def _lease_names(self) -> list[ids.LeaseName]:
+        config = self.configuration.config
+        shards = {
+            lease_policy.shard_name(upstream, self.settings.shards)
+            for upstream in config.upstreams
+        }
+        rollouts = {
+            ids.LeaseName(f'rollout/{name}') for name in config.rollouts
+        }
+        return sorted(shards | rollouts)
+
     @contextlib.contextmanager
     def count_request(self):
         """Counts a request while it is in progress."""
@@ -175,12 +209,18 @@
             listen=self.settings.listen,
         )
         async with anyio.create_task_group() as tasks:
-            for controller in (self.configuration, self.upstreams, self.bills):
+            for controller in (
+                self.configuration,
+                self.leases,
+                self.upstreams,
+                self.bills,
+            ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
             await server.serve()
             await self._finish_bills()
+            await self.leases.release()
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
 
--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -57,6 +57,7 @@
                 _headers(job),
                 job.body,
                 max(0.001, job.deadline - self._clock.now()),
+                upstream.trace,
             ) as response:
                 job.sent = True
                 upstream.note_signs(engines.read_signs(response))
--- a/packages/node/src/radishcourse_node/settings.py
+++ b/packages/node/src/radishcourse_node/settings.py
@@ -39,6 +39,7 @@
       poll_s: Time between reads of the configuration head.
       gossip_s: Time between rounds of gossip.
       flush_s: Time between flushes of bills.
+      shards: Number of shards of upstreams, the same on all nodes.
       drain_delay_s: Time between readiness going down and the last accepted
         request, for the balancer to notice.
       drain_limit_s: Longest time to wait for requests at a stop.
@@ -60,6 +61,7 @@
     poll_s: Seconds = 0.5
     gossip_s: Seconds = 0.5
     flush_s: Seconds = 2.0
+    shards: typing.Annotated[int, msgspec.Meta(ge=1, le=4096)] = 16
     drain_delay_s: Seconds = 2.0
     drain_limit_s: Seconds = 600.0
     max_body_bytes: schema.Size = 4 * 2**20
