--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -14,7 +14,7 @@
 from radishcourse_node import job as jobs
 from radishcourse_node import sessions
 from radishcourse_node import streams
-from radishcourse_node.controllers import upstreams
+from radishcourse_node.controllers import reservations
 
 MAX_ATTEMPTS = 4
 
@@ -149,13 +149,13 @@
                 raise errors.AttemptError(
                     f'{model}/{version} is not allowed any more', sent=False
                 )
-            call = _make_call(job, model, version, len(tried))
+            call = _make_call(job, model, version, upstream.request_id)
             async with streams.cancelling(upstream, call.request_id):
                 async with self._request(job, upstream, call) as response:
                     yield response, call
 
     @contextlib.asynccontextmanager
-    async def _request(self, job, upstream: upstreams.Reservation, call):
+    async def _request(self, job, upstream: reservations.Reservation, call):
         async with engines.open_response(
             upstream.pool,
             'POST',
@@ -163,6 +163,7 @@
             [(b'content-type', b'application/json')],
             msgspec.json.encode(call),
             max(0.001, job.deadline - self._clock.now()),
+            upstream.trace,
         ) as response:
             job.sent = True
             upstream.note_signs(engines.read_signs(response))
@@ -171,7 +172,6 @@
 
     def _note_failure(self, job, facts, error: errors.AttemptError) -> None:
         job.sent = job.sent or error.sent
-        self._upstreams.note_failure(facts.upstream, error)
         events.log(
             events.Event.ATTEMPT_FAILED,
             request=job.request_id,
@@ -193,9 +193,9 @@
         facts.tokens = tokens
 
 
-def _make_call(job, model, version, attempt: int) -> engines.Call:
+def _make_call(job, model, version, request_id: str) -> engines.Call:
     return engines.Call(
-        request_id=f'{job.request_id}-{attempt}',
+        request_id=request_id,
         model=model,
         version=version,
         messages=job.chat.messages,
