--- a/packages/node/src/radishcourse_node/app.py
+++ b/packages/node/src/radishcourse_node/app.py
@@ -25,6 +25,7 @@
 MAX_HEADERS = 100
 MAX_HEADER_BYTES = 16 * 1024
 BODY_LIMIT_S = 30.0
+LAST_EVENT_LIMIT_S = 0.5
 _KEY = 'idempotency-key'
 
 
@@ -137,6 +138,13 @@
         try:
             async for part in stream:
                 await replies.send_part(send, part)
+        except anyio.get_cancelled_exc_class():
+            # The caller left, or the node has reached its drain limit.
+            with anyio.move_on_after(LAST_EVENT_LIMIT_S, shield=True):
+                tail = replies.error_event(job, 'the node stops')
+                await replies.send_part(send, tail)
+                await send({'type': 'http.response.body', 'body': b''})
+            raise
         except Exception as error:
             outcome = states.Outcome.FAILED
             message = 'internal error'
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -1,5 +1,6 @@
 """A node: its controllers put together, its background tasks, its stop."""
 
+import asyncio
 import contextlib
 import secrets
 import signal
@@ -37,6 +38,7 @@
 
 MAX_LINE_BYTES = 32 * 1024
 RESTART_DELAY_S = 1.0
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class UpstreamStatus(msgspec.Struct):
@@ -208,6 +210,9 @@
             tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
             await server.serve()
+            # Nothing is left to stop; a signal must not change the exit code.
+            for number in _STOP_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
             await self._finish_bills()
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
@@ -250,17 +255,20 @@
             await anyio.sleep(RESTART_DELAY_S)
 
     async def _drain_on_signal(self, server: uvicorn.Server) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                break
-            self._draining = True
-            events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
-            await anyio.sleep(self.settings.drain_delay_s)
-            server.should_exit = True
-            # Later signals change nothing; they must not end the process.
-            await anyio.sleep_forever()
+        # Handlers of the event loop would be removed before the process ends,
+        # and a second signal in that moment would kill it.
+        loop = asyncio.get_running_loop()
+        stopping = anyio.Event()
+        for number in _STOP_SIGNALS:
+            signal.signal(
+                number,
+                lambda *_: loop.call_soon_threadsafe(stopping.set),
+            )
+        await stopping.wait()
+        self._draining = True
+        events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
+        await anyio.sleep(self.settings.drain_delay_s)
+        server.should_exit = True
 
     async def _finish_bills(self) -> None:
         if not await self.bills.finish():
--- a/tests/streaming.py
+++ b/tests/streaming.py
@@ -100,6 +100,17 @@
             pass
         return bytes(self._data)
 
+    def read_whole(self) -> bytes:
+        """Returns the head and the body of the next unstreamed answer."""
+        head = self.read_until(b'\r\n\r\n').partition(b'\r\n\r\n')[0]
+        _, _, rest = head.lower().partition(b'content-length: ')
+        length = int(rest.partition(b'\r\n')[0] or b'0')
+        while len(self._data) < len(head) + 4 + length and self.read():
+            pass
+        data = bytes(self._data)
+        self._data.clear()
+        return data
+
     def read_stream(self, pause_s: float = 0.0) -> Answer:
         """Returns a streamed answer, read with pauses."""
         while not self._data.endswith(b'0\r\n\r\n') and self.read():
