--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -112,7 +112,6 @@
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
-        self.readers = readers.Readers(self.configuration, settings)
         self.bills = bills.Bills(
             environment,
             settings,
@@ -123,6 +122,7 @@
             ),
         )
         self.peer_server.register(messages.Kind.HOLD_BILLS, self.bills.hold)
+        self.readers = readers.Readers(self.configuration, settings)
         self._draining = False
         self._requests = 0
 
@@ -181,11 +181,11 @@
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
             'radishcourse_bills_held': self.bills.held,
-            'radishcourse_held_bytes': self.readers.total,
-            'radishcourse_held_bytes_most': self.readers.most,
             'radishcourse_bills_held_for_others': self.bills.held_for_others,
             'radishcourse_bills_at_risk': self.bills.at_risk,
             'radishcourse_bills_bytes': self.bills.held_bytes,
+            'radishcourse_held_bytes': self.readers.total,
+            'radishcourse_held_bytes_most': self.readers.most,
             'radishcourse_ready': int(self.ready),
         }
 
