Refuse hostile requests with a code and within bounded time

Cause: malformed HTTP got uvicorn's plain text, a body cut short got nothing, JSON nested past the recursion limit gave 500 "internal error", and a request could send its headers or its body forever.

Ruled out: a proxy in front (none is allowed); uvicorn's own limits (it bounds the size of headers, but no time before the first response).

A body that comes too slowly is bad_request; headers that do are cut off without an answer.

--- a/packages/node/src/radishcourse_node/app.py
+++ b/packages/node/src/radishcourse_node/app.py
@@ -20,19 +20,13 @@
 from radishcourse_node import metrics
 from radishcourse_node import pages
 from radishcourse_node import replies
+from radishcourse_node import requests
 from radishcourse_node.filters import parsing
 
-MAX_HEADERS = 100
-MAX_HEADER_BYTES = 16 * 1024
-BODY_LIMIT_S = 30.0
 LAST_EVENT_LIMIT_S = 0.5
 _KEY = 'idempotency-key'
 
 
-class _CallerLeft(Exception):
-    """The caller closed its connection."""
-
-
 class App:
     """The ASGI application of a node."""
 
@@ -68,7 +62,7 @@
                 await self._answer(send, connection, job)
         except errors.Refusal as refusal:
             await self._send_refusal(send, refusal, request_id, job)
-        except _CallerLeft:
+        except requests.CallerLeft:
             return
         else:
             if left.cancelled_caught:
@@ -87,14 +81,10 @@
 
     async def _read(self, scope, receive, request_id) -> jobs.Job:
         arrived_at = self._clock.now()
-        headers = _read_headers(scope['headers'])
-        with anyio.move_on_after(BODY_LIMIT_S) as limit:
-            body = await _read_body(receive, self._settings.max_body_bytes)
-        if limit.cancelled_caught:
-            raise errors.Refusal(
-                errors.RefusalCode.BAD_REQUEST,
-                f'the body did not arrive within {BODY_LIMIT_S:g} s',
-            )
+        headers = requests.read_headers(scope['headers'])
+        body = await requests.read_body(
+            receive, self._settings.max_body_bytes, self._settings.body_limit_s
+        )
         return jobs.Job(
             request_id=request_id,
             method=scope['method'],
@@ -205,36 +195,6 @@
     return errors.Refusal(reason, 'internal error')
 
 
-def _read_headers(raw) -> dict[str, str]:
-    size = sum(len(name) + len(value) for name, value in raw)
-    if len(raw) > MAX_HEADERS or size > MAX_HEADER_BYTES:
-        raise errors.Refusal(
-            errors.RefusalCode.HEADERS_TOO_LARGE,
-            f'at most {MAX_HEADERS} headers, {MAX_HEADER_BYTES} bytes',
-        )
-    return {
-        name.decode('latin-1'): value.decode('latin-1') for name, value in raw
-    }
-
-
-async def _read_body(receive, limit: int) -> bytes:
-    parts = []
-    size = 0
-    while True:
-        message = await receive()
-        if message['type'] == 'http.disconnect':
-            raise _CallerLeft
-        part = message.get('body', b'')
-        size += len(part)
-        if size > limit:
-            raise errors.Refusal(
-                errors.RefusalCode.BODY_TOO_LARGE, f'at most {limit} bytes'
-            )
-        parts.append(part)
-        if not message.get('more_body'):
-            return b''.join(parts)
-
-
 @contextlib.contextmanager
 def _cancelling_when_left(connection, job: jobs.Job):
     """Yields a scope that is cancelled when the caller goes away.
--- a/packages/node/src/radishcourse_node/connections.py
+++ b/packages/node/src/radishcourse_node/connections.py
@@ -15,9 +15,6 @@
 # Bounds what the kernel holds for a caller that does not read; at a round
 # trip of 10 ms a connection still passes 12 MB/s.
 SEND_BUFFER_BYTES = 128 * 1024
-# A request's headers, or the rest of a body that was refused, must have
-# arrived after this time.
-REQUEST_LIMIT_S = 10.0
 # Idle connections stay open so long after the last accepted one, because a
 # request may be on its way on them when the node decides to close.
 CLOSING_DELAY_S = 1.0
@@ -25,12 +22,19 @@
 
 
 class Connection(h11_impl.H11Protocol):
-    """One caller's connection; found in the ASGI scope's state."""
+    """One caller's connection; found in the ASGI scope's state.
 
-    def __init__(self, config, server_state, app_state, _loop=None):
+    The headers of a request, or the rest of a body that was refused, must
+    have arrived after `header_limit_s`, else the connection is closed.
+    """
+
+    def __init__(
+        self, config, server_state, app_state, _loop=None, header_limit_s=10.0
+    ):
         state = {**app_state, STATE_KEY: self}
         super().__init__(config, server_state, state, _loop)
         self.on_lost = None
+        self._header_limit_s = header_limit_s
         self._request_timer: asyncio.TimerHandle | None = None
         self._lost = False
 
@@ -90,7 +94,7 @@
             self._request_timer = None
         elif waiting and self._request_timer is None:
             self._request_timer = self.loop.call_later(
-                REQUEST_LIMIT_S, self.transport.abort
+                self._header_limit_s, self.transport.abort
             )
 
     def _is_partial(self) -> bool:
--- a/packages/node/src/radishcourse_node/filters/parsing.py
+++ b/packages/node/src/radishcourse_node/filters/parsing.py
@@ -40,7 +40,7 @@
             raise _bad('this path takes POST')
         try:
             job.chat = _chat_decoder.decode(job.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise _bad(f'body: {error}') from error
         job.job_type = jobs.JobType.MODEL
         kinds = job.organisation.kinds
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import secrets
 import signal
 
@@ -227,7 +228,10 @@
             app.App(self),
             host=host,
             port=port,
-            http=connections.Connection,
+            http=functools.partial(
+                connections.Connection,
+                header_limit_s=self.settings.header_limit_s,
+            ),
             lifespan='off',
             log_config=None,
             access_log=False,
--- a/packages/node/src/radishcourse_node/settings.py
+++ b/packages/node/src/radishcourse_node/settings.py
@@ -42,6 +42,8 @@
       drain_delay_s: Time between readiness going down and the last accepted
         request, for the balancer to notice.
       drain_limit_s: Longest time to wait for requests at a stop.
+      header_limit_s: Longest time for the headers of a request to arrive.
+      body_limit_s: Longest time for the body of a request to arrive.
       max_body_bytes: Largest request body.
       held_bytes: Bytes held for slow readers of all organisations.
     """
@@ -62,6 +64,8 @@
     flush_s: Seconds = 2.0
     drain_delay_s: Seconds = 2.0
     drain_limit_s: Seconds = 600.0
+    header_limit_s: Seconds = 10.0
+    body_limit_s: Seconds = 30.0
     max_body_bytes: schema.Size = 4 * 2**20
     held_bytes: schema.Size = 64 * 2**20
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -123,6 +123,19 @@
                 answer = streaming.stream(node, max_tokens=TOKENS, kind='tag')
                 self.assertEqual('', answer.fault(TOKENS), settings)
 
+    def test_an_engine_that_fails_gives_a_refusal_and_no_stream(self):
+        with clusters.running(engines=('small-1',), node_count=1) as cluster:
+            engine = cluster.upstreams['small-1']
+            for settings in ({'fail': 1.0}, {'truncate': 1.0}):
+                cluster.control(engine, 'settings', settings)
+                reply = cluster.chat('entry-0', 'tag')
+                told = (reply.status, reply.code)
+                self.assertEqual((500, 'upstream_failed'), told)
+            cluster.control(engine, 'settings', {'fail': 1.0})
+            reply = cluster.chat('entry-0', 'tag', stream=True)
+            self.assertEqual('upstream_failed', reply.code)
+            self.assertEqual([], cluster.bills())
+
 
 class ResumeTest(testtools.TestCase):
     """Guards against answers cut or spliced when a connection breaks."""
