Choose cascade steps by learned odds and a balance

Change: plans (first and last step) with learned odds, cost and time; the cheapest mixture of plans for streamed and other jobs together; a balance of good answers as the constraint; ratings after the fact; sums that nodes merge; change detection; the measuring command.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(BIN)/python -m tests.soak
 
 measure: $(STAMP)
-	$(BIN)/python -m radishcourse_standins.measure
+	$(BIN)/python -m radishcourse_standins.measure all
 
 bench: $(STAMP)
 	$(BIN)/python -m radishcourse_standins.bench
--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -12,6 +12,7 @@
 from radishcourse_node import events
 from radishcourse_node import guard
 from radishcourse_node import job as jobs
+from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import upstreams
 
 MAX_ATTEMPTS = 4
@@ -36,20 +37,11 @@
         Raises:
           Refusal: No step gave an answer.
         """
-        choice = self._choose(job)
+        choice = self._quality.choose(job)
         if job.streamed:
-            return await self._run_streamed(job, choice.index)
+            return await self._run_streamed(job, choice)
         return await self._run_whole(job, choice)
 
-    def _choose(self, job: jobs.Job) -> policy.Choice:
-        return policy.choose(
-            self._quality.describe(job),
-            job.kind.quality_target,
-            job.deadline - self._clock.now(),
-            job.streamed,
-            self._ratings.works,
-        )
-
     async def _run_whole(
         self, job: jobs.Job, choice: policy.Choice
     ) -> jobs.Answer:
@@ -57,17 +49,17 @@
         whole = None
         for index in range(choice.index, len(job.steps)):
             try:
-                whole = await self._attempt_whole(job, index, facts)
+                whole = await self._run_step(job, index, choice.index, facts)
             except errors.Refusal:
                 # An answer below the target is worth more than none.
                 if whole is None:
                     raise
+                self._quality.note_given(job, good=False)
                 break
-            last = index == len(job.steps) - 1
-            good = await self._rate(job, whole, facts, choice.rate or last)
-            if last or good:
+            if index >= choice.last:
+                self._audit(job, index, choice, whole.content)
                 break
-            if not self._time_for_next(job, index):
+            if await self._is_good(job, index, choice, whole, facts):
                 break
             events.log(
                 events.Event.STEP_ESCALATED,
@@ -80,21 +72,34 @@
             200, {'content-type': 'application/json'}, whole.body, None, facts
         )
 
-    def _time_for_next(self, job: jobs.Job, index: int) -> bool:
-        following = self._quality.describe(job)[index + 1]
-        left = job.deadline - self._clock.now()
-        return following.seconds <= left
+    async def _run_step(self, job, index, start, facts) -> engines.Whole:
+        began, cost = self._clock.now(), facts.cost
+        whole = await self._attempt_whole(job, index, facts)
+        self._quality.note_run(
+            job, index, start, facts.cost - cost, self._clock.now() - began
+        )
+        return whole
 
-    async def _rate(self, job, whole, facts, wanted: bool) -> bool:
-        if not wanted or len(job.steps) == 1:
-            return True
+    async def _is_good(self, job, index, choice, whole, facts) -> bool:
+        """Rates an answer; tells whether it is given out as it is."""
         rating = await self._ratings.rate(job, whole.content)
         facts.rating = rating
-        if rating is None:
-            return False
-        good = rating >= self._ratings.GOOD
-        self._quality.note(job, facts.model, facts.version, good)
-        return good
+        good = rating is not None and rating >= self._ratings.GOOD
+        if rating is not None:
+            self._quality.note_rating(job, index, choice.index, good)
+        if good or not self._time_for(job, index + 1):
+            if rating is not None:
+                self._quality.note_given(job, good)
+            return True
+        return False
+
+    def _time_for(self, job: jobs.Job, index: int) -> bool:
+        left = job.deadline - self._clock.now()
+        return self._quality.describe(job)[index].seconds <= left
+
+    def _audit(self, job, index, choice, content: str) -> None:
+        if self._quality.wants_audit(choice):
+            self._quality.audit(job, index, choice, content)
 
     async def _attempt_whole(
         self, job: jobs.Job, index: int, facts: jobs.Facts
@@ -119,10 +124,14 @@
             return whole
         raise AssertionError('the last attempt returns or raises')
 
-    async def _run_streamed(self, job: jobs.Job, index: int) -> jobs.Answer:
+    async def _run_streamed(
+        self, job: jobs.Job, choice: policy.Choice
+    ) -> jobs.Answer:
+        index = choice.index
         facts = jobs.Facts(steps=1)
         tried: set[ids.UpstreamId] = set()
         for attempt in range(MAX_ATTEMPTS):
+            began = self._clock.now()
             stream = self._events(job, job.steps[index], facts, tried)
             try:
                 first = await anext(stream)
@@ -132,10 +141,28 @@
                     raise _failed(error) from error
                 continue
             headers = {'content-type': 'text/event-stream'}
-            whole = _prepend(first, stream)
+            whole = self._learn(
+                job, choice, facts, began, _prepend(first, stream)
+            )
             return jobs.Answer(200, headers, b'', whole, facts)
         raise AssertionError('the last attempt returns or raises')
 
+    async def _learn(self, job, choice, facts, began, stream):
+        """Passes a stream on and learns from it once it is whole."""
+        kept, size = [], 0
+        wanted = self._quality.wants_audit(choice)
+        async with contextlib.aclosing(stream):
+            async for part in stream:
+                size += len(part)
+                if wanted and size <= quality.MAX_AUDIT_BYTES:
+                    kept.append(part)
+                yield part
+        seconds, start = self._clock.now() - began, choice.index
+        self._quality.note_run(job, start, start, facts.cost, seconds)
+        if wanted and size <= quality.MAX_AUDIT_BYTES:
+            text = quality.read_events(b''.join(kept))
+            self._quality.audit(job, start, choice, text)
+
     async def _events(self, job, model, facts, tried):
         async with self._open(job, model, facts, tried) as opened:
             response, call = opened
--- a/packages/node/src/radishcourse_node/controllers/quality.py
+++ b/packages/node/src/radishcourse_node/controllers/quality.py
@@ -1,48 +1,234 @@
 """What was learned about the quality, time and cost of models."""
 
-import dataclasses
+import collections
+import typing
 
+import anyio
+import msgspec
 from radishcourse_model import ids
 from radishcourse_policy import cascade
+from radishcourse_policy import learner
+from radishcourse_wire.gen.peer import ttypes
 
+from radishcourse_node import events
 from radishcourse_node import job as jobs
 
-Key = tuple[ids.OrganisationId, ids.KindId, ids.ModelId]
+# Answers waiting to be rated after they were given out; more are dropped.
+MAX_AUDITS = 256
+MAX_AUDIT_BYTES = 256 * 1024
+AUDITS_AT_ONCE = 8
+# Answers that are too late for the rating's own timeout are not waited for.
+AUDIT_DEADLINE_S = 5.0
+RECORD_EVERY_S = 10.0
+# Records that were heard of within this time are passed on.
+PASS_ON_S = 10.0
+FORGET_S = 600.0
+_TYPICAL_TOKENS = 300
 
 
-@dataclasses.dataclass
-class Sums:
-    """Mergeable sums of ratings."""
+class Audit(typing.NamedTuple):
+    """An answer that is to be rated after it was given out.
 
-    rated: int = 0
-    good: int = 0
+    Attributes:
+      job: The job.
+      key: Where the rating is noted.
+      content: Text of the answer.
+      share: Probability with which this answer was chosen.
+    """
+
+    job: jobs.Job
+    key: learner.Key
+    content: str
+    share: float
 
 
 class Quality:
-    """Keeps sums of ratings by organisation, kind and model."""
+    """Learns from ratings and describes models to the cascade policy."""
 
-    def __init__(self, configuration):
+    def __init__(self, environment, configuration, settings, ratings):
+        self._clock = environment.clock
+        self._random = environment.random
         self._configuration = configuration
-        self._sums: dict[Key, Sums] = {}
+        self._node = settings.node
+        self._ratings = ratings
+        # A restarted node's record must replace the one of its last life.
+        first = int(environment.clock.wall() * 1000)
+        self._learner = learner.Learner(first)
+        self._audits: collections.deque[Audit] = collections.deque()
+        self._waiting = anyio.Event()
+        self._recorded_at = -RECORD_EVERY_S
+        self._record: ttypes.LearnedRecord | None = None
+        self._heard: dict[ids.NodeId, float] = {}
 
-    def note(self, job: jobs.Job, model, version, good: bool) -> None:
-        """Takes note of a rating."""
-        del version
-        sums = self._get(job, model)
-        sums.rated += 1
-        sums.good += good
+    def choose(self, job: jobs.Job) -> cascade.Choice:
+        """Returns the steps on which a job may run."""
+        kind, organisation = job.kind_id, job.organisation_id
+        balance = self._learner.balance(organisation, kind)
+        balance.note_job(job.streamed)
+        works = self._ratings.works
+        return cascade.choose(
+            cascade.Request(
+                steps=self.describe(job),
+                target=job.kind.quality_target,
+                confidence=job.kind.confidence,
+                seconds_left=job.deadline - self._clock.now(),
+                streamed=job.streamed,
+                rating=cascade.RatingState.WORKS
+                if works
+                else cascade.RatingState.DOWN,
+                rating_seconds=self._ratings.seconds,
+                debt=self._learner.debt(organisation, kind),
+                streamed_share=balance.streamed_share,
+            ),
+            self._random,
+        )
 
     def describe(self, job: jobs.Job) -> list[cascade.Step]:
         """Returns what is known of each step of a job's cascade."""
-        return [self._step(job, model) for model in job.steps]
+        prices = [self._price(model) for model in job.steps]
+        return self._learner.describe(
+            job.organisation_id, job.kind_id, job.steps, prices
+        )
 
-    def _step(self, job: jobs.Job, model: ids.ModelId) -> cascade.Step:
-        sums = self._get(job, model)
-        good = (sums.good + 1) / (sums.rated + 2)
-        return cascade.Step(
-            model=model, cost=0.0, seconds=0.0, good=good, bound=good
+    def _price(self, model: ids.ModelId) -> float:
+        configured = self._configuration.config.models.get(model)
+        versions = configured.versions.values() if configured else ()
+        costs = (
+            version.cost_per_job
+            + version.cost_per_1k_tokens * _TYPICAL_TOKENS / 1000
+            for version in versions
         )
+        return max(costs, default=0.0)
+
+    def note_run(self, job, index: int, start: int, cost, seconds) -> None:
+        """Takes note of the cost and the time of a step's answer."""
+        self._learner.note_run(make_key(job, index, start), cost, seconds)
+
+    def note_rating(self, job, index: int, start: int, good: bool) -> None:
+        """Takes note of a rating made before the answer was given out."""
+        self._note(job, make_key(job, index, start), good)
+
+    def note_given(self, job: jobs.Job, good: bool, share=1.0) -> None:
+        """Takes note of a rated answer that the caller gets."""
+        balance = self._learner.balance(job.organisation_id, job.kind_id)
+        balance.note(job.kind.quality_target, good, share)
+
+    def _note(self, job, key: learner.Key, good: bool) -> None:
+        if self._learner.note_rating(key, good):
+            events.log(
+                events.Event.QUALITY_CHANGED,
+                organisation=job.organisation_id,
+                kind=job.kind_id,
+                model=key.model,
+                good=round(self._learner.belief(key).mean, 3),
+            )
+
+    def wants_audit(self, choice: cascade.Choice) -> bool:
+        """Tells whether an answer is to be rated after it is given out."""
+        return self._ratings.works and self._random.random() < choice.audit
+
+    def audit(self, job, index, choice: cascade.Choice, content: str) -> None:
+        """Has an answer rated in the background."""
+        if len(self._audits) >= MAX_AUDITS:
+            return
+        key = make_key(job, index, choice.index)
+        text = content[:MAX_AUDIT_BYTES]
+        self._audits.append(Audit(job, key, text, choice.audit))
+        self._waiting.set()
+
+    async def run(self) -> None:
+        """Rates answers that were given out, a few at once."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(AUDITS_AT_ONCE):
+                tasks.start_soon(self._rate_audits)
+
+    async def _rate_audits(self) -> None:
+        while True:
+            while not self._audits:
+                self._waiting = anyio.Event()
+                await self._waiting.wait()
+            audit = self._audits.popleft()
+            limit = self._clock.now() + AUDIT_DEADLINE_S
+            rating = await self._ratings.rate(audit.job, audit.content, limit)
+            if rating is None:
+                continue
+            good = rating >= self._ratings.GOOD
+            self._note(audit.job, audit.key, good)
+            self.note_given(audit.job, good, audit.share)
+
+    def records(self) -> list[ttypes.LearnedRecord]:
+        """Returns this node's sums and those heard of lately."""
+        now = self._clock.now()
+        if now - self._recorded_at >= RECORD_EVERY_S:
+            counter, sums = self._learner.record()
+            self._record = ttypes.LearnedRecord(self._node, counter, sums)
+            self._recorded_at = now
+        heard = self._learner.records()
+        return [self._record] + [
+            ttypes.LearnedRecord(node, *heard[node])
+            for node, at in self._heard.items()
+            if now - at <= PASS_ON_S
+        ]
+
+    def merge(self, records: list[ttypes.LearnedRecord]) -> None:
+        """Takes over the sums of other nodes that are newer."""
+        now = self._clock.now()
+        for record in records:
+            if record.node == self._node:
+                continue
+            item = learner.Record(record.counter, record.sums)
+            try:
+                newer = self._learner.merge(ids.NodeId(record.node), item)
+            except ValueError as error:
+                events.log(
+                    events.Event.RECORD_REJECTED,
+                    node=record.node,
+                    error=str(error),
+                )
+                continue
+            if newer:
+                self._heard[ids.NodeId(record.node)] = now
+        self._forget_old(now)
+
+    def _forget_old(self, now: float) -> None:
+        old = [node for node, at in self._heard.items() if now - at > FORGET_S]
+        for node in old:
+            del self._heard[node]
+            self._learner.forget(node)
+
+
+def make_key(job: jobs.Job, index: int, start: int) -> learner.Key:
+    """Returns where a step of a job that started on `start` is noted."""
+    entry = learner.Entry.DIRECT if index == start else learner.Entry.ESCALATED
+    return learner.Key(
+        job.organisation_id, job.kind_id, job.steps[index], entry
+    )
+
+
+class _Delta(msgspec.Struct):
+    content: str = ''
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+
+
+_event_decoder = msgspec.json.Decoder(_Event)
+
 
-    def _get(self, job: jobs.Job, model: ids.ModelId) -> Sums:
-        key = (job.organisation_id, job.kind_id, model)
-        return self._sums.setdefault(key, Sums())
+def read_events(events_text: bytes) -> str:
+    """Returns the text of the server-sent events of a whole answer."""
+    parts = []
+    for event in events_text.split(b'\n\n'):
+        if not event.startswith(b'data: {'):
+            continue
+        try:
+            decoded = _event_decoder.decode(event[6:])
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            continue
+        parts += [item.delta.content for item in decoded.choices if item.delta]
+    return ''.join(parts)
--- a/packages/node/src/radishcourse_node/events.py
+++ b/packages/node/src/radishcourse_node/events.py
@@ -39,6 +39,8 @@
     ROLLOUT_CHANGED = 701
     STEP_ESCALATED = 702
     RATING_FAILED = 703
+    QUALITY_CHANGED = 704
+    RECORD_REJECTED = 705
 
 
 def log(event: Event, **fields: object) -> None:
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -100,8 +100,10 @@
             environment, self.configuration, settings
         )
         self.admissions = admissions.Admissions()
-        self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
+        self.quality = quality.Quality(
+            environment, self.configuration, settings, self.ratings
+        )
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
         self.bills = bills.Bills(environment, settings, self.incarnation, rows)
@@ -175,7 +177,12 @@
             listen=self.settings.listen,
         )
         async with anyio.create_task_group() as tasks:
-            for controller in (self.configuration, self.upstreams, self.bills):
+            for controller in (
+                self.configuration,
+                self.upstreams,
+                self.bills,
+                self.quality,
+            ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
--- a/packages/policy/src/radishcourse_policy/cascade.py
+++ b/packages/policy/src/radishcourse_policy/cascade.py
@@ -1,9 +1,42 @@
-"""Choice of the step of a cascade on which a job starts or goes on."""
+"""Choice of the steps of a cascade on which a job may run.
+
+A plan starts on one step and may escalate up to another. Plans differ in
+expected cost and expected share of good answers. The cheapest mixture that
+reaches a quality target buys quality where it costs least: it goes along the
+lower convex hulls of (quality, cost) of streamed and of other jobs, in the
+order of their slopes. The balance of answers given out corrects the mixture.
+"""
 
 import dataclasses
+import enum
+import itertools
+import math
+import random
+import statistics
 
 from radishcourse_model import ids
 
+from radishcourse_policy import odds
+
+# Jobs over which missing good answers are to be made up.
+HORIZON = 100.0
+# Good answers in reserve or in debt beyond which the balance is not kept:
+# old credit must not pay for a model that has turned bad.
+MOST_CREDIT = 15.0
+MOST_DEBT = 60.0
+# Shares of answers that are rated after they were given out.
+AUDIT_SHARE = 0.5
+# Ratings of a step below which every answer on it is rated.
+FEW_RATINGS = 40.0
+_NORMAL = statistics.NormalDist()
+
+
+class RatingState(enum.Enum):
+    """Whether answers can be rated before they are given out."""
+
+    WORKS = 'works'
+    DOWN = 'down'
+
 
 @dataclasses.dataclass(frozen=True)
 class Step:
@@ -13,58 +46,236 @@
       model: The model.
       cost: Expected cost in micro-units.
       seconds: Expected time to a whole answer.
-      good: Probability that its answer is rated good.
-      bound: Lower confidence bound on `good`.
+      variance: Variance of that time, in square seconds.
+      direct: Odds of a good answer when the job starts here.
+      escalated: The same after the step before gave a bad answer.
     """
 
     model: ids.ModelId
     cost: float
     seconds: float
-    good: float
-    bound: float
+    variance: float
+    direct: odds.Odds
+    escalated: odds.Odds
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """What is to be decided.
+
+    Attributes:
+      steps: Allowed steps, from the cheapest; not empty.
+      target: Share of answers that must be good.
+      confidence: Confidence with which a step must meet the target before its
+        answers are rated only by sample, or not at all.
+      seconds_left: Time to the deadline.
+      streamed: Whether the answer is given out as it is made.
+      rating: Whether answers can be rated before they are given out.
+      rating_seconds: Expected time of a rating.
+      debt: Good answers missing to the target; negative for credit.
+      streamed_share: Share of streamed jobs among those of the same kind.
+    """
+
+    steps: list[Step]
+    target: float
+    confidence: float
+    seconds_left: float
+    streamed: bool
+    rating: RatingState
+    rating_seconds: float = 0.0
+    debt: float = 0.0
+    streamed_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """The decision for the next attempt.
+    """The decision for a job.
 
     Attributes:
-      index: Index of the step.
-      rate: Whether its answer is to be rated before it is given out.
+      index: Index of the step on which it starts.
+      last: Index of the last step to which it may escalate; answers of
+        earlier steps are rated before they are given out.
+      audit: Probability with which an answer that is not rated before it is
+        given out is rated afterwards.
     """
 
     index: int
-    rate: bool
+    last: int
+    audit: float = 0.0
+
 
+@dataclasses.dataclass(frozen=True)
+class _Plan:
+    index: int
+    last: int
+    cost: float
+    quality: float
 
-def choose(
-    steps: list[Step],
-    target: float,
-    seconds_left: float,
-    streamed: bool,
-    rating_works: bool,
-) -> Choice:
-    """Returns the step on which a job starts.
 
-    A job whose answer can be rated starts on the cheapest step; one whose
-    answer cannot (it is streamed, or the rating service is down) goes to the
-    cheapest step whose lower bound meets the target, else to the last.
+def choose(request: Request, random_source: random.Random) -> Choice:
+    """Returns the steps on which a job may run."""
+    if request.rating is RatingState.DOWN:
+        return _choose_unrated(request)
+    plans = _plans(request, random_source)
+    needed = request.target + request.debt / HORIZON
+    plan = _pick(request, plans, needed, random_source.random())
+    return Choice(plan.index, plan.last, _audit_share(request, plan))
 
-    Args:
-      steps: Allowed steps, from the cheapest; not empty.
-      target: Share of answers that must be good.
-      seconds_left: Time to the deadline.
-      streamed: Whether the answer is given out as it is made.
-      rating_works: Whether the rating service answers in time.
+
+def _choose_unrated(request: Request) -> Choice:
+    # Without ratings a drop of quality goes unseen, so the bound decides.
+    for index, step in enumerate(request.steps):
+        certain = step.direct.bound(request.confidence) >= request.target
+        if certain and step.seconds <= request.seconds_left:
+            return Choice(index, index)
+    steps = request.steps
+    for index in reversed(range(len(steps))):
+        if steps[index].seconds <= request.seconds_left:
+            return Choice(index, index)
+    index = min(range(len(steps)), key=lambda item: steps[item].seconds)
+    return Choice(index, index)
+
+
+def _plans(request: Request, random_source: random.Random) -> list[_Plan]:
+    # Drawing from the belief instead of taking its mean tries a step now
+    # and then as long as it may turn out to be the better one.
+    direct = [step.direct.draw(random_source) for step in request.steps]
+    later = [step.escalated.draw(random_source) for step in request.steps]
+    plans = []
+    for start, step in enumerate(request.steps):
+        cost, bad = step.cost, 1 - direct[start]
+        mean, variance = step.seconds, step.variance
+        quality = direct[start] * _share_in_time(
+            mean, variance, request.seconds_left
+        )
+        plans.append(_Plan(start, start, cost, quality))
+        for index in range(start + 1, len(request.steps)):
+            if request.streamed:
+                break
+            following = request.steps[index]
+            mean += following.seconds + request.rating_seconds
+            variance += following.variance
+            cost += bad * following.cost
+            quality += (
+                bad
+                * later[index]
+                * _share_in_time(mean, variance, request.seconds_left)
+            )
+            bad *= 1 - later[index]
+            plans.append(_Plan(start, index, cost, quality))
+    return plans
+
+
+def _share_in_time(mean: float, variance: float, limit: float) -> float:
+    """Returns the chance that a log-normal time stays within a limit."""
+    if mean <= 0 or limit <= 0:
+        return 1.0 if mean <= limit else 0.0
+    spread = math.log1p(variance / (mean * mean))
+    if spread <= 0:
+        return 1.0 if mean <= limit else 0.0
+    centre = math.log(mean) - spread / 2
+    return _NORMAL.cdf((math.log(limit) - centre) / math.sqrt(spread))
+
+
+def _pick(
+    request: Request, plans: list[_Plan], needed: float, drawn: float
+) -> _Plan:
+    """Returns the job's plan in the cheapest mixture of quality `needed`."""
+    single = [plan for plan in plans if plan.index == plan.last]
+    hulls = {True: _hull(single), False: _hull(plans)}
+    shares = {True: request.streamed_share, False: 1 - request.streamed_share}
+    missing = needed - sum(
+        shares[key] * hull[0].quality for key, hull in hulls.items()
+    )
+    chosen = hulls[request.streamed][0]
+    for _, streamed, cheaper, better in _segments(hulls):
+        if missing <= 0:
+            break
+        gain = shares[streamed] * (better.quality - cheaper.quality)
+        # The last segment that is needed is used for a part of the jobs.
+        if streamed is request.streamed and drawn * gain < missing:
+            chosen = better
+        missing -= gain
+    return chosen
+
+
+def _segments(hulls: dict[bool, list[_Plan]]):
+    """Returns the segments of all hulls, the cheapest quality first."""
+    segments = [
+        (
+            (better.cost - cheaper.cost) / (better.quality - cheaper.quality),
+            streamed,
+            cheaper,
+            better,
+        )
+        for streamed, hull in hulls.items()
+        for cheaper, better in itertools.pairwise(hull)
+    ]
+    return sorted(segments, key=lambda segment: segment[:2])
+
+
+def _hull(plans: list[_Plan]) -> list[_Plan]:
+    """Returns the plans that no mixture of others beats, by quality."""
+    hull: list[_Plan] = []
+    for plan in sorted(plans, key=lambda item: (item.cost, -item.quality)):
+        if hull and plan.quality <= hull[-1].quality:
+            continue
+        while len(hull) > 1 and _is_above(hull[-2], hull[-1], plan):
+            hull.pop()
+        hull.append(plan)
+    return hull
+
+
+def _is_above(first: _Plan, middle: _Plan, last: _Plan) -> bool:
+    rise = (last.cost - first.cost) * (middle.quality - first.quality)
+    return (middle.cost - first.cost) * (last.quality - first.quality) >= rise
+
+
+def _audit_share(request: Request, plan: _Plan) -> float:
+    step = request.steps[plan.last]
+    belief = step.direct if plan.last == plan.index else step.escalated
+    if belief.weight < FEW_RATINGS:
+        return 1.0
+    # With a single step there is nothing to decide.
+    if len(request.steps) == 1:
+        return AUDIT_SHARE
+    # A sample is enough only where its error can not miss the target.
+    certain = belief.bound(request.confidence) >= request.target
+    return AUDIT_SHARE if certain else 1.0
+
+
+@dataclasses.dataclass
+class Balance:
+    """Good answers missing to the target of one organisation and kind.
+
+    Attributes:
+      debt: The missing answers; negative for credit.
+      jobs: Jobs, older ones with a lower weight.
+      streamed: Those that were streamed.
     """
-    last = len(steps) - 1
-    if streamed or not rating_works:
-        for index, step in enumerate(steps):
-            if step.bound >= target and step.seconds <= seconds_left:
-                return Choice(index, rate=False)
-        return Choice(last, rate=False)
-    for index, step in enumerate(steps[:-1]):
-        following = steps[index + 1]
-        if step.seconds + following.seconds <= seconds_left:
-            return Choice(index, rate=True)
-    return Choice(last, rate=False)
+
+    debt: float = 0.0
+    jobs: float = 0.0
+    streamed: float = 0.0
+
+    @property
+    def streamed_share(self) -> float:
+        """Share of streamed jobs."""
+        return self.streamed / self.jobs if self.jobs else 0.0
+
+    def note_job(self, streamed: bool) -> None:
+        """Adds a job on its arrival."""
+        self.jobs = self.jobs * (1 - 1 / odds.WINDOW) + 1
+        self.streamed = self.streamed * (1 - 1 / odds.WINDOW) + streamed
+
+    def note(self, target: float, good: bool, share: float = 1.0) -> None:
+        """Adds a rated answer that was given out.
+
+        Args:
+          target: Share of answers that must be good.
+          good: Whether it was rated good.
+          share: Probability with which this answer was rated; the answer
+            also stands for those that were not.
+        """
+        debt = self.debt + (target - good) / share
+        self.debt = max(-MOST_CREDIT, min(MOST_DEBT, debt))
--- /dev/null
+++ b/packages/policy/src/radishcourse_policy/learner.py
@@ -0,0 +1,222 @@
+"""What a node learned about models, shared with the other nodes."""
+
+import collections
+import dataclasses
+import enum
+import typing
+
+import msgspec
+from radishcourse_model import ids
+
+from radishcourse_policy import cascade
+from radishcourse_policy import odds
+
+MAX_KEYS = 4096
+# Good answers that the fleet holds in reserve above the target of a kind.
+RESERVE = 1.0
+
+
+class Entry(enum.Enum):
+    """How a job came to a model."""
+
+    DIRECT = 0
+    ESCALATED = 1
+
+
+class Key(typing.NamedTuple):
+    """What a sum is kept for."""
+
+    organisation: ids.OrganisationId
+    kind: ids.KindId
+    model: ids.ModelId
+    entry: Entry
+
+
+class _PooledKey(typing.NamedTuple):
+    model: ids.ModelId
+    entry: Entry
+
+
+class _Item(msgspec.Struct, array_like=True):
+    key: Key
+    sums: odds.Sums
+
+
+class Record(typing.NamedTuple):
+    """Sums of one node as they are shared.
+
+    Attributes:
+      counter: Grows with each change; the record with the higher one wins.
+      sums: The packed sums.
+    """
+
+    counter: int
+    sums: bytes
+
+
+@dataclasses.dataclass
+class _Shared:
+    counter: int
+    packed: bytes
+    sums: dict[Key, odds.Sums]
+
+
+class Learner:
+    """Keeps this node's sums and those of the other nodes.
+
+    Args:
+      counter: First counter of this node's record. It must be higher than
+        any of an earlier process of the node, whose records may be around.
+    """
+
+    def __init__(self, counter: int = 0):
+        self._counter = counter
+        self._changed = False
+        self._own: dict[Key, odds.Sums] = {}
+        self._shared: dict[ids.NodeId, _Shared] = {}
+        self._pooled: dict[_PooledKey, odds.Sums] = {}
+        # Totals over the other nodes, so that a decision does not add up
+        # the records of hundreds of nodes.
+        self._others: dict[Key, odds.Sums] = {}
+        self._other_pools: dict[_PooledKey, odds.Sums] = {}
+        self._balances: dict[tuple, cascade.Balance] = collections.defaultdict(
+            cascade.Balance
+        )
+
+    def balance(self, organisation, kind) -> cascade.Balance:
+        """Returns the balance of this node's answers to a kind of jobs."""
+        return self._balances[(organisation, kind)]
+
+    def debt(self, organisation, kind) -> float:
+        """Returns the missing good answers, with this node's reserve."""
+        reserve = RESERVE / (1 + len(self._shared))
+        return self.balance(organisation, kind).debt + reserve
+
+    def note_rating(self, key: Key, good: bool) -> bool:
+        """Adds a rating; tells whether a change of quality was found."""
+        self._changed = True
+        changed = self._get(key).note_rating(good)
+        self._pool(key).note_rating(good)
+        return changed
+
+    def note_run(self, key: Key, cost: float, seconds: float) -> None:
+        """Adds the cost and the time of an answer."""
+        self._changed = True
+        self._get(key).note_run(cost, seconds)
+        self._pool(key).note_run(cost, seconds)
+
+    def describe(
+        self, organisation, kind, models: list[ids.ModelId], prices: list[float]
+    ) -> list[cascade.Step]:
+        """Returns what is known of the models of a cascade.
+
+        Args:
+          organisation: The organisation.
+          kind: The kind of jobs.
+          models: Models from the cheapest.
+          prices: Costs to assume of models that never ran.
+        """
+        return [
+            self._describe(organisation, kind, model, price)
+            for model, price in zip(models, prices, strict=True)
+        ]
+
+    def _describe(self, organisation, kind, model, price) -> cascade.Step:
+        direct = Key(organisation, kind, model, Entry.DIRECT)
+        escalated = Key(organisation, kind, model, Entry.ESCALATED)
+        runs = self._total(direct)
+        runs.add(self._total(escalated))
+        if not runs.runs:
+            runs.add(self._pool_total(direct))
+        cost, seconds, variance = price, 0.0, 0.0
+        if runs.runs:
+            cost = runs.cost / runs.runs
+            seconds = runs.seconds / runs.runs
+            variance = runs.seconds_squared / runs.runs - seconds * seconds
+        return cascade.Step(
+            model,
+            cost,
+            seconds,
+            max(0.0, variance),
+            self.belief(direct),
+            self.belief(escalated),
+        )
+
+    def belief(self, key: Key) -> odds.Odds:
+        """Returns the odds that an answer is good."""
+        return odds.judge(self._total(key), self._pool_total(key))
+
+    def record(self) -> Record:
+        """Returns this node's sums; the counter grows if they changed."""
+        if self._changed:
+            self._counter += 1
+            self._changed = False
+        items = [_Item(key, sums) for key, sums in self._own.items()]
+        return Record(self._counter, _encoder.encode(items))
+
+    def records(self) -> dict[ids.NodeId, Record]:
+        """Returns the sums of the other nodes as they were received."""
+        return {
+            node: Record(shared.counter, shared.packed)
+            for node, shared in self._shared.items()
+        }
+
+    def merge(self, node: ids.NodeId, record: Record) -> bool:
+        """Takes over the sums of another node; False if they are not newer.
+
+        Raises:
+          ValueError: The record is malformed.
+        """
+        known = self._shared.get(node)
+        if known is not None and record.counter <= known.counter:
+            return False
+        try:
+            items = _decoder.decode(record.sums)
+        except msgspec.MsgspecError as error:
+            raise ValueError(str(error)) from error
+        self.forget(node)
+        sums = {item.key: item.sums for item in items[:MAX_KEYS]}
+        self._shared[node] = _Shared(record.counter, record.sums, sums)
+        self._add_shared(sums, 1)
+        return True
+
+    def forget(self, node: ids.NodeId) -> None:
+        """Drops the sums of a node."""
+        shared = self._shared.pop(node, None)
+        if shared is not None:
+            self._add_shared(shared.sums, -1)
+
+    def _add_shared(self, sums: dict[Key, odds.Sums], factor: int) -> None:
+        for key, item in sums.items():
+            pooled = _PooledKey(key.model, key.entry)
+            self._others.setdefault(key, odds.Sums()).add(item, factor)
+            self._other_pools.setdefault(pooled, odds.Sums()).add(item, factor)
+
+    def _total(self, key: Key) -> odds.Sums:
+        return _sum(self._own.get(key), self._others.get(key))
+
+    def _pool_total(self, key: Key) -> odds.Sums:
+        pooled = _PooledKey(key.model, key.entry)
+        return _sum(self._pooled.get(pooled), self._other_pools.get(pooled))
+
+    def _get(self, key: Key) -> odds.Sums:
+        if key not in self._own and len(self._own) >= MAX_KEYS:
+            # The key that was added first; its sums come again with use.
+            del self._own[next(iter(self._own))]
+        return self._own.setdefault(key, odds.Sums())
+
+    def _pool(self, key: Key) -> odds.Sums:
+        pooled = _PooledKey(key.model, key.entry)
+        return self._pooled.setdefault(pooled, odds.Sums())
+
+
+def _sum(*parts: odds.Sums | None) -> odds.Sums:
+    total = odds.Sums()
+    for part in parts:
+        if part is not None:
+            total.add(part)
+    return total
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[_Item])
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions, one subcommand for each policy."""
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -0,0 +1,20 @@
+"""Command line of the measurements."""
+
+import fire
+
+from radishcourse_standins.measure import cascade
+from radishcourse_standins.measure import report
+
+COMMANDS = {
+    'cascade': cascade.main,
+}
+
+
+def all_of_them(folder: str = report.FOLDER) -> None:
+    """Runs every measurement with its default seeds."""
+    for command in COMMANDS.values():
+        command(folder=folder)
+
+
+if __name__ == '__main__':
+    fire.Fire({**COMMANDS, 'all': all_of_them})
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/measure/trace.py
@@ -0,0 +1,122 @@
+"""Seeded traces of model jobs with the answer of every model to each."""
+
+import dataclasses
+import math
+import random
+
+MODELS = ('cheap', 'dear')
+
+
+@dataclasses.dataclass(frozen=True)
+class Group:
+    """Jobs of one kind of one organisation.
+
+    Attributes:
+      organisation: The organisation.
+      kind: The kind.
+      jobs: Jobs in the trace.
+      target: Share of answers that must be good.
+      good: Probability of a good answer by model.
+      streamed: Share of jobs that are streamed.
+    """
+
+    organisation: str
+    kind: str
+    jobs: int
+    target: float
+    good: tuple[float, float]
+    streamed: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """One job and what each model would answer.
+
+    Attributes:
+      group: Its organisation and kind.
+      at: Place in the trace from 0 to 1.
+      streamed: Whether it is streamed.
+      deadline: Seconds allowed.
+      good: Whether each model's answer is good.
+      cost: Cost of each model's answer, in micro-units.
+      seconds: Time of each model's answer.
+    """
+
+    group: Group
+    at: float
+    streamed: bool
+    deadline: float
+    good: tuple[bool, ...]
+    cost: tuple[float, ...]
+    seconds: tuple[float, ...]
+
+
+def make_groups(jobs: int, source: random.Random) -> list[Group]:
+    """Returns ten organisations with three kinds, a few of them large."""
+    shares = [0.3, 0.2, 0.15, 0.1, 0.08, 0.07, 0.05, 0.03, 0.015, 0.005]
+    kinds = [('survey', 0.9, 0.2), ('brief', 0.8, 0.5), ('verdict', 0.7, 0.1)]
+    groups = []
+    for index, share in enumerate(shares):
+        for kind, target, streamed in kinds:
+            cheap = min(0.97, max(0.2, source.gauss(target - 0.05, 0.1)))
+            dear = min(0.99, max(target + 0.03, source.gauss(0.96, 0.02)))
+            groups.append(
+                Group(
+                    f'organisation-{index}',
+                    kind,
+                    max(5, round(jobs * share / len(kinds))),
+                    target,
+                    (cheap, dear),
+                    streamed,
+                )
+            )
+    return groups
+
+
+def make_jobs(
+    groups: list[Group], source: random.Random, drop: bool = False
+) -> list[Job]:
+    """Returns the jobs of all groups mixed.
+
+    Args:
+      groups: The groups.
+      source: Random source.
+      drop: Whether the cheap model loses half of its quality for the second
+        half of the trace.
+    """
+    order = [group for group in groups for _ in range(group.jobs)]
+    source.shuffle(order)
+    return [
+        _make_job(group, index / len(order), source, drop)
+        for index, group in enumerate(order)
+    ]
+
+
+def _make_job(
+    group: Group, at: float, source: random.Random, drop: bool
+) -> Job:
+    # Models share half of what makes a job hard.
+    shared = source.gauss(0, 1)
+    good = []
+    for index, probability in enumerate(group.good):
+        if drop and index == 0 and at >= 0.5:
+            probability /= 2
+        mixed = math.sqrt(0.5) * (shared + source.gauss(0, 1))
+        good.append(_normal_share(mixed) < probability)
+    tokens = source.lognormvariate(5.5, 0.6)
+    return Job(
+        group=group,
+        at=at,
+        streamed=source.random() < group.streamed,
+        deadline=source.choice([8.0, 20.0, 60.0]),
+        good=tuple(good),
+        cost=(200 + tokens, 1000 + 12 * tokens),
+        seconds=tuple(
+            tokens * pace * source.lognormvariate(0, 0.3)
+            for pace in (0.004, 0.012)
+        ),
+    )
+
+
+def _normal_share(value: float) -> float:
+    return 0.5 * (1 + math.erf(value / math.sqrt(2)))
--- /dev/null
+++ b/tests/test_cascade.py
@@ -0,0 +1,159 @@
+"""Cascades: the choice of steps, what is learned, what nodes do with it."""
+
+import random
+
+from radishcourse_model import ids
+from radishcourse_policy import cascade
+from radishcourse_policy import learner
+from radishcourse_policy import odds
+from radishcourse_standins.measure import cascade as measured
+import testtools
+
+from tests import cluster as clusters
+
+KEY = learner.Key(
+    ids.OrganisationId('o'),
+    ids.KindId('k'),
+    ids.ModelId('small'),
+    learner.Entry.DIRECT,
+)
+
+
+def make_request(cheap=0.9, dear=0.95, **fields) -> cascade.Request:
+    """Returns a request with well known odds of two models."""
+
+    def step(name, cost, seconds, good) -> cascade.Step:
+        belief = odds.Odds(good * 10_000, (1 - good) * 10_000)
+        return cascade.Step(
+            ids.ModelId(name), cost, seconds, 0.01, belief, belief
+        )
+
+    defaults = {
+        'steps': [step('small', 1, 1, cheap), step('large', 10, 3, dear)],
+        'target': 0.8,
+        'confidence': 0.9,
+        'seconds_left': 30.0,
+        'streamed': False,
+        'rating': cascade.RatingState.WORKS,
+    }
+    return cascade.Request(**{**defaults, **fields})
+
+
+def choose(request: cascade.Request) -> set[tuple[int, int]]:
+    """Returns all plans chosen in 200 draws."""
+    source = random.Random(1)
+    choices = [cascade.choose(request, source) for _ in range(200)]
+    return {(choice.index, choice.last) for choice in choices}
+
+
+class ChoiceTest(testtools.TestCase):
+    """Guards against plans that cost too much or miss the target."""
+
+    def test_a_sufficient_cheap_model_runs_alone(self):
+        self.assertEqual({(0, 0)}, choose(make_request()))
+
+    def test_an_insufficient_one_is_escalated_for_a_part_of_the_jobs(self):
+        found = choose(make_request(cheap=0.7))
+        self.assertEqual({(0, 0), (0, 1)}, found)
+
+    def test_hopeless_odds_go_straight_to_the_dear_model(self):
+        request = make_request(cheap=0.05, target=0.9)
+        self.assertEqual({(0, 0), (1, 1)}, choose(request))
+
+    def test_no_time_for_both_steps_goes_straight_to_the_dear_model(self):
+        request = make_request(cheap=0.3, target=0.95, seconds_left=3.5)
+        self.assertEqual({(1, 1)}, choose(request))
+
+    def test_no_time_for_the_dear_model_takes_the_cheap_one(self):
+        request = make_request(cheap=0.3, seconds_left=2.0)
+        self.assertEqual({(0, 0)}, choose(request))
+
+    def test_streamed_jobs_never_escalate(self):
+        request = make_request(cheap=0.7, streamed=True, streamed_share=1.0)
+        self.assertEqual({(0, 0), (1, 1)}, choose(request))
+
+    def test_debt_buys_quality_and_credit_saves_cost(self):
+        self.assertEqual({(0, 1)}, choose(make_request(cheap=0.7, debt=60.0)))
+        self.assertEqual({(0, 0)}, choose(make_request(cheap=0.7, debt=-15.0)))
+
+    def test_without_ratings_the_confidence_bound_decides(self):
+        down = cascade.RatingState.DOWN
+        self.assertEqual({(0, 0)}, choose(make_request(rating=down)))
+        doubtful = make_request(cheap=0.801, rating=down)
+        self.assertEqual({(1, 1)}, choose(doubtful))
+
+
+class LearnerTest(testtools.TestCase):
+    """Guards against sums that are lost, counted twice or outdated."""
+
+    def test_merged_sums_count_each_node_once(self):
+        one, two = learner.Learner(), learner.Learner()
+        for _ in range(20):
+            one.note_rating(KEY, good=True)
+        for _ in range(2):
+            two.merge(ids.NodeId('one'), one.record())
+        weight = two.belief(KEY).weight
+        self.assertAlmostEqual(one.belief(KEY).weight, weight)
+        one.note_rating(KEY, good=True)
+        older = one.record()._replace(counter=0)
+        self.assertFalse(two.merge(ids.NodeId('one'), older))
+        self.assertTrue(two.merge(ids.NodeId('one'), one.record()))
+        two.forget(ids.NodeId('one'))
+        self.assertAlmostEqual(odds.UNKNOWN_WEIGHT, two.belief(KEY).weight)
+
+    def test_a_drop_of_quality_is_learned_within_thirty_ratings(self):
+        source = random.Random(2)
+        known = learner.Learner()
+        for _ in range(1000):
+            known.note_rating(KEY, source.random() < 0.9)
+        for _ in range(30):
+            known.note_rating(KEY, source.random() < 0.4)
+        self.assertLess(known.belief(KEY).mean, 0.65)
+
+    def test_a_new_organisation_starts_with_what_others_learned(self):
+        known = learner.Learner()
+        for _ in range(200):
+            known.note_rating(KEY, good=True)
+        other = KEY._replace(organisation=ids.OrganisationId('p'))
+        self.assertGreater(known.belief(other).mean, 0.9)
+
+    def test_malformed_records_are_refused(self):
+        record = learner.Record(9, b'\xc1')
+        known = learner.Learner()
+        self.assertRaises(ValueError, known.merge, ids.NodeId('one'), record)
+
+
+class MeasureTest(testtools.TestCase):
+    """Guards against a policy that loses to the simple ones."""
+
+    def test_the_learned_policy_costs_less_and_meets_the_targets(self):
+        lines = measured.measure(measured.CASES[0], jobs=6000, seeds=1)
+        found = {(item.policy, item.measure): item.median for item in lines}
+        cost = found[('learned', 'cost / hindsight')]
+        self.assertLess(cost, 1.4)
+        self.assertLess(cost, found[('fixed threshold', 'cost / hindsight')])
+        self.assertEqual(0, found[('learned', 'groups below target')])
+
+
+class NodeTest(testtools.TestCase):
+    """Guards against nodes that do not follow the policy."""
+
+    def test_ratings_after_streams_and_an_outage_of_the_rating_service(self):
+        with clusters.running(node_count=1) as cluster:
+            settings = {'quality': {'small/v1': 0.0, 'large/v1': 1.0}}
+            for name in ('small-1', 'large-1'):
+                process = cluster.upstreams[name]
+                cluster.control(process, 'settings', settings)
+
+            def stream() -> str:
+                reply = cluster.chat('entry-0', stream=True, max_tokens=4)
+                return 'large' if b'"model":"large"' in reply.body else 'small'
+
+            models = [stream() for _ in range(80)]
+            self.assertIn('small', models)
+            # The target is 0.8, so the cheap model may still get a fifth.
+            self.assertGreaterEqual(models[-40:].count('large'), 28)
+            cluster.control(cluster.rating, 'settings', {'down': True})
+            replies = [cluster.chat('entry-0') for _ in range(30)]
+            used = {reply.headers['x-radish-model'] for reply in replies[-6:]}
+            self.assertEqual({'large'}, used)
