--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -10,9 +10,11 @@
 from radishcourse_node import engines
 from radishcourse_node import errors
 from radishcourse_node import events
+from radishcourse_node import excerpts
 from radishcourse_node import guard
 from radishcourse_node import job as jobs
-from radishcourse_node.controllers import quality
+from radishcourse_node import sessions
+from radishcourse_node import streams
 from radishcourse_node.controllers import upstreams
 
 MAX_ATTEMPTS = 4
@@ -30,6 +32,10 @@
         self._ratings = node.ratings
         self._versions = node.versions
         self._guard = guard.Guard(node)
+        self._excerpts = excerpts.Excerpts()
+        self._streams = streams.Streams(
+            node, self._open, self._note_failure, self._may_retry, self._charge
+        )
 
     async def run(self, job: jobs.Job) -> jobs.Answer:
         """Returns the answer to a job.
@@ -39,7 +45,12 @@
         """
         choice = self._quality.choose(job)
         if job.streamed:
-            return await self._run_streamed(job, choice)
+            began = self._clock.now()
+            answer = await self._streams.run(job, job.steps[choice.index])
+            answer.stream = self._learn(
+                job, choice, answer.facts, began, answer.stream
+            )
+            return answer
         return await self._run_whole(job, choice)
 
     async def _run_whole(
@@ -117,70 +128,32 @@
             except errors.AttemptError as error:
                 self._note_failure(job, attempted, error)
                 if not self._may_retry(job, attempted, attempt):
-                    raise _failed(error) from error
+                    raise streams.failed(error) from error
                 continue
             facts.take_over(attempted)
             self._charge(facts, whole.tokens)
             return whole
         raise AssertionError('the last attempt returns or raises')
 
-    async def _run_streamed(
-        self, job: jobs.Job, choice: policy.Choice
-    ) -> jobs.Answer:
-        index = choice.index
-        facts = jobs.Facts(steps=1)
-        tried: set[ids.UpstreamId] = set()
-        for attempt in range(MAX_ATTEMPTS):
-            began = self._clock.now()
-            stream = self._events(job, job.steps[index], facts, tried)
-            try:
-                first = await anext(stream)
-            except errors.AttemptError as error:
-                self._note_failure(job, facts, error)
-                if not self._may_retry(job, facts, attempt):
-                    raise _failed(error) from error
-                continue
-            headers = {'content-type': 'text/event-stream'}
-            whole = self._learn(
-                job, choice, facts, began, _prepend(first, stream)
-            )
-            return jobs.Answer(200, headers, b'', whole, facts)
-        raise AssertionError('the last attempt returns or raises')
-
     async def _learn(self, job, choice, facts, began, stream):
         """Passes a stream on and learns from it once it is whole."""
-        kept, size = [], 0
         wanted = self._quality.wants_audit(choice)
         async with contextlib.aclosing(stream):
-            async for part in stream:
-                size += len(part)
-                if wanted and size <= quality.MAX_AUDIT_BYTES:
-                    kept.append(part)
-                yield part
+            with self._excerpts.open() as excerpt:
+                async for part in stream:
+                    if wanted:
+                        excerpt.add(part)
+                    yield part
+                text = excerpt.text
         seconds, start = self._clock.now() - began, choice.index
         self._quality.note_run(job, start, start, facts.cost, seconds)
-        if wanted and size <= quality.MAX_AUDIT_BYTES:
-            text = quality.read_events(b''.join(kept))
+        if wanted and text is not None:
             self._quality.audit(job, start, choice, text)
 
-    async def _events(self, job, model, facts, tried):
-        async with self._open(job, model, facts, tried) as opened:
-            response, call = opened
-            reader = engines.StreamReader(call.request_id)
-            chunks = response.aiter_stream()
-            async for chunk in chunks:
-                part = reader.feed(chunk)
-                if part:
-                    yield part
-                if self._clock.now() > job.deadline:
-                    raise errors.AttemptError('deadline passed', sent=True)
-            reader.finish()
-            self._charge(facts, reader.tokens)
-            facts.outcome = states.Outcome.COMPLETED
-
     @contextlib.asynccontextmanager
     async def _open(self, job, model, facts, tried):
         self._guard.check_view(job)
+        sessions.check(job, self._configuration.config)
         version = self._versions.choose(job, model)
         if not self._guard.allows_version(job, model, version):
             raise errors.Refusal(
@@ -196,14 +169,16 @@
             facts.revision = self._configuration.revision
             # Waiting for the reservation may have taken long.
             self._guard.check_view(job)
+            sessions.check(job, self._configuration.config)
             if not self._guard.allows_version(job, model, version):
-                raise errors.Refusal(
-                    errors.RefusalCode.MODEL_NOT_ALLOWED,
-                    f'{model}/{version} is not allowed any more',
+                # The next attempt chooses another version.
+                raise errors.AttemptError(
+                    f'{model}/{version} is not allowed any more', sent=False
                 )
             call = _make_call(job, model, version, len(tried))
-            async with self._request(job, upstream, call) as response:
-                yield response, call
+            async with streams.cancelling(upstream, call.request_id):
+                async with self._request(job, upstream, call) as response:
+                    yield response, call
 
     @contextlib.asynccontextmanager
     async def _request(self, job, upstream: upstreams.Reservation, call):
@@ -254,20 +229,3 @@
         stream=job.chat.stream,
         priority=job.kind.priority,
     )
-
-
-async def _prepend(first: bytes, rest):
-    try:
-        yield first
-        async for part in rest:
-            yield part
-    finally:
-        await rest.aclose()
-
-
-def _failed(error: errors.AttemptError) -> errors.Refusal:
-    if not error.sent:
-        return errors.Refusal(
-            errors.RefusalCode.NO_UPSTREAM, str(error), retry_after_s=1
-        )
-    return errors.Refusal(errors.RefusalCode.UPSTREAM_FAILED, str(error))
--- a/packages/node/src/radishcourse_node/controllers/quality.py
+++ b/packages/node/src/radishcourse_node/controllers/quality.py
@@ -4,7 +4,6 @@
 import typing
 
 import anyio
-import msgspec
 from radishcourse_model import ids
 from radishcourse_policy import cascade
 from radishcourse_policy import learner
@@ -15,7 +14,7 @@
 
 # Answers waiting to be rated after they were given out; more are dropped.
 MAX_AUDITS = 256
-MAX_AUDIT_BYTES = 256 * 1024
+MAX_AUDIT_BYTES = 64 * 1024
 AUDITS_AT_ONCE = 8
 # Answers that are too late for the rating's own timeout are not waited for.
 AUDIT_DEADLINE_S = 5.0
@@ -203,32 +202,3 @@
     return learner.Key(
         job.organisation_id, job.kind_id, job.steps[index], entry
     )
-
-
-class _Delta(msgspec.Struct):
-    content: str = ''
-
-
-class _Choice(msgspec.Struct):
-    delta: _Delta | None = None
-
-
-class _Event(msgspec.Struct):
-    choices: list[_Choice] = []
-
-
-_event_decoder = msgspec.json.Decoder(_Event)
-
-
-def read_events(events_text: bytes) -> str:
-    """Returns the text of the server-sent events of a whole answer."""
-    parts = []
-    for event in events_text.split(b'\n\n'):
-        if not event.startswith(b'data: {'):
-            continue
-        try:
-            decoded = _event_decoder.decode(event[6:])
-        except (msgspec.MsgspecError, UnicodeDecodeError):
-            continue
-        parts += [item.delta.content for item in decoded.choices if item.delta]
-    return ''.join(parts)
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -13,10 +13,12 @@
 from radishcourse_platform import table
 from radishcourse_wire import client as peer_client
 from radishcourse_wire import credentials
+from radishcourse_wire import messages
 from radishcourse_wire import server as peer_server
 import uvicorn
 
 from radishcourse_node import app
+from radishcourse_node import connections
 from radishcourse_node import environment as environments
 from radishcourse_node import events
 from radishcourse_node import metrics
@@ -27,7 +29,9 @@
 from radishcourse_node.controllers import claims
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
+from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import quality
+from radishcourse_node.controllers import readers
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
 
@@ -55,6 +59,8 @@
     view: str
     in_progress: int
     bills_held: int
+    bills_held_for_others: int
+    bills_at_risk: int
     upstreams: list[UpstreamStatus]
 
 
@@ -106,7 +112,17 @@
         )
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
-        self.bills = bills.Bills(environment, settings, self.incarnation, rows)
+        self.bills = bills.Bills(
+            environment,
+            settings,
+            self.incarnation,
+            rows,
+            holders.Holders(
+                environment.clock, settings, self.incarnation, self.peers
+            ),
+        )
+        self.peer_server.register(messages.Kind.HOLD_BILLS, self.bills.hold)
+        self.readers = readers.Readers(self.configuration, settings)
         self._draining = False
         self._requests = 0
 
@@ -119,6 +135,11 @@
             and self.freshness.may_start()
         )
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node is on its way to a planned stop."""
+        return self._draining
+
     @property
     def requests(self) -> int:
         """Requests in progress."""
@@ -144,6 +165,8 @@
             view=self.freshness.view.value,
             in_progress=self._requests,
             bills_held=self.bills.held,
+            bills_held_for_others=self.bills.held_for_others,
+            bills_at_risk=self.bills.at_risk,
             upstreams=[
                 self._describe(upstream_id, upstream)
                 for upstream_id, upstream in (
@@ -158,6 +181,11 @@
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
             'radishcourse_bills_held': self.bills.held,
+            'radishcourse_bills_held_for_others': self.bills.held_for_others,
+            'radishcourse_bills_at_risk': self.bills.at_risk,
+            'radishcourse_bills_bytes': self.bills.held_bytes,
+            'radishcourse_held_bytes': self.readers.total,
+            'radishcourse_held_bytes_most': self.readers.most,
             'radishcourse_ready': int(self.ready),
         }
 
@@ -201,11 +229,12 @@
             app.App(self),
             host=host,
             port=port,
-            http='h11',
+            http=connections.Connection,
             lifespan='off',
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=False,
             h11_max_incomplete_event_size=MAX_LINE_BYTES,
             timeout_graceful_shutdown=int(self.settings.drain_limit_s),
         )
@@ -241,8 +270,12 @@
             await anyio.sleep_forever()
 
     async def _finish_bills(self) -> None:
-        if not await self.bills.flush():
-            events.log(events.Event.BILLS_AT_RISK, held=self.bills.held)
+        if not await self.bills.finish():
+            events.log(
+                events.Event.BILLS_LEFT,
+                held=self.bills.held,
+                at_risk=self.bills.at_risk,
+            )
 
     async def aclose(self) -> None:
         """Closes all connections."""
--- a/packages/platform/src/radishcourse_platform/vms.py
+++ b/packages/platform/src/radishcourse_platform/vms.py
@@ -25,7 +25,8 @@
 class Vm(msgspec.Struct, frozen=True):
     """A VM; `address` is the IP address and port it is reached by.
 
-    For an entry VM this is the address of the node's peer protocol.
+    For an entry VM this is the address of the node's peer protocol, and
+    `http` is its address for callers.
     """
 
     vm: str
@@ -33,6 +34,7 @@
     zone: str
     role: VmRole
     state: VmState = VmState.LIVE
+    http: str = ''
 
 
 class _Vms(msgspec.Struct):
@@ -53,8 +55,10 @@
         """
         reply = await self._client.call('GET', '/v1/vms')
         if reply.status != 200:
-            raise errors.AnswerLost(f'unexpected status {reply.status}')
+            raise errors.UnexpectedAnswer(f'unexpected status {reply.status}')
         try:
             return msgspec.json.decode(reply.body, type=_Vms).vms
         except msgspec.MsgspecError as error:
-            raise errors.AnswerLost(f'malformed answer: {error}') from error
+            raise errors.UnexpectedAnswer(
+                f'malformed answer: {error}'
+            ) from error
