Order engines under the lease's epoch and load what they serve

Cause: nobody ordered an engine to load a version, and nothing kept a lapsed holder's order from an engine.

Ruled out: waiting for the answer of an order as its only proof, because the answer may be lost; the state is read back instead.

The engine stand-in takes such orders, tells its load late and publishes events of its cache late and with gaps; a weight store stand-in has a rate limit.

--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -107,12 +107,17 @@
                     self._configuration.config.upstreams.items()
                 )
                 if version in upstream.serves.get(model, ())
+                and self._has_loaded(upstream_id, model, version)
                 and allowed(upstream_id)
             }
 
         async with self._take(job, find, tried) as reservation:
             yield reservation
 
+    def _has_loaded(self, upstream_id, model, version) -> bool:
+        models = self.probes.told(upstream_id).models
+        return models is None or f'{model}/{version}' in models
+
     @contextlib.asynccontextmanager
     async def reserve_service(self, job, tried, allowed):
         """Yields a reservation on an upstream of a plain service.
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -31,6 +31,7 @@
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
 from radishcourse_node.controllers import leases
+from radishcourse_node.controllers import orders
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
@@ -111,6 +112,7 @@
             self._roster,
         )
         self.upstreams = upstreams.Upstreams(self)
+        self.orders = orders.Orders(self)
         self.admissions = admissions.Admissions()
         self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
@@ -213,6 +215,7 @@
                 self.configuration,
                 self.leases,
                 self.upstreams,
+                self.orders,
                 self.bills,
             ):
                 tasks.start_soon(self._supervise, controller)
--- a/packages/standins/src/radishcourse_standins/engine.py
+++ b/packages/standins/src/radishcourse_standins/engine.py
@@ -18,9 +18,14 @@
 import msgspec
 
 from radishcourse_standins import asgi
+from radishcourse_standins import engineorders
+from radishcourse_standins import enginereports
 
 MAX_KEPT_STREAMS = 1024
+CACHED_PREFIXES = 64
 CANCEL_CHECK_S = 0.02
+# A router may act on warmth that was confirmed this long ago.
+SETTLED_S = 1.0
 
 
 class State(enum.Enum):
@@ -43,6 +48,10 @@
       truncate: Share of streams that end before their last part, by the
         request's hash.
       fail: Share of requests answered with 500, by the request's hash.
+      load_lag_ms: Age of the load that the engine tells.
+      event_lag_ms: Age at which an event of the cache is published.
+      event_gap_every: Each event of the cache whose number is a multiple of
+        this is lost; 0 for none.
     """
 
     quality: dict[str, float] = {}
@@ -52,6 +61,9 @@
     warm_after: int = 3
     truncate: float = 0.0
     fail: float = 0.0
+    load_lag_ms: float = 0.0
+    event_lag_ms: float = 0.0
+    event_gap_every: int = 0
 
 
 class Completion(msgspec.Struct):
@@ -73,33 +85,20 @@
     from_index: int
 
 
-class Order(msgspec.Struct):
-    """An order of the system to the engine."""
-
-    order: str
-    fencing: int = 0
-    model: str = ''
-    version: str = ''
-
-
 class Engine:
     """The HTTP interface of the stand-in."""
 
-    def __init__(
-        self, slots: int, cold: bool, cold_limit: int, checks_fencing: bool
-    ):
+    def __init__(self, slots: int, cold: bool, orders: engineorders.Orders):
         self._settings = Settings()
         self._slots = anyio.Semaphore(slots)
         self._slot_count = slots
-        self._cold_limit = cold_limit
-        self._checks_fencing = checks_fencing
+        self._orders = orders
+        self._reports = enginereports.Reports(CACHED_PREFIXES)
         self._state = State.COLD if cold else State.WARM
         self._boot = secrets.token_hex(4)
         self._answered_cold = 0
         self._running = 0
         self._queued = 0
-        self._fencing = 0
-        self._orders: list[Order] = []
         self._streams: collections.OrderedDict[str, Completion] = (
             collections.OrderedDict()
         )
@@ -109,13 +108,19 @@
         # Work received while cold: now in progress, most at once, and all.
         self._cold_work = 0
         self._max_cold = 0
+        # The same for work that came in later than a router may believe
+        # that the engine is still warm.
+        self._late_work = 0
+        self._max_late = 0
+        self._cold_since = anyio.current_time() - SETTLED_S
         self._cold_total = 0
         self.app = asgi.App(abort_on_disconnect=True)
         for method, path, handler in (
             ('POST', '/v1/chat/completions', self._complete),
             ('POST', '/v1/resume', self._resume),
             ('POST', '/v1/cancel', self._cancel),
-            ('POST', '/v1/orders', self._order),
+            ('POST', '/v1/orders', orders.take),
+            ('GET', '/v1/cache-events', self._get_cache_events),
             ('GET', '/v1/state', self._get_state),
             ('POST', '/control/settings', self._set),
             ('POST', '/control/state', self._set_state),
@@ -178,6 +183,7 @@
 
     def _note_start(self, job: Completion) -> None:
         self._runs[job.request_id] += 1
+        self._reports.note_prefix(_prefix(job))
         self._served.append(
             {
                 'request_id': job.request_id,
@@ -208,12 +214,12 @@
 
     async def _generate(self, job: Completion, start: int):
         with self._count_cold():
-            self._queued += 1
+            self._count(queued=1)
             try:
                 await self._slots.acquire()
             finally:
-                self._queued -= 1
-            self._running += 1
+                self._count(queued=-1)
+            self._count(running=1)
             try:
                 await self._pause(job, self._first_token_s())
                 for index in range(start, job.max_tokens):
@@ -224,19 +230,28 @@
                     yield self._token(job, index)
                 self._note_answer()
             finally:
-                self._running -= 1
+                self._count(running=-1)
                 self._slots.release()
 
+    def _count(self, running: int = 0, queued: int = 0) -> None:
+        self._running += running
+        self._queued += queued
+        self._reports.note_load(self._running, self._queued)
+
     @contextlib.contextmanager
     def _count_cold(self):
         cold = self._state is State.COLD
+        late = cold and anyio.current_time() - self._cold_since >= SETTLED_S
         self._cold_work += cold
         self._cold_total += cold
+        self._late_work += late
         self._max_cold = max(self._max_cold, self._cold_work)
+        self._max_late = max(self._max_late, self._late_work)
         try:
             yield
         finally:
             self._cold_work -= cold
+            self._late_work -= late
 
     async def _pause(self, job: Completion, seconds: float) -> None:
         """Waits until some time has passed or the request is cancelled."""
@@ -280,25 +295,28 @@
         self._cancelled.add(request.json(dict)['request_id'])
         return asgi.reply({})
 
-    async def _order(self, request: asgi.Request) -> asgi.Response:
-        order = request.json(Order)
-        if self._checks_fencing and order.fencing < self._fencing:
-            return asgi.reply({'error': 'old fencing number'}, 409)
-        self._fencing = max(self._fencing, order.fencing)
-        self._orders.append(order)
-        return asgi.reply({'fencing': self._fencing})
+    async def _get_cache_events(self, request: asgi.Request) -> asgi.Response:
+        events = self._reports.events(
+            int(request.query.get('after', 0)),
+            self._settings.event_lag_ms / 1000,
+            self._settings.event_gap_every,
+        )
+        return asgi.reply({'boot': self._boot, 'events': events})
 
     async def _get_state(self, request: asgi.Request) -> asgi.Response:
         del request
+        lag_ms = self._settings.load_lag_ms
+        load = self._reports.load(lag_ms / 1000)
         return asgi.reply(
             {
                 'boot': self._boot,
                 'state': self._state.value,
-                'running': self._running,
-                'queued': self._queued,
+                'running': load.running,
+                'queued': load.queued,
                 'slots': self._slot_count,
-                'age_ms': 0,
-                'models': [],
+                'age_ms': lag_ms,
+                'models': self._orders.told_models(),
+                'role': self._orders.role,
             }
         )
 
@@ -311,7 +329,9 @@
         if self._state is State.COLD:
             self._boot = secrets.token_hex(4)
             self._answered_cold = 0
+            self._cold_since = anyio.current_time()
             self._streams.clear()
+            self._reports.clear()
         return asgi.reply({})
 
     async def _get_served(self, request: asgi.Request) -> asgi.Response:
@@ -320,12 +340,18 @@
             {
                 'served': self._served,
                 'max_cold': self._max_cold,
+                'max_late': self._max_late,
                 'cold_total': self._cold_total,
-                'orders': self._orders,
+                'orders': self._orders.taken,
             }
         )
 
 
+def _prefix(job: Completion) -> str:
+    first = msgspec.json.encode(job.messages[:1])
+    return hashlib.sha256(job.model.encode() + first).hexdigest()[:16]
+
+
 def _fraction(*parts: str) -> float:
     digest = hashlib.sha256('\0'.join(parts).encode()).digest()
     return int.from_bytes(digest[:6], 'big') / 2**48
@@ -351,13 +377,15 @@
     port: int = 9100,
     slots: int = 8,
     cold: bool = False,
-    cold_limit: int = 1,
     checks_fencing: bool = True,
+    models: str | None = None,
+    weights: str = '',
 ) -> None:
-    """Serves the stand-in."""
+    """Serves the stand-in; `models` are those loaded, by commas."""
 
     async def main() -> None:
-        engine = Engine(slots, cold, cold_limit, checks_fencing)
+        orders = engineorders.Orders(checks_fencing, models, weights)
+        engine = Engine(slots, cold, orders)
         await asgi.serve(engine.app, host, port)
 
     anyio.run(main)
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/engineorders.py
@@ -0,0 +1,67 @@
+"""Orders to the engine stand-in: models loaded, role, fencing."""
+
+import anyio
+import httpcore
+import msgspec
+
+from radishcourse_standins import asgi
+
+RETRY_S = 0.2
+
+
+class Order(msgspec.Struct):
+    """An order of the system to the engine."""
+
+    order: str
+    fencing: int = 0
+    model: str = ''
+    version: str = ''
+    role: str = ''
+
+
+class Orders:
+    """Takes orders with or without a check of fencing tokens.
+
+    Args:
+      checks_fencing: Whether an order with an old token is refused.
+      models: Loaded `model/version`s by commas, or None where the engine
+        does not tell what it has loaded.
+      weights: Base URL of the weight store; empty to load at once.
+    """
+
+    def __init__(self, checks_fencing: bool, models: str | None, weights: str):
+        self._checks_fencing = checks_fencing
+        self._weights = weights
+        self._fencing = 0
+        self._pool = httpcore.AsyncConnectionPool()
+        self.models = None if models is None else set(models.split(',')) - {''}
+        self.role = ''
+        self.taken: list[Order] = []
+
+    def told_models(self) -> list[str] | None:
+        """Returns what the engine tells of its models."""
+        return None if self.models is None else sorted(self.models)
+
+    async def take(self, request: asgi.Request) -> asgi.Response:
+        """Carries out an order; a load has ended when it is answered."""
+        order = request.json(Order)
+        if self._checks_fencing and order.fencing < self._fencing:
+            return asgi.reply({'error': 'old fencing token'}, 409)
+        self._fencing = max(self._fencing, order.fencing)
+        self.taken.append(order)
+        name = f'{order.model}/{order.version}'
+        if order.order == 'role':
+            self.role = order.role
+        elif self.models is not None and order.order == 'unload':
+            self.models.discard(name)
+        elif self.models is not None and order.order == 'load':
+            await self._fetch(name)
+            self.models.add(name)
+        return asgi.reply({'fencing': self._fencing})
+
+    async def _fetch(self, name: str) -> None:
+        url = f'{self._weights}/v1/weights/{name}'
+        while self._weights:
+            if (await self._pool.request('GET', url)).status == 200:
+                return
+            await anyio.sleep(RETRY_S)
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/enginereports.py
@@ -0,0 +1,99 @@
+"""What the engine stand-in reports late: its load and its cache's events."""
+
+import collections
+
+import anyio
+import msgspec
+
+KEPT = 4096
+
+
+class Load(msgspec.Struct):
+    """Requests that the engine ran and held queued at some time."""
+
+    at: float
+    running: int
+    queued: int
+
+
+class CacheEvent(msgspec.Struct):
+    """A prompt prefix that came into the cache, or left it."""
+
+    sequence: int
+    kind: str
+    prefix: str
+    at: float
+
+
+class Reports:
+    """Keeps a history, so that reports can lag.
+
+    Args:
+      cache_size: Prefixes that the cache holds.
+    """
+
+    def __init__(self, cache_size: int):
+        self._loads = collections.deque([Load(0.0, 0, 0)], KEPT)
+        self._cache: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._cache_size = cache_size
+        self._events: collections.deque[CacheEvent] = collections.deque(
+            maxlen=KEPT
+        )
+        self._sequence = 0
+
+    def note_load(self, running: int, queued: int) -> None:
+        """Notes a change of the load."""
+        self._loads.append(Load(anyio.current_time(), running, queued))
+
+    def load(self, lag_s: float) -> Load:
+        """Returns the load as it was some time ago."""
+        limit = anyio.current_time() - lag_s
+        known = self._loads[0]
+        for load in self._loads:
+            if load.at > limit:
+                break
+            known = load
+        return known
+
+    def note_prefix(self, prefix: str) -> bool:
+        """Notes the use of a prefix; tells whether it was in the cache."""
+        hit = prefix in self._cache
+        self._cache[prefix] = None
+        self._cache.move_to_end(prefix)
+        if not hit:
+            self._add('stored', prefix)
+        while len(self._cache) > self._cache_size:
+            self._add('evicted', self._cache.popitem(last=False)[0])
+        return hit
+
+    def clear(self) -> None:
+        """Empties the cache as a restart does, without any event."""
+        self._cache.clear()
+
+    def events(
+        self, after: int, lag_s: float, gap_every: int
+    ) -> list[CacheEvent]:
+        """Returns the events after a number that are old enough.
+
+        Args:
+          after: Number of the last event that the caller has.
+          lag_s: Age at which an event is published.
+          gap_every: Each event whose number is a multiple is lost; 0 for
+            none.
+        """
+        limit = anyio.current_time() - lag_s
+        return [
+            event
+            for event in self._events
+            if event.sequence > after
+            and event.at <= limit
+            and not (gap_every and event.sequence % gap_every == 0)
+        ]
+
+    def _add(self, kind: str, prefix: str) -> None:
+        self._sequence += 1
+        self._events.append(
+            CacheEvent(self._sequence, kind, prefix, anyio.current_time())
+        )
