Test permits and leases against failing holders, owners and engines

Ruled out: trusting the stateful test as first written. It passed with one permit too many granted, because faults stayed on and most steps did nothing; faults are now lifted together and paired with longer pauses.

Stateful test of permits with paused owners, changing grantors, cuts and lost replies.

--- /dev/null
+++ b/tests/load.py
@@ -0,0 +1,65 @@
+"""Continuous load of model jobs on the nodes of a cluster."""
+
+import contextlib
+import threading
+import time
+
+import httpcore
+
+from tests import cluster as clusters
+
+PAUSE_S = 0.02
+_LOST = (httpcore.NetworkError, httpcore.TimeoutException)
+_BROKEN = (httpcore.ProtocolError, OSError)
+
+
+class Load:
+    """Callers that each send one job after the other to one node."""
+
+    def __init__(self, cluster, deadline_ms: int):
+        self._cluster = cluster
+        self._headers = {'X-Radish-Deadline-Ms': str(deadline_ms)}
+        self._timeout_s = deadline_ms / 1000 + 2
+        self._stop = threading.Event()
+        self.replies: list[clusters.Reply] = []
+
+    def call(self, name: str) -> None:
+        """Sends jobs to a node until the end."""
+        while not self._stop.is_set():
+            try:
+                reply = self._cluster.chat(
+                    name, 'tag', self._headers, self._timeout_s
+                )
+            except _LOST + _BROKEN:
+                time.sleep(PAUSE_S * 10)
+                continue
+            self.replies.append(reply)
+            if reply.status != 200:
+                time.sleep(PAUSE_S)
+
+    def stop(self) -> None:
+        """Ends the callers after their present job."""
+        self._stop.set()
+
+    def count(self, status: int = 200) -> int:
+        """Returns the number of replies with a status so far."""
+        return sum(reply.status == status for reply in self.replies)
+
+
+@contextlib.contextmanager
+def running(cluster, callers: int = 2, deadline_ms: int = 1500):
+    """Yields a load of some callers on each node."""
+    load = Load(cluster, deadline_ms)
+    threads = [
+        threading.Thread(target=load.call, args=(name,), daemon=True)
+        for name in cluster.names
+        for _ in range(callers)
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield load
+    finally:
+        load.stop()
+        for thread in threads:
+            thread.join()
--- /dev/null
+++ b/tests/test_holders.py
@@ -0,0 +1,30 @@
+"""Holders of leases that are killed, frozen, cut off, and new ones."""
+
+import signal
+
+import testtools
+
+from tests import load as loads
+from tests import test_cold
+
+
+class HolderTest(testtools.TestCase):
+    """Guards against two grantors, and against a shard without any."""
+
+    def test_holders_fail_one_after_the_other(self):
+        with (
+            test_cold.cold_cluster(4, test_cold.COLD) as cluster,
+            loads.running(cluster),
+        ):
+            test_cold.await_grants(cluster)
+            first = test_cold.holder(cluster)
+            cluster.nodes[first].signal(signal.SIGSTOP)
+            test_cold.await_successor(cluster, first)
+            cluster.nodes[first].signal(signal.SIGCONT)
+            test_cold.await_grants(cluster)
+            second = test_cold.holder(cluster)
+            cluster.nodes[second].kill()
+            cluster.start_node(second)
+            test_cold.await_successor(cluster, second)
+            test_cold.await_grants(cluster)
+            self.assertEqual(1, test_cold.counts(cluster)['max_cold'])
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,286 @@
+"""Permits under paused owners, changing grantors, lost replies."""
+
+import asyncio
+import contextlib
+import random
+import types
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+from radishcourse_model import ids
+from radishcourse_model import schema
+from radishcourse_node import enginecontrol
+from radishcourse_node.controllers import health
+from radishcourse_node.controllers import permits
+from radishcourse_policy import clock as clocks
+from radishcourse_policy import leases as lease_policy
+from radishcourse_wire import errors as wire_errors
+from radishcourse_wire import messages
+import testtools
+
+ENGINE = ids.UpstreamId('small-1')
+NAMES = ['a', 'b', 'c']
+NODES = strategies.sampled_from(NAMES)
+LIMIT = 2
+
+
+class Engine:
+    """An engine that counts its work; cancelled requests never run."""
+
+    def __init__(self):
+        self.running: set[str] = set()
+        self.cancelled: set[str] = set()
+        self.sent: set[str] = set()
+
+    def start(self, request_id: str) -> None:
+        self.sent.add(request_id)
+        if request_id not in self.cancelled:
+            self.running.add(request_id)
+        assert len(self.running) <= LIMIT, self.running
+
+
+class Node:
+    """One node; its lease is decided by the test."""
+
+    def __init__(self, machine, name: str):
+        self._machine = machine
+        self.name = name
+        self.paused = False
+        self.cut = False
+        self.lost = False
+        self.lease = None
+        self.jobs = {}
+        registry = health.Registry(machine.clock, ids.NodeId(name))
+        self.registry = registry
+        upstream = schema.Upstream(
+            address='127.0.0.1:1', zone=ids.ZoneId('z'), cold_limit=LIMIT
+        )
+        config = schema.Config(upstreams={ENGINE: upstream})
+        self.handlers = {}
+        self.permits = permits.Permits(
+            types.SimpleNamespace(
+                environment=types.SimpleNamespace(clock=machine.clock),
+                settings=types.SimpleNamespace(node=name, shards=1),
+                incarnation=f'{name}.{machine.lives}',
+                configuration=types.SimpleNamespace(config=config),
+                leases=self,
+                peers=self,
+                peer_address=lambda node: node,
+                peer_server=types.SimpleNamespace(
+                    register=self.handlers.__setitem__
+                ),
+            ),
+            registry,
+            lambda upstream: self,
+        )
+
+    # As its leases.
+    def hold(self, name=None):
+        if self.lease and self.lease.check(self._machine.clock.now(), False):
+            return self.lease
+        return None
+
+    def held(self, name):
+        return self.hold().epoch if self.hold() else None
+
+    def holder(self, name):
+        return self._machine.holder
+
+    async def find(self, name):
+        return self._machine.holder
+
+    def preferred(self, name):
+        return NAMES
+
+    def forget_holder(self, name):
+        pass
+
+    # As its connections to peers.
+    async def call(self, address, kind, message, timeout_s):
+        peer = self._machine.nodes[address]
+        if self.paused or peer.paused or self.cut or peer.cut:
+            raise wire_errors.Unreachable(address)
+        sender = types.SimpleNamespace(incarnation=self.permits._incarnation)
+        try:
+            reply = await peer.handlers[kind](sender, message)
+        except permits.NotHolder as error:
+            raise wire_errors.Rejected(str(error)) from error
+        if self.lost and kind is messages.Kind.ACQUIRE_PERMIT:
+            raise wire_errors.Unreachable('the reply was lost')
+        return reply
+
+    # As its control calls to the engine.
+    async def cancel(self, request_id):
+        if self.cut:
+            raise enginecontrol.ControlError('cut off')
+        self._machine.engine.cancelled.add(request_id)
+        self._machine.engine.running.discard(request_id)
+
+
+class PermitMachine(stateful.RuleBasedStateMachine):
+    """Three nodes, one cold engine, one lease that changes hands."""
+
+    def __init__(self):
+        super().__init__()
+        self._runner = asyncio.Runner()
+        self._random = random.Random(1)
+        self.clock = clocks.ManualClock(100.0)
+        self.engine = Engine()
+        self.lives = 0
+        self.requests = 0
+        self.epoch = 0
+        self.nodes = {name: Node(self, name) for name in NAMES}
+        self.holder = 'a'
+        self._take('a')
+
+    def teardown(self):
+        self._runner.close()
+
+    def _take(self, name: str) -> None:
+        self.epoch += 1
+        now = self.clock.now()
+        self.holder = name
+        self.lease = lease_policy.Hold(self.epoch, 1, now, now)
+        self.nodes[name].lease = self.lease
+
+    @stateful.rule(ticks=strategies.integers(1, 30))
+    def run(self, ticks):
+        for _ in range(ticks):
+            self.clock.advance(0.5)
+            now = self.clock.now()
+            for node in self.nodes.values():
+                if node.paused:
+                    continue
+                node.registry.tick()
+                if not node.cut:
+                    load = len(self.engine.running)
+                    node.registry.note_load(ENGINE, load, now)
+                    if node.lease is self.lease:
+                        node.lease.renewed(1, now)
+                self._runner.run(node.permits.tick())
+
+    @stateful.rule(ticks=strategies.integers(20, 24), name=NODES)
+    def fail_over(self, ticks, name):
+        """The holder is paused until its lease is over; another takes it."""
+        self.nodes[self.holder].paused = True
+        self.run(ticks)
+        end = self.lease.sent_at + lease_policy.LENGTH_S
+        if self.clock.now() >= end and not self.nodes[name].paused:
+            self._take(name)
+
+    @stateful.rule(
+        name=NODES, sent=strategies.booleans(), ticks=strategies.integers(0, 24)
+    )
+    def hold_up(self, name, sent, ticks):
+        """An owner is paused before or after it sends its job."""
+        self.begin(name)
+        if sent:
+            self.proceed(name)
+        self.nodes[name].paused = True
+        self.run(ticks)
+
+    @stateful.rule()
+    def send_from_all(self):
+        for name, node in self.nodes.items():
+            self.begin(name)
+            for _ in list(node.jobs):
+                self.proceed(name)
+
+    @stateful.rule(name=NODES)
+    def begin(self, name):
+        """Asks for a permit; the job is sent by a later step."""
+        node = self.nodes[name]
+        if node.paused:
+            return
+        self.requests += 1
+        request_id = f'r{self.requests}'
+        context = node.permits.acquire(ENGINE, request_id)
+        permit = self._runner.run(context.__aenter__())
+        if permit is None:
+            self._runner.run(context.__aexit__(None, None, None))
+        else:
+            node.jobs[request_id] = (context, permit)
+
+    @stateful.rule(name=NODES)
+    def proceed(self, name):
+        """Sends a job to the engine, or ends one that was sent."""
+        node = self.nodes[name]
+        if not node.jobs or node.paused:
+            return
+        request_id = self._random.choice(list(node.jobs))
+        context, permit = node.jobs[request_id]
+        if request_id in self.engine.sent:
+            failed = request_id not in self.engine.running
+        elif node.permits.usable(permit) and not node.cut:
+            self.engine.start(request_id)
+            return
+        else:
+            failed = True
+        self.engine.running.discard(request_id)
+        del node.jobs[request_id]
+        error = LookupError() if failed else None
+        with contextlib.suppress(LookupError):
+            self._runner.run(
+                context.__aexit__(type(error) if error else None, error, None)
+            )
+
+    @stateful.rule(name=NODES)
+    def restart(self, name):
+        """The node's connections close, so the engine drops its jobs."""
+        self.lives += 1
+        self.engine.running -= set(self.nodes[name].jobs)
+        self.nodes[name] = Node(self, name)
+
+    @stateful.rule(
+        name=NODES, fault=strategies.sampled_from(['paused', 'cut', 'lost'])
+    )
+    def fail(self, name, fault):
+        setattr(self.nodes[name], fault, True)
+
+    @stateful.rule()
+    def recover(self):
+        for node in self.nodes.values():
+            node.paused = node.cut = node.lost = False
+
+
+class PermitTest(PermitMachine.TestCase):
+    """Guards against more work in a cold upstream than it can bear."""
+
+    settings = settings(max_examples=100, stateful_step_count=40)
+
+
+class TakeoverTest(testtools.TestCase):
+    """Guards against permits of an earlier grantor that are still in use."""
+
+    def setUp(self):
+        super().setUp()
+        self.machine = PermitMachine()
+        self.addCleanup(self.machine.teardown)
+
+    def _pause_and_fail_over(self) -> None:
+        self.machine.nodes['b'].paused = True
+        self.machine.fail_over(20, 'c')
+        self.machine.run(30)
+        for _ in range(LIMIT):
+            self.machine.begin('c')
+
+    def test_running_job_of_a_paused_owner_keeps_a_new_grantor_from_granting(
+        self,
+    ):
+        self.machine.begin('b')
+        self.machine.proceed('b')
+        self._pause_and_fail_over()
+        self.assertEqual({}, self.machine.nodes['c'].jobs)
+        self.machine.nodes['b'].paused = False
+        self.machine.run(2)
+        self.machine.begin('c')
+        self.assertEqual(1, len(self.machine.nodes['c'].jobs))
+
+    def test_owner_that_wakes_after_its_permit_does_not_send(self):
+        self.machine.begin('b')
+        self._pause_and_fail_over()
+        self.assertEqual(LIMIT, len(self.machine.nodes['c'].jobs))
+        self.machine.nodes['b'].paused = False
+        self.machine.proceed('b')
+        self.assertEqual(set(), self.machine.engine.sent)
