--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -36,6 +36,7 @@
 from radishcourse_node.controllers import freshness
 from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import leases
+from radishcourse_node.controllers import orders
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import readers
 from radishcourse_node.controllers import upstreams
@@ -120,6 +121,7 @@
             self._roster,
         )
         self.upstreams = upstreams.Upstreams(self)
+        self.orders = orders.Orders(self)
         self.admissions = admissions.Admissions()
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
         self.quality = quality.Quality(
@@ -246,6 +248,7 @@
                 self.configuration,
                 self.leases,
                 self.upstreams,
+                self.orders,
                 self.bills,
                 self.quality,
             ):
