--- a/packages/node/src/radishcourse_node/controllers/configuration.py
+++ b/packages/node/src/radishcourse_node/controllers/configuration.py
@@ -1,14 +1,43 @@
 """The configuration in force on this node."""
 
+import collections
+import math
+import typing
+
 import anyio
 from radishcourse_model import errors as model_errors
 from radishcourse_model import folder
 from radishcourse_model import ids
+from radishcourse_model import merge
 from radishcourse_model import schema
 from radishcourse_platform import errors as platform_errors
 from radishcourse_platform import revisions
+from radishcourse_policy import freshness as policy
 
 from radishcourse_node import events
+from radishcourse_node.controllers import freshness as freshness_controller
+
+# Without an answer for so long the platform counts as not reached; a late
+# answer is still taken.
+OVERDUE_S = 0.75
+# How often in the shortest time between polls it is looked at the next one.
+TICKS_PER_POLL = 5
+# Changes kept for peers that lack them; others get the whole document.
+MAX_HISTORY = 256
+
+_SIGNS_OF_LIFE = (
+    platform_errors.RateLimited,
+    platform_errors.UnexpectedAnswer,
+    model_errors.ConfigError,
+)
+
+
+class Verified(typing.NamedTuple):
+    """A change whose patch leads to its digest, for peers that lack it."""
+
+    revision: ids.Revision
+    digest: str
+    patch: merge.Document
 
 
 class Configuration:
@@ -17,7 +46,8 @@
     Args:
       settings: The node's settings.
       clock: The node's clock.
-      source: The platform's revisions.
+      source: The platform's revisions; its time limit on a call is longer
+        than the time between polls, so that a slow platform still confirms.
       freshness: Told of each confirmation.
     """
 
@@ -25,17 +55,28 @@
         self._settings = settings
         self._clock = clock
         self._source: revisions.Revisions = source
-        self._freshness = freshness
+        self._freshness: freshness_controller.Freshness = freshness
         self._snapshot = revisions.EMPTY
+        self._digest = revisions.EMPTY.digest
         self._config = schema.Config()
         self._keys: dict[str, ids.OrganisationId] = {}
+        self._observed = revisions.UNOBSERVED
+        self._history: collections.deque[Verified] = collections.deque(
+            maxlen=MAX_HISTORY
+        )
         self._lock = anyio.Lock()
+        self._nodes = 1
 
     @property
     def revision(self) -> ids.Revision:
         """Number of the revision in force."""
         return self._snapshot.revision
 
+    @property
+    def digest(self) -> str:
+        """Digest of the document in force, in hex."""
+        return self._digest
+
     @property
     def snapshot(self) -> revisions.Snapshot:
         """The document in force."""
@@ -51,52 +92,183 @@
         """Organisations by the hash of each of their keys."""
         return self._keys
 
+    def set_fleet_size(self, nodes: int) -> None:
+        """Sets how many nodes share the platform's limit on reads."""
+        self._nodes = nodes
+
+    def changes_after(self, revision: int) -> list[Verified] | None:
+        """Returns the changes that a peer lacks, or None if too many."""
+        if revision >= self.revision:
+            return []
+        changes = [item for item in self._history if item.revision > revision]
+        if changes and changes[0].revision == revision + 1:
+            return changes
+        return None
+
     async def run(self) -> None:
-        """Reads the head again and again."""
-        while True:
-            await self.poll()
-            await anyio.sleep(self._settings.poll_s)
+        """Observes the head again and again.
+
+        A poll does not wait for the one before: a platform that takes 2 s
+        to answer would otherwise confirm too seldom.
+        """
+        polled_at = -math.inf
+        async with anyio.create_task_group() as tasks:
+            while True:
+                now = self._clock.now()
+                if policy.poll_is_due(
+                    now,
+                    polled_at,
+                    self._freshness.confirmed_at,
+                    self._nodes,
+                    self._settings.poll_s,
+                ):
+                    polled_at = now
+                    tasks.start_soon(self.poll)
+                await anyio.sleep(self._settings.poll_s / TICKS_PER_POLL)
 
     async def poll(self) -> bool:
         """Confirms the revision, or takes a newer one; False on failure."""
         asked_at = self._clock.now()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._note_overdue, asked_at)
+            observed = await self._observe(asked_at)
+            tasks.cancel_scope.cancel()
+        if observed is None:
+            return False
         try:
-            head = await self._source.head()
-            if head is not None and head.revision > self.revision:
-                await self._load(head)
+            await self._take(observed.head, asked_at)
         except (platform_errors.PlatformError, model_errors.ConfigError) as e:
-            self._freshness.note_platform(reached=False)
-            events.log(events.Event.PLATFORM_FAILED, what='head', error=str(e))
+            events.log(
+                events.Event.PLATFORM_FAILED, what='changes', error=repr(e)
+            )
             return False
-        self._freshness.note_platform(reached=True)
-        # A lagging read returns an older head, which confirms nothing.
-        if (head.revision if head else 0) == self.revision:
-            self._freshness.confirm(asked_at)
         return True
 
-    async def _load(self, head: revisions.Head) -> None:
-        snapshot = await self._source.load(self._snapshot, head)
-        await self.adopt(snapshot)
+    async def _note_overdue(self, asked_at: float) -> None:
+        await anyio.sleep(OVERDUE_S)
+        self._freshness.note_platform(asked_at, reached=False)
+
+    async def _observe(self, asked_at: float) -> revisions.Observed | None:
+        try:
+            observed = await self._source.observe(self._observed)
+        except (platform_errors.PlatformError, model_errors.ConfigError) as e:
+            # A platform that refuses this node's reads may accept changes.
+            up = isinstance(e, _SIGNS_OF_LIFE)
+            self._freshness.note_platform(asked_at, reached=up)
+            events.log(events.Event.PLATFORM_FAILED, what='head', error=repr(e))
+            return None
+        self._freshness.note_platform(asked_at, reached=True)
+        # Polls overlap; a late answer must not replace a newer one.
+        if observed.version > self._observed.version:
+            self._observed = observed
+        return observed
+
+    async def _take(self, head: revisions.Head | None, asked_at: float):
+        if head is not None and head.revision > self.revision:
+            self._freshness.note_newest(head.revision)
+            steps = await self._source.steps(self._snapshot, head)
+            changes = [
+                Verified(item.revision, item.digest, item.patch)
+                for item in (step.change for step in steps)
+                if item is not None
+            ]
+            await self.adopt(steps[-1].snapshot, head.digest, changes)
+        digest = head.digest if head else revisions.EMPTY.digest
+        self.confirm(head.revision if head else 0, digest, asked_at)
 
-    async def adopt(self, snapshot: revisions.Snapshot) -> bool:
+    def confirm(self, revision: int, digest: str, asked_at: float) -> None:
+        """Notes which revision was the newest at `asked_at` or later.
+
+        An older one than ours comes from a lagging source and confirms
+        nothing; neither does another document of the same number.
+        """
+        if revision != self.revision:
+            return
+        if digest != self.digest:
+            events.log(
+                events.Event.REVISION_REJECTED,
+                revision=revision,
+                error='another document has the number of ours',
+            )
+            return
+        self._freshness.confirm(asked_at)
+
+    async def adopt(
+        self,
+        snapshot: revisions.Snapshot,
+        digest: str,
+        changes: list[Verified],
+    ) -> bool:
         """Puts a document in force if it is newer; False if it is not.
 
+        Args:
+          snapshot: The document, already checked against `digest`.
+          digest: Its digest.
+          changes: The last changes that led to it, without gaps.
+
         Raises:
           ConfigError: The document does not fit the schema.
         """
         async with self._lock:
             if snapshot.revision <= self.revision:
                 return False
-            self._config = _decode(snapshot)
+            config = _decode(snapshot)
+            self._remember(changes)
+            self._config = config
             self._snapshot = snapshot
+            self._digest = digest
             self._keys = {
                 key: organisation_id
-                for organisation_id, item in self._config.organisations.items()
+                for organisation_id, item in config.organisations.items()
                 for key in item.keys
             }
+            self._freshness.set_revision(snapshot.revision)
         events.log(events.Event.REVISION_IN_FORCE, revision=snapshot.revision)
         return True
 
+    def _remember(self, changes: list[Verified]) -> None:
+        if not changes or changes[0].revision > self.revision + 1:
+            self._history.clear()
+        self._history.extend(
+            item for item in changes if item.revision > self.revision
+        )
+
+    async def adopt_changes(self, changes: list[Verified]) -> bool:
+        """Follows changes that a peer told; False if they lead nowhere.
+
+        Raises:
+          PatchError: A patch does not lead to its digest.
+          ConfigError: The document does not fit the schema.
+        """
+        current = self._snapshot
+        verified = []
+        digest = self._digest
+        for change in changes:
+            if change.revision != current.revision + 1:
+                continue
+            document = merge.apply_verified(
+                current.document, change.patch, change.digest
+            )
+            current = revisions.Snapshot(change.revision, document)
+            digest = change.digest
+            verified.append(change)
+        if not verified:
+            return False
+        return await self.adopt(current, digest, verified)
+
+    async def adopt_snapshot(
+        self, snapshot: revisions.Snapshot, digest: str
+    ) -> bool:
+        """Takes a whole document that a peer told.
+
+        Raises:
+          PatchError: The document has another digest.
+          ConfigError: The document does not fit the schema.
+        """
+        if snapshot.digest != digest:
+            raise model_errors.PatchError('the document has another digest')
+        return await self.adopt(snapshot, digest, [])
+
 
 def _decode(snapshot: revisions.Snapshot) -> schema.Config:
     try:
--- a/packages/node/src/radishcourse_node/controllers/freshness.py
+++ b/packages/node/src/radishcourse_node/controllers/freshness.py
@@ -1,5 +1,6 @@
 """Whether this node's view is fresh enough to start new work."""
 
+from radishcourse_model import ids
 from radishcourse_policy import freshness as policy
 
 from radishcourse_node import events
@@ -16,9 +17,11 @@
         self._clock = clock
         self._confirmed_at: float | None = None
         self._platform_reached = False
-        self._sample_size = 0
-        self._evidence: dict[str, policy.Evidence] = {}
-        self._revision = 0
+        self._noted_at: float | None = None
+        self._sample: frozenset[ids.NodeId] = frozenset()
+        self._evidence: dict[ids.NodeId, policy.Evidence] = {}
+        self._revision = ids.Revision(0)
+        self._newest = ids.Revision(0)
         self._view = policy.View.STALE
 
     @property
@@ -26,11 +29,23 @@
         """When the read was sent that last confirmed the revision."""
         return self._confirmed_at
 
+    @property
+    def age_s(self) -> float | None:
+        """Age of the last confirmation, in seconds."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock.now() - self._confirmed_at
+
     @property
     def platform_reached(self) -> bool:
-        """Whether the last call to the platform was answered."""
+        """Whether the last call to the platform was answered in time."""
         return self._platform_reached
 
+    @property
+    def sample(self) -> frozenset[ids.NodeId]:
+        """The peers whose majority shows an outage."""
+        return self._sample
+
     @property
     def view(self) -> policy.View:
         """What the node may do with its view now."""
@@ -38,8 +53,9 @@
             self._clock.now(),
             self._confirmed_at,
             self._revision,
-            self._sample_size,
-            list(self._evidence.values()),
+            self._sample,
+            self._evidence,
+            self._platform_reached or self._newest > self._revision,
         )
         if view is not self._view:
             events.log(
@@ -59,6 +75,41 @@
         if self._confirmed_at is None or asked_at > self._confirmed_at:
             self._confirmed_at = asked_at
 
-    def note_platform(self, reached: bool) -> None:
-        """Notes whether a call to the platform was answered."""
-        self._platform_reached = reached
+    def set_revision(self, revision: ids.Revision) -> None:
+        """Sets the revision with which peers' revisions are compared."""
+        self._revision = revision
+
+    def note_newest(self, revision: ids.Revision) -> None:
+        """Notes that a revision exists, which this node may not have yet."""
+        self._newest = max(self._newest, revision)
+
+    def note_platform(self, asked_at: float, reached: bool) -> None:
+        """Notes whether a call to the platform was answered.
+
+        Args:
+          asked_at: When the call was made. Calls overlap; an earlier call
+            that fails says nothing about one that was answered since.
+          reached: Whether it was answered.
+        """
+        if self._noted_at is None or asked_at >= self._noted_at:
+            self._noted_at = asked_at
+            self._platform_reached = reached
+
+    def set_sample(self, sample: frozenset[ids.NodeId]) -> None:
+        """Sets the peers whose majority shows an outage."""
+        self._sample = sample
+
+    def note_peer(self, node: ids.NodeId, evidence: policy.Evidence) -> None:
+        """Takes the answer of a peer as evidence."""
+        known = self._evidence.get(node)
+        if known is None or evidence.asked_at >= known.asked_at:
+            self._evidence[node] = evidence
+
+    def forget_old(self) -> None:
+        """Drops evidence that can't count any more."""
+        limit = self._clock.now() - policy.FRESH_S
+        self._evidence = {
+            node: item
+            for node, item in self._evidence.items()
+            if item.asked_at >= limit
+        }
--- /dev/null
+++ b/packages/node/src/radishcourse_node/controllers/membership.py
@@ -0,0 +1,228 @@
+"""Membership and gossip: who else there is and what the others know."""
+
+import typing
+
+import anyio
+from radishcourse_model import ids
+from radishcourse_model import states
+from radishcourse_platform import errors as platform_errors
+from radishcourse_platform import vms
+from radishcourse_policy import freshness as freshness_policy
+from radishcourse_policy import membership as policy
+from radishcourse_wire import errors as wire_errors
+from radishcourse_wire import messages
+
+from radishcourse_node import events
+from radishcourse_node import exchange
+
+PULL_TIMEOUT_S = 1.0
+# Changes of members are told to others for so long.
+NEWS_S = 10.0
+MIN_LIST_S = 2.0
+# Reads of the VM list that the fleet may cost the platform.
+MAX_LISTS_PER_S = 50
+
+
+class Member(typing.NamedTuple):
+    """Another node as this node sees it.
+
+    Attributes:
+      state: Its state.
+      zone: Its availability zone.
+      incarnation: Its process.
+      address: Where this node reaches it.
+      age_s: Time since it was last known to be alive, in seconds.
+    """
+
+    state: states.MemberState
+    zone: ids.ZoneId
+    incarnation: ids.Incarnation
+    address: str
+    age_s: float
+
+
+class Membership:
+    """Asks other nodes what they know and answers what this node knows.
+
+    Args:
+      node: The node, for its settings, clients and other controllers.
+      listing: The platform's list of VMs.
+    """
+
+    def __init__(self, node, listing: vms.Vms):
+        self._node = node
+        self._listing = listing
+        self._settings = node.settings
+        self._clock = node.environment.clock
+        self._random = node.environment.random
+        self._configuration = node.configuration
+        self._freshness = node.freshness
+        self._members = policy.Members(self._settings.node)
+        self._exchange = exchange.Exchange(node, self._members)
+        self._asking: set[ids.NodeId] = set()
+        self._told: dict[ids.NodeId, states.MemberState] = {}
+        self._roster: frozenset[ids.NodeId] = frozenset()
+        self._listed: frozenset[ids.NodeId] = frozenset()
+        self._round_at = self._clock.now()
+        for seed in self._settings.seeds:
+            self._members.list_node(seed.node, seed.address)
+        self._listed = frozenset(self._members.all)
+        node.peer_server.register(messages.Kind.PULL, self._exchange.answer)
+
+    @property
+    def members(self) -> dict[ids.NodeId, Member]:
+        """The other nodes that were heard of."""
+        return {
+            node: Member(
+                self._members.state(node, self._round_at),
+                member.zone,
+                member.incarnation,
+                self.address(node) or '',
+                self._clock.now() - member.heard_at,
+            )
+            for node, member in self._members.all.items()
+            if member.incarnation is not None
+        }
+
+    def address(self, node: ids.NodeId) -> str | None:
+        """Returns where this node reaches another, or None."""
+        route = self._settings.peer_routes.get(node)
+        if route is not None:
+            return route
+        member = self._members.all.get(node)
+        return member.next_address if member else None
+
+    def is_dead(self, incarnation: ids.Incarnation) -> bool:
+        """Tells whether a process is known to have ended."""
+        return self._members.is_dead(incarnation, self._round_at)
+
+    async def run(self) -> None:
+        """Asks other nodes and the platform's list again and again."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._read_list)
+            while True:
+                self._begin_round(tasks)
+                await anyio.sleep(self._settings.gossip_s)
+
+    def _begin_round(self, tasks) -> None:
+        self._exchange.heartbeat += 1
+        self._round_at = self._clock.now()
+        self._judge()
+        for member in self._choose():
+            self._asking.add(member.node)
+            tasks.start_soon(self._ask, member)
+
+    def _judge(self) -> None:
+        """Draws the conclusions from what was heard since the last round."""
+        now = self._round_at
+        self._freshness.forget_old()
+        left = self._members.left
+        live = (states.MemberState.JOINING, states.MemberState.ALIVE)
+        present = self._members.in_states(
+            (*live, states.MemberState.SUSPECT), now
+        )
+        view = self._freshness.view
+        self._roster = policy.update_roster(
+            self._roster,
+            self._listed,
+            present,
+            left,
+            view is freshness_policy.View.CONFIRMED,
+        )
+        self._freshness.set_sample(
+            policy.draw_sample(
+                self._freshness.sample, self._roster, self._random
+            )
+        )
+        self._members.forget(now, self._roster | self._listed)
+        self._configuration.set_fleet_size(len(present) + 1)
+        self._note_changes(now)
+
+    def _note_changes(self, now: float) -> None:
+        for node, member in self.members.items():
+            before = self._told.get(node)
+            if member.state is before:
+                continue
+            self._told[node] = member.state
+            self._exchange.news[node] = now
+            events.log(
+                events.Event.MEMBER_CHANGED,
+                node=node,
+                incarnation=member.incarnation,
+                before=before.value if before else None,
+                state=member.state.value,
+            )
+        self._exchange.news = {
+            node: at
+            for node, at in self._exchange.news.items()
+            if now - at <= NEWS_S and node in self._members.all
+        }
+
+    def _choose(self) -> list[policy.Member]:
+        """Returns whom to ask in this round.
+
+        While the platform does not answer, the sample comes first, often
+        enough for its evidence to stay recent. One node that was not heard
+        of, or is dead, is asked as well, so that the parts of a healed
+        partition find each other.
+        """
+        known = self._members.all
+        dead = self._members.in_states(
+            (states.MemberState.DEAD,), self._round_at
+        )
+        live = [
+            member
+            for node, member in known.items()
+            if node not in dead and node not in self._asking
+        ]
+        count = policy.fanout(len(known) - len(dead) + 1)
+        sample: frozenset[ids.NodeId] = frozenset()
+        if not self._freshness.platform_reached:
+            sample = self._freshness.sample
+            count = policy.SMALL_FANOUT
+        silent = [known[node] for node in sorted(dead - self._asking)]
+        return [
+            *policy.choose_peers(live, sample, count, self._random),
+            *policy.choose_peers(silent, sample, 1, self._random),
+        ]
+
+    async def _ask(self, member: policy.Member) -> None:
+        address = self.address(member.node)
+        asked_at = member.asked_at = self._clock.now()
+        try:
+            reply = await self._node.peers.call(
+                address,
+                messages.Kind.PULL,
+                self._exchange.make_pull(member),
+                PULL_TIMEOUT_S,
+            )
+            await self._exchange.take(member, reply, asked_at)
+        except wire_errors.WireError as error:
+            member.failures += 1
+            if not isinstance(error, wire_errors.Unreachable):
+                exchange.log_rejected(member.node, error)
+        finally:
+            self._asking.discard(member.node)
+
+    async def _read_list(self) -> None:
+        while True:
+            try:
+                listed = await self._listing.read()
+            except platform_errors.PlatformError:
+                listed = None
+            if listed:
+                self._note_list(listed)
+            nodes = len(self._members.all) + 1
+            await anyio.sleep(max(MIN_LIST_S, nodes / MAX_LISTS_PER_S))
+
+    def _note_list(self, listed: list[vms.Vm]) -> None:
+        entries = [item for item in listed if item.role is vms.VmRole.ENTRY]
+        for item in entries:
+            self._members.list_node(
+                ids.NodeId(item.vm), item.address, item.zone
+            )
+        self._listed = frozenset(
+            ids.NodeId(item.vm)
+            for item in entries
+            if item.state is vms.VmState.LIVE and item.vm != self._settings.node
+        )
--- /dev/null
+++ b/packages/node/src/radishcourse_node/exchange.py
@@ -0,0 +1,220 @@
+"""What nodes ask and tell each other in a round of gossip."""
+
+from radishcourse_model import ids
+from radishcourse_model import states
+from radishcourse_policy import membership as policy
+from radishcourse_wire import errors as wire_errors
+from radishcourse_wire import server
+from radishcourse_wire.gen.peer import ttypes
+
+from radishcourse_node import events
+from radishcourse_node import gossip
+
+
+class Exchange:
+    """Makes questions, answers them and takes over answers.
+
+    Args:
+      node: The node, for its settings and other controllers.
+      members: The other nodes, which answers tell of.
+
+    Attributes:
+      heartbeat: Counter of this node's rounds.
+      news: Members whose state changed lately, with the time of the change.
+    """
+
+    def __init__(self, node, members: policy.Members):
+        self._node = node
+        self._members = members
+        self._settings = node.settings
+        self._clock = node.environment.clock
+        self._random = node.environment.random
+        self._configuration = node.configuration
+        self._freshness = node.freshness
+        self._packed: tuple[str, ttypes.Snapshot | None] = ('', None)
+        self.heartbeat = 0
+        self.news: dict[ids.NodeId, float] = {}
+
+    def make_pull(self, member: policy.Member) -> ttypes.Pull:
+        """Returns a question to a member."""
+        flushed = _collect(self._node.bills, 'flushed')
+        return ttypes.Pull(
+            self._make_digest(identity=not member.full),
+            flushed or None,
+            None if member.full else True,
+        )
+
+    def _make_digest(self, identity: bool) -> ttypes.Digest:
+        state = self._node.state
+        digest = ttypes.Digest(
+            heartbeat=self.heartbeat,
+            revision=self._configuration.revision,
+            confirmed_age_ms=gossip.encode_age(self._freshness.age_s),
+            platform_reached=self._freshness.platform_reached,
+        )
+        if state is not states.MemberState.ALIVE:
+            digest.state = state.value
+        if identity:
+            digest.zone = self._settings.zone
+            digest.address = (
+                self._settings.peer_advertise or self._settings.peer_listen
+            )
+        return digest
+
+    async def answer(
+        self, sender: server.Sender, pull: ttypes.Pull
+    ) -> ttypes.PullReply:
+        """Returns what this node knows and the caller may lack.
+
+        Raises:
+          Malformed: The caller's digest is not complete.
+        """
+        now = self._clock.now()
+        self._hear(pull.digest, sender.node, sender.incarnation, now)
+        bills = self._node.bills
+        if pull.flushed and hasattr(bills, 'drop'):
+            bills.drop(pull.flushed)
+        digest = self._make_digest(identity=bool(pull.full))
+        digest.node = self._settings.node
+        digest.incarnation = self._node.incarnation
+        digest.config = gossip.start_of(self._configuration.digest)
+        reply = ttypes.PullReply(
+            digest=digest,
+            members=self._tell_members(bool(pull.full), now) or None,
+            upstreams=_collect(self._node.upstreams, 'records') or None,
+            learned=_collect(self._node.quality, 'records') or None,
+        )
+        vouched = self._members.vouches(self._random)
+        if vouched:
+            reply.vouches = gossip.encode_vouches(vouched, now)
+        self._add_changes(reply, pull.digest.revision or 0)
+        return reply
+
+    def _hear(self, digest, node, incarnation, heard_at: float) -> None:
+        if digest is None:
+            raise wire_errors.Malformed('there is no digest')
+        heard = gossip.decode_heard(digest, node, incarnation, heard_at)
+        self._members.note(heard, direct=True)
+
+    def _tell_members(self, full: bool, now: float) -> list[ttypes.Member]:
+        return [
+            gossip.encode_member(member, now)
+            for node, member in self._members.all.items()
+            if member.incarnation is not None and (full or node in self.news)
+        ]
+
+    def _add_changes(self, reply: ttypes.PullReply, revision: int) -> None:
+        changes = self._configuration.changes_after(revision)
+        if changes is None:
+            reply.snapshot = self._pack_snapshot()
+        elif changes:
+            reply.changes = gossip.encode_changes(changes)
+
+    def _pack_snapshot(self) -> ttypes.Snapshot | None:
+        digest = self._configuration.digest
+        if self._packed[0] != digest:
+            packed = gossip.encode_snapshot(
+                self._configuration.snapshot, digest
+            )
+            self._packed = (digest, packed)
+        return self._packed[1]
+
+    async def take(
+        self, member: policy.Member, reply: ttypes.PullReply, asked_at: float
+    ) -> None:
+        """Takes over an answer; all its ages count from `asked_at`.
+
+        Raises:
+          Malformed: The answer is not complete.
+        """
+        digest = reply.digest
+        if digest is None or digest.node == self._settings.node:
+            raise wire_errors.Malformed('the answer is no other node')
+        node = ids.NodeId(digest.node or '')
+        incarnation = ids.Incarnation(digest.incarnation or '')
+        evidence = gossip.decode_evidence(digest, asked_at)
+        self._hear(digest, node, incarnation, asked_at)
+        self._hear_others(reply, asked_at)
+        if node == member.node:
+            member.failures = 0
+            member.full = bool(member.address)
+        else:
+            # The answer counts for the node that gave it.
+            member.failures += 1
+            log_rejected(member.node, f'{node} answers at its address')
+        self._freshness.note_newest(evidence.revision)
+        await self._adopt(node, reply)
+        self._merge(reply)
+        self._conclude(node, digest.config, evidence)
+
+    def _conclude(self, node, config: bytes, evidence) -> None:
+        """Takes the peer's confirmation, or its lack of one, as evidence."""
+        ours = self._configuration
+        same = config == gossip.start_of(ours.digest)
+        if evidence.revision == ours.revision and not same:
+            log_rejected(node, 'another document has our revision')
+            return
+        self._freshness.note_peer(node, evidence)
+        confirmed_at = evidence.confirmed_at
+        if confirmed_at is not None and evidence.revision == ours.revision:
+            ours.confirm(ours.revision, ours.digest, confirmed_at)
+
+    def _hear_others(self, reply: ttypes.PullReply, asked_at: float) -> None:
+        for record in reply.members or ():
+            told = record.digest
+            self._members.note(
+                gossip.decode_heard(
+                    told,
+                    ids.NodeId(told.node or ''),
+                    ids.Incarnation(told.incarnation or ''),
+                    asked_at - record.age_ms / 1000,
+                ),
+                direct=False,
+            )
+        vouches = reply.vouches
+        if vouches is None:
+            return
+        for hashed, heartbeat, age_ds in zip(
+            vouches.incarnations,
+            vouches.heartbeats,
+            vouches.ages_ds,
+            strict=False,
+        ):
+            self._members.vouch(hashed, heartbeat, asked_at - age_ds / 10)
+
+    async def _adopt(self, node, reply: ttypes.PullReply) -> None:
+        ours = self._configuration
+        try:
+            if reply.changes:
+                await ours.adopt_changes(gossip.decode_changes(reply.changes))
+            told = reply.snapshot
+            if told is not None and told.revision > ours.revision:
+                await ours.adopt_snapshot(
+                    gossip.decode_snapshot(told), told.digest.hex()
+                )
+        except gossip.CONFIG_ERRORS as error:
+            events.log(
+                events.Event.REVISION_REJECTED,
+                revision=reply.digest.revision,
+                peer=node,
+                error=str(error),
+            )
+
+    def _merge(self, reply: ttypes.PullReply) -> None:
+        for controller, records in (
+            (self._node.upstreams, reply.upstreams),
+            (self._node.quality, reply.learned),
+        ):
+            if records and hasattr(controller, 'merge'):
+                controller.merge(records)
+
+
+def log_rejected(node: ids.NodeId, reason: object) -> None:
+    """Logs an answer that is not taken over."""
+    events.log(events.Event.PEER_REJECTED, peer=node, reason=str(reason))
+
+
+def _collect(controller, method: str) -> list:
+    """Returns a controller's records, if it has any to tell yet."""
+    tell = getattr(controller, method, None)
+    return tell() if tell is not None else []
--- /dev/null
+++ b/packages/node/src/radishcourse_node/gossip.py
@@ -0,0 +1,173 @@
+"""Conversion between the messages of gossip and the node's own types."""
+
+import math
+import zlib
+
+import msgspec
+from radishcourse_model import errors as model_errors
+from radishcourse_model import ids
+from radishcourse_model import merge
+from radishcourse_model import states
+from radishcourse_platform import revisions
+from radishcourse_policy import freshness
+from radishcourse_policy import membership
+from radishcourse_wire import errors as wire_errors
+from radishcourse_wire.gen.peer import ttypes
+
+from radishcourse_node.controllers import configuration
+
+# A reply also carries other records and must stay below the largest message.
+MAX_CHANGES_BYTES = 256 * 1024
+MAX_SNAPSHOT_BYTES = 512 * 1024
+MAX_DOCUMENT_BYTES = 32 * 2**20
+CONFIG_BYTES = 8
+_NO_DIGEST = b''
+
+
+def encode_age(age_s: float | None) -> int | None:
+    """Returns an age in ms, rounded so that it never looks younger."""
+    return None if age_s is None else math.ceil(age_s * 1000)
+
+
+def start_of(digest: str) -> bytes:
+    """Returns the part of a configuration's digest that peers compare."""
+    return bytes.fromhex(digest)[:CONFIG_BYTES]
+
+
+def encode_changes(
+    changes: list[configuration.Verified],
+) -> list[ttypes.Change]:
+    """Returns as many of the first changes as fit into a reply."""
+    encoded = []
+    size = 0
+    for change in changes:
+        patch = msgspec.json.encode(change.patch)
+        size += len(patch)
+        if size > MAX_CHANGES_BYTES:
+            break
+        digest = bytes.fromhex(change.digest)
+        encoded.append(ttypes.Change(change.revision, digest, patch))
+    return encoded
+
+
+def decode_changes(
+    changes: list[ttypes.Change],
+) -> list[configuration.Verified]:
+    """Returns the changes of a reply.
+
+    Raises:
+      Malformed: A change is none.
+    """
+    try:
+        return [
+            configuration.Verified(
+                ids.Revision(change.revision),
+                change.digest.hex(),
+                msgspec.json.decode(change.patch, type=merge.Document),
+            )
+            for change in changes
+        ]
+    except (msgspec.MsgspecError, AttributeError, TypeError) as error:
+        raise wire_errors.Malformed(f'no change: {error}') from error
+
+
+def encode_snapshot(
+    snapshot: revisions.Snapshot, digest: str
+) -> ttypes.Snapshot | None:
+    """Returns a document, or None if it is too large for a reply."""
+    packed = zlib.compress(msgspec.json.encode(snapshot.document))
+    if len(packed) > MAX_SNAPSHOT_BYTES:
+        return None
+    return ttypes.Snapshot(snapshot.revision, packed, bytes.fromhex(digest))
+
+
+def decode_snapshot(snapshot: ttypes.Snapshot) -> revisions.Snapshot:
+    """Returns a document, not yet checked against its digest.
+
+    Raises:
+      Malformed: It is no document, or too large.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(snapshot.document, MAX_DOCUMENT_BYTES)
+        document = msgspec.json.decode(text, type=merge.Document)
+    except (zlib.error, msgspec.MsgspecError, TypeError) as error:
+        raise wire_errors.Malformed(f'no document: {error}') from error
+    return revisions.Snapshot(ids.Revision(snapshot.revision), document)
+
+
+def decode_heard(
+    digest: ttypes.Digest,
+    node: ids.NodeId,
+    incarnation: ids.Incarnation,
+    heard_at: float,
+) -> membership.Heard:
+    """Returns what a digest tells of a member.
+
+    Raises:
+      Malformed: A field is missing or has no known value.
+    """
+    if not node or not incarnation or not isinstance(digest.heartbeat, int):
+        raise wire_errors.Malformed('the digest is not complete')
+    try:
+        state = states.MemberState(digest.state or 'alive')
+    except ValueError as error:
+        raise wire_errors.Malformed(str(error)) from error
+    return membership.Heard(
+        node=node,
+        incarnation=incarnation,
+        heartbeat=digest.heartbeat,
+        heard_at=heard_at,
+        announced=state,
+        zone=ids.ZoneId(digest.zone or ''),
+        address=digest.address or '',
+    )
+
+
+def decode_evidence(
+    digest: ttypes.Digest, asked_at: float
+) -> freshness.Evidence:
+    """Returns what a reply's digest tells of the peer's view.
+
+    Raises:
+      Malformed: A field is missing.
+    """
+    if not isinstance(digest.revision, int):
+        raise wire_errors.Malformed('the digest has no revision')
+    return freshness.Evidence(
+        asked_at=asked_at,
+        revision=ids.Revision(digest.revision),
+        reached=bool(digest.platform_reached),
+        confirmed_at=freshness.confirmed_by_peer(
+            asked_at, digest.confirmed_age_ms
+        ),
+    )
+
+
+def encode_member(member: membership.Member, now: float) -> ttypes.Member:
+    """Returns all that is known of a member."""
+    digest = ttypes.Digest(
+        node=member.node,
+        incarnation=member.incarnation,
+        zone=member.zone,
+        address=member.address,
+        state=member.announced.value,
+        heartbeat=member.heartbeat,
+        revision=0,
+        platform_reached=False,
+    )
+    return ttypes.Member(digest, encode_age(max(0, now - member.heard_at)))
+
+
+def encode_vouches(
+    members: list[membership.Member], now: float
+) -> ttypes.Vouches:
+    """Returns the heartbeats of members."""
+    return ttypes.Vouches(
+        [membership.hash_of(item.incarnation) for item in members],
+        [item.heartbeat for item in members],
+        [math.ceil(max(0, now - item.heard_at) * 10) for item in members],
+    )
+
+
+CONFIG_ERRORS = (model_errors.ConfigError, wire_errors.Malformed)
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -7,10 +7,12 @@
 import anyio
 import msgspec
 from radishcourse_model import ids
+from radishcourse_model import states
 from radishcourse_platform import http
 from radishcourse_platform import objects
 from radishcourse_platform import revisions
 from radishcourse_platform import table
+from radishcourse_platform import vms
 from radishcourse_wire import client as peer_client
 from radishcourse_wire import credentials
 from radishcourse_wire import server as peer_server
@@ -19,6 +21,7 @@
 from radishcourse_node import app
 from radishcourse_node import environment as environments
 from radishcourse_node import events
+from radishcourse_node import gossip
 from radishcourse_node import metrics
 from radishcourse_node import ratings
 from radishcourse_node import settings as node_settings
@@ -27,12 +30,16 @@
 from radishcourse_node.controllers import claims
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
+from radishcourse_node.controllers import membership
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
 
 MAX_LINE_BYTES = 32 * 1024
 RESTART_DELAY_S = 1.0
+# Time limit on reads of the configuration, and on their number at once.
+# Answers that come later than others still confirm, or show a change.
+CONFIGURATION_TIMEOUT_S = 5.0
 
 
 class UpstreamStatus(msgspec.Struct):
@@ -44,6 +51,17 @@
     in_flight: int
 
 
+class MemberStatus(msgspec.Struct):
+    """Another node as this node sees it; the age is that of its heartbeat."""
+
+    node: str
+    zone: str
+    state: str
+    incarnation: str
+    address: str
+    age_ms: int
+
+
 class NodeStatus(msgspec.Struct):
     """What a node tells operators about itself."""
 
@@ -53,9 +71,12 @@
     state: str
     revision: int
     view: str
+    confirmed_age_ms: int | None
+    platform_reached: bool
     in_progress: int
     bills_held: int
     upstreams: list[UpstreamStatus]
+    members: list[MemberStatus]
 
 
 class Node:
@@ -65,6 +86,8 @@
       environment: Streams, clock and random source.
       settings: The node's settings.
       platform: Client of the platform.
+      source: Client of the platform for the configuration only, with a
+        longer time limit; its calls must not wait for those of others.
     """
 
     def __init__(
@@ -72,6 +95,7 @@
         environment: environments.Environment,
         settings: node_settings.Settings,
         platform: http.Http,
+        source: http.Http,
     ):
         self.environment = environment
         self.settings = settings
@@ -87,13 +111,15 @@
         self.peers = peer_client.Client(own)
         self.peer_server = peer_server.Server(own, _note_reject)
         rows = table.Table(platform)
-        store = objects.Objects(platform)
+        revision_source = revisions.Revisions(
+            table.Table(source), objects.Objects(source)
+        )
         self.metrics = metrics.Metrics()
         self.freshness = freshness.Freshness(environment.clock)
         self.configuration = configuration.Configuration(
             settings,
             environment.clock,
-            revisions.Revisions(rows, store),
+            revision_source,
             self.freshness,
         )
         self.upstreams = upstreams.Upstreams(
@@ -107,15 +133,32 @@
         self.bills = bills.Bills(environment, settings, self.incarnation, rows)
         self._draining = False
         self._requests = 0
+        self._was_ready = False
+        self.membership = membership.Membership(self, vms.Vms(platform))
 
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests."""
-        return (
-            not self._draining
-            and self.configuration.revision > 0
-            and self.freshness.may_start()
-        )
+        return not self.unready_reason
+
+    @property
+    def state(self) -> states.MemberState:
+        """What this node announces of itself."""
+        if self._draining:
+            return states.MemberState.LEAVING
+        self._was_ready = self._was_ready or self.ready
+        if self._was_ready:
+            return states.MemberState.ALIVE
+        return states.MemberState.JOINING
+
+    @property
+    def unready_reason(self) -> str:
+        """Why the node is not ready, or an empty text."""
+        if self._draining:
+            return self.state.value
+        if not self.configuration.revision:
+            return 'no configuration'
+        return '' if self.freshness.may_start() else 'stale_view'
 
     @property
     def requests(self) -> int:
@@ -137,9 +180,11 @@
             node=self.settings.node,
             incarnation=self.incarnation,
             zone=self.settings.zone,
-            state='leaving' if self._draining else 'alive',
+            state=self.state.value,
             revision=self.configuration.revision,
             view=self.freshness.view.value,
+            confirmed_age_ms=gossip.encode_age(self.freshness.age_s),
+            platform_reached=self.freshness.platform_reached,
             in_progress=self._requests,
             bills_held=self.bills.held,
             upstreams=[
@@ -148,6 +193,10 @@
                     self.configuration.config.upstreams.items()
                 )
             ],
+            members=[
+                _describe_member(node, member)
+                for node, member in sorted(self.membership.members.items())
+            ],
         )
 
     def gauges(self) -> dict[str, float]:
@@ -175,7 +224,12 @@
             listen=self.settings.listen,
         )
         async with anyio.create_task_group() as tasks:
-            for controller in (self.configuration, self.upstreams, self.bills):
+            for controller in (
+                self.configuration,
+                self.membership,
+                self.upstreams,
+                self.bills,
+            ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
@@ -244,6 +298,17 @@
         await self.ratings.aclose()
 
 
+def _describe_member(node, member: membership.Member) -> MemberStatus:
+    return MemberStatus(
+        node=node,
+        zone=member.zone,
+        state=member.state.value,
+        incarnation=member.incarnation,
+        address=member.address,
+        age_ms=int(member.age_s * 1000),
+    )
+
+
 def _note_reject(reason: str) -> None:
     events.log(events.Event.PEER_REJECTED, reason=reason)
 
@@ -251,8 +316,11 @@
 @contextlib.asynccontextmanager
 async def open_node(environment, settings):
     """Yields a node and closes its connections at the end."""
-    async with http.open_http(settings.platform) as platform:
-        node = Node(environment, settings, platform)
+    async with (
+        http.open_http(settings.platform) as platform,
+        http.open_http(settings.platform, CONFIGURATION_TIMEOUT_S) as source,
+    ):
+        node = Node(environment, settings, platform, source)
         try:
             yield node
         finally:
--- a/packages/node/src/radishcourse_node/pages.py
+++ b/packages/node/src/radishcourse_node/pages.py
@@ -34,9 +34,10 @@
         return _text(200, 'ok\n')
 
     async def _readiness(self) -> Page:
-        if self._node.ready:
-            return _text(200, 'ready\n')
-        return _text(503, f'not ready: {self._node.status().state}\n')
+        reason = self._node.unready_reason
+        if reason:
+            return _text(503, f'not ready: {reason}\n')
+        return _text(200, 'ready\n')
 
     async def _metrics(self) -> Page:
         gauges = self._node.gauges()
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -2,16 +2,21 @@
 // time of sending; they are used instead of times because nodes' clocks
 // are not compared.
 
+// What a node tells of itself. A request leaves out `node` and
+// `incarnation`, which its envelope carries; `zone` and `address` are sent
+// only to a peer that does not know them yet, `state` only when it is not
+// alive. `config` is the start of the configuration's digest.
 struct Digest {
-  1: string node
-  2: string incarnation
-  3: string zone
-  4: string address
-  5: string state
+  1: optional string node
+  2: optional string incarnation
+  3: optional string zone
+  4: optional string address
+  5: optional string state
   6: i64 heartbeat
   7: i64 revision
   8: optional i32 confirmed_age_ms
   9: bool platform_reached
+  10: optional binary config
 }
 
 struct Member {
@@ -19,6 +24,14 @@
   2: i32 age_ms
 }
 
+// Heartbeats that the sender knows, as parallel lists: CRC-32 of the
+// incarnation, heartbeat counter, and age in tenths of a second.
+struct Vouches {
+  1: list<i32> incarnations
+  2: list<i64> heartbeats
+  3: list<i32> ages_ds
+}
+
 struct UpstreamRecord {
   1: string upstream
   2: string state
@@ -37,13 +50,15 @@
 
 struct Change {
   1: i64 revision
-  2: string digest
+  2: binary digest
   3: binary patch
 }
 
+// `document` is zlib-compressed JSON.
 struct Snapshot {
   1: i64 revision
   2: binary document
+  3: binary digest
 }
 
 struct Flushed {
@@ -51,18 +66,21 @@
   2: list<i64> bounds
 }
 
+// `full` asks for all members and for what the peer tells of itself.
 struct Pull {
   1: Digest digest
-  2: list<Flushed> flushed
+  2: optional list<Flushed> flushed
+  3: optional bool full
 }
 
 struct PullReply {
   1: Digest digest
-  2: list<Member> members
-  3: list<UpstreamRecord> upstreams
-  4: list<Change> changes
+  2: optional list<Member> members
+  3: optional list<UpstreamRecord> upstreams
+  4: optional list<Change> changes
   5: optional Snapshot snapshot
-  6: list<LearnedRecord> learned
+  6: optional list<LearnedRecord> learned
+  7: optional Vouches vouches
 }
 
 struct BillRecord {
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -28,6 +28,7 @@
      - revision
      - confirmed_age_ms
      - platform_reached
+     - config
 
     """
 
@@ -41,10 +42,11 @@
         'revision',
         'confirmed_age_ms',
         'platform_reached',
+        'config',
     )
 
 
-    def __init__(self, node=None, incarnation=None, zone=None, address=None, state=None, heartbeat=None, revision=None, confirmed_age_ms=None, platform_reached=None,):
+    def __init__(self, node=None, incarnation=None, zone=None, address=None, state=None, heartbeat=None, revision=None, confirmed_age_ms=None, platform_reached=None, config=None,):
         self.node = node
         self.incarnation = incarnation
         self.zone = zone
@@ -54,6 +56,7 @@
         self.revision = revision
         self.confirmed_age_ms = confirmed_age_ms
         self.platform_reached = platform_reached
+        self.config = config
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -109,6 +112,11 @@
                     self.platform_reached = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.config = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -155,6 +163,10 @@
             oprot.writeFieldBegin('platform_reached', TType.BOOL, 9)
             oprot.writeBool(self.platform_reached)
             oprot.writeFieldEnd()
+        if self.config is not None:
+            oprot.writeFieldBegin('config', TType.STRING, 10)
+            oprot.writeBinary(self.config)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -261,6 +273,122 @@
         return not (self == other)
 
 
+class Vouches(object):
+    """
+    Attributes:
+     - incarnations
+     - heartbeats
+     - ages_ds
+
+    """
+
+    __slots__ = (
+        'incarnations',
+        'heartbeats',
+        'ages_ds',
+    )
+
+
+    def __init__(self, incarnations=None, heartbeats=None, ages_ds=None,):
+        self.incarnations = incarnations
+        self.heartbeats = heartbeats
+        self.ages_ds = ages_ds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.incarnations = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readI32()
+                        self.incarnations.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.heartbeats = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readI64()
+                        self.heartbeats.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.ages_ds = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = iprot.readI32()
+                        self.ages_ds.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Vouches')
+        if self.incarnations is not None:
+            oprot.writeFieldBegin('incarnations', TType.LIST, 1)
+            oprot.writeListBegin(TType.I32, len(self.incarnations))
+            for iter18 in self.incarnations:
+                oprot.writeI32(iter18)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heartbeats is not None:
+            oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.heartbeats))
+            for iter19 in self.heartbeats:
+                oprot.writeI64(iter19)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages_ds is not None:
+            oprot.writeFieldBegin('ages_ds', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.ages_ds))
+            for iter20 in self.ages_ds:
+                oprot.writeI32(iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamRecord(object):
     """
     Attributes:
@@ -530,7 +658,7 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.digest = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -554,7 +682,7 @@
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.STRING, 2)
-            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeBinary(self.digest)
             oprot.writeFieldEnd()
         if self.patch is not None:
             oprot.writeFieldBegin('patch', TType.STRING, 3)
@@ -590,18 +718,21 @@
     Attributes:
      - revision
      - document
+     - digest
 
     """
 
     __slots__ = (
         'revision',
         'document',
+        'digest',
     )
 
 
-    def __init__(self, revision=None, document=None,):
+    def __init__(self, revision=None, document=None, digest=None,):
         self.revision = revision
         self.document = document
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -622,6 +753,11 @@
                     self.document = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -640,6 +776,10 @@
             oprot.writeFieldBegin('document', TType.STRING, 2)
             oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 3)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -700,10 +840,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.bounds = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readI64()
-                        self.bounds.append(_elem5)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readI64()
+                        self.bounds.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -724,8 +864,8 @@
         if self.bounds is not None:
             oprot.writeFieldBegin('bounds', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.bounds))
-            for iter6 in self.bounds:
-                oprot.writeI64(iter6)
+            for iter27 in self.bounds:
+                oprot.writeI64(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -758,18 +898,21 @@
     Attributes:
      - digest
      - flushed
+     - full
 
     """
 
     __slots__ = (
         'digest',
         'flushed',
+        'full',
     )
 
 
-    def __init__(self, digest=None, flushed=None,):
+    def __init__(self, digest=None, flushed=None, full=None,):
         self.digest = digest
         self.flushed = flushed
+        self.full = full
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -789,14 +932,19 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.flushed = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = Flushed()
-                        _elem12.read(iprot)
-                        self.flushed.append(_elem12)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Flushed()
+                        _elem33.read(iprot)
+                        self.flushed.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.full = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -814,10 +962,14 @@
         if self.flushed is not None:
             oprot.writeFieldBegin('flushed', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.flushed))
-            for iter13 in self.flushed:
-                iter13.write(oprot)
+            for iter34 in self.flushed:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.full is not None:
+            oprot.writeFieldBegin('full', TType.BOOL, 3)
+            oprot.writeBool(self.full)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -852,6 +1004,7 @@
      - changes
      - snapshot
      - learned
+     - vouches
 
     """
 
@@ -862,16 +1015,18 @@
         'changes',
         'snapshot',
         'learned',
+        'vouches',
     )
 
 
-    def __init__(self, digest=None, members=None, upstreams=None, changes=None, snapshot=None, learned=None,):
+    def __init__(self, digest=None, members=None, upstreams=None, changes=None, snapshot=None, learned=None, vouches=None,):
         self.digest = digest
         self.members = members
         self.upstreams = upstreams
         self.changes = changes
         self.snapshot = snapshot
         self.learned = learned
+        self.vouches = vouches
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -891,33 +1046,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Member()
-                        _elem19.read(iprot)
-                        self.members.append(_elem19)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Member()
+                        _elem40.read(iprot)
+                        self.members.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = UpstreamRecord()
-                        _elem25.read(iprot)
-                        self.upstreams.append(_elem25)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = UpstreamRecord()
+                        _elem46.read(iprot)
+                        self.upstreams.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = Change()
-                        _elem31.read(iprot)
-                        self.changes.append(_elem31)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = Change()
+                        _elem52.read(iprot)
+                        self.changes.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -930,14 +1085,20 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.learned = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = LearnedRecord()
-                        _elem37.read(iprot)
-                        self.learned.append(_elem37)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = LearnedRecord()
+                        _elem58.read(iprot)
+                        self.learned.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.vouches = Vouches()
+                    self.vouches.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -955,22 +1116,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter38 in self.members:
-                iter38.write(oprot)
+            for iter59 in self.members:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter39 in self.upstreams:
-                iter39.write(oprot)
+            for iter60 in self.upstreams:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter40 in self.changes:
-                iter40.write(oprot)
+            for iter61 in self.changes:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.snapshot is not None:
@@ -980,10 +1141,14 @@
         if self.learned is not None:
             oprot.writeFieldBegin('learned', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.learned))
-            for iter41 in self.learned:
-                iter41.write(oprot)
+            for iter62 in self.learned:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.vouches is not None:
+            oprot.writeFieldBegin('vouches', TType.STRUCT, 7)
+            self.vouches.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1124,11 +1289,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.bills = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = BillRecord()
-                        _elem47.read(iprot)
-                        self.bills.append(_elem47)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = BillRecord()
+                        _elem68.read(iprot)
+                        self.bills.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1149,8 +1314,8 @@
         if self.bills is not None:
             oprot.writeFieldBegin('bills', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.bills))
-            for iter48 in self.bills:
-                iter48.write(oprot)
+            for iter69 in self.bills:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1752,6 +1917,7 @@
     (7, TType.I64, 'revision', None, None, ),  # 7
     (8, TType.I32, 'confirmed_age_ms', None, None, ),  # 8
     (9, TType.BOOL, 'platform_reached', None, None, ),  # 9
+    (10, TType.STRING, 'config', 'BINARY', None, ),  # 10
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -1759,6 +1925,13 @@
     (1, TType.STRUCT, 'digest', [Digest, None], None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
 )
+all_structs.append(Vouches)
+Vouches.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'incarnations', (TType.I32, None, False), None, ),  # 1
+    (2, TType.LIST, 'heartbeats', (TType.I64, None, False), None, ),  # 2
+    (3, TType.LIST, 'ages_ds', (TType.I32, None, False), None, ),  # 3
+)
 all_structs.append(UpstreamRecord)
 UpstreamRecord.thrift_spec = (
     None,  # 0
@@ -1781,7 +1954,7 @@
 Change.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
-    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
     (3, TType.STRING, 'patch', 'BINARY', None, ),  # 3
 )
 all_structs.append(Snapshot)
@@ -1789,6 +1962,7 @@
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
+    (3, TType.STRING, 'digest', 'BINARY', None, ),  # 3
 )
 all_structs.append(Flushed)
 Flushed.thrift_spec = (
@@ -1801,6 +1975,7 @@
     None,  # 0
     (1, TType.STRUCT, 'digest', [Digest, None], None, ),  # 1
     (2, TType.LIST, 'flushed', (TType.STRUCT, [Flushed, None], False), None, ),  # 2
+    (3, TType.BOOL, 'full', None, None, ),  # 3
 )
 all_structs.append(PullReply)
 PullReply.thrift_spec = (
@@ -1811,6 +1986,7 @@
     (4, TType.LIST, 'changes', (TType.STRUCT, [Change, None], False), None, ),  # 4
     (5, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 5
     (6, TType.LIST, 'learned', (TType.STRUCT, [LearnedRecord, None], False), None, ),  # 6
+    (7, TType.STRUCT, 'vouches', [Vouches, None], None, ),  # 7
 )
 all_structs.append(BillRecord)
 BillRecord.thrift_spec = (
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,126 @@
+"""Traffic on a cluster and what its nodes make of it, for tests."""
+
+import contextlib
+import dataclasses
+import signal
+import threading
+import time
+
+import httpcore
+
+from tests import cluster as clusters
+
+PAUSE_S = 0.05
+TIMEOUT_S = 2.0
+ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """An answer to a job, or to a question for the status.
+
+    Attributes:
+      at: When the request was sent, by the monotonic clock.
+      node: The node that answered.
+      status: HTTP status, 0 where there was no answer.
+      code: Code of a refusal.
+      outcome: What the caller was told about the job.
+    """
+
+    at: float
+    node: str
+    status: int
+    code: str = ''
+    outcome: str = ''
+
+
+class Traffic:
+    """Sends jobs to each node in turns until it is stopped."""
+
+    def __init__(self, cluster: clusters.Cluster, kinds: tuple[str, ...]):
+        self.seen: list[Seen] = []
+        self.revisions: dict[str, list[int]] = {}
+        self._cluster = cluster
+        self._kinds = kinds
+        self._ended = threading.Event()
+
+    def send(self, node: str) -> None:
+        """Sends jobs to one node until the traffic ends."""
+        turn = 0
+        while not self._ended.wait(PAUSE_S):
+            turn += 1
+            at = time.monotonic()
+            kind = self._kinds[turn % len(self._kinds)]
+            try:
+                reply = self._cluster.chat(node, kind, timeout_s=TIMEOUT_S)
+                status = self._cluster.status(node)
+            except ERRORS:
+                self.seen.append(Seen(at, node, 0))
+                continue
+            outcome = reply.headers.get('x-radish-outcome', '')
+            self.seen.append(Seen(at, node, reply.status, reply.code, outcome))
+            self.revisions.setdefault(node, []).append(status['revision'])
+
+    def stop(self) -> None:
+        """Ends the traffic."""
+        self._ended.set()
+
+    def of(self, nodes, since: float, until: float) -> list[Seen]:
+        """Returns what some nodes answered to requests of a period."""
+        return [
+            item
+            for item in list(self.seen)
+            if item.node in nodes and since <= item.at < until
+        ]
+
+
+@contextlib.contextmanager
+def traffic(cluster, kinds=('tag',), nodes=None, senders: int = 1):
+    """Yields traffic on nodes, and ends it at the end."""
+    running = Traffic(cluster, kinds)
+    threads = [
+        threading.Thread(target=running.send, args=(node,))
+        for node in nodes or cluster.names
+        for _ in range(senders)
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield running
+    finally:
+        running.stop()
+        for name in cluster.names:
+            if cluster.nodes[name].popen.poll() is None:
+                cluster.nodes[name].signal(signal.SIGCONT)
+        for thread in threads:
+            thread.join()
+
+
+def sleep_until(at: float) -> None:
+    """Waits until a time of the monotonic clock."""
+    time.sleep(max(0.0, at - time.monotonic()))
+
+
+def ready(cluster, name: str) -> bool:
+    """Tells whether a node says that it is ready."""
+    return cluster.get(cluster.nodes[name], '/readyz').status == 200
+
+
+def states(cluster, name: str) -> dict[str, str]:
+    """Returns the states of the members as a node sees them."""
+    members = cluster.status(name)['members']
+    return {member['node']: member['state'] for member in members}
+
+
+def cut_towards(cluster, name: str, direction: str) -> None:
+    """Cuts a node's own requests, or only the answers to them."""
+    links = [
+        f'{name}>{other}'
+        for other in (*cluster.names, 'platform')
+        if other != name
+    ]
+    cluster.fault('blackhole', links, direction=direction)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,211 @@
+"""Decisions about members, samples and freshness, without a network."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+from radishcourse_model import ids
+from radishcourse_model import states
+from radishcourse_policy import freshness
+from radishcourse_policy import membership
+import testtools
+
+NODES = [ids.NodeId(f'entry-{index}') for index in range(9)]
+NODE_SETS = strategies.frozensets(strategies.sampled_from(NODES))
+ALIVE = states.MemberState.ALIVE
+NOW = 100.0
+EVIDENCE = strategies.dictionaries(
+    strategies.sampled_from(NODES),
+    strategies.builds(
+        freshness.Evidence,
+        asked_at=strategies.floats(NOW - 5, NOW),
+        revision=strategies.integers(1, 3).map(ids.Revision),
+        reached=strategies.booleans(),
+    ),
+)
+
+
+def heard(node='b', process='1', heartbeat=1, at=NOW, state=ALIVE, address=''):
+    return membership.Heard(
+        ids.NodeId(node),
+        ids.Incarnation(f'{node}.{process}'),
+        heartbeat,
+        at,
+        state,
+        address=address,
+    )
+
+
+class JudgeTest(testtools.TestCase):
+    """Guards against work on a view that may be out of date."""
+
+    @hypothesis.given(NODE_SETS, EVIDENCE, strategies.booleans())
+    def test_only_a_majority_that_agrees_shows_an_outage(
+        self, sample, evidence, changing
+    ):
+        view = freshness.judge(
+            NOW, None, ids.Revision(2), sample, evidence, changing
+        )
+        recent = {
+            node: item
+            for node, item in evidence.items()
+            if NOW - item.asked_at <= freshness.FRESH_S
+        }
+        agreeing = {node for node, item in recent.items()
+                    if item.revision == 2}  # fmt: skip
+        outage = (
+            not changing
+            and not any(item.shows_platform(NOW) for item in recent.values())
+            and not any(item.revision > 2 for item in recent.values())
+            and len(agreeing & sample) > len(sample) / 2
+        )
+        wanted = freshness.View.OUTAGE if outage else freshness.View.STALE
+        self.assertEqual(wanted, view)
+
+    @hypothesis.given(
+        strategies.floats(0, 10),
+        strategies.floats(0, 5),
+        strategies.floats(0, 5),
+        strategies.floats(0, 5),
+    )
+    def test_peers_confirmation_never_looks_younger_than_it_is(
+        self, confirmed, age, delay_there, delay_back
+    ):
+        answered = confirmed + age
+        asked = answered - delay_there
+        del delay_back  # Receipt is later still; it must not count.
+        at = freshness.confirmed_by_peer(asked, int(age * 1000) + 1)
+        self.assertLessEqual(at, confirmed)
+
+    @hypothesis.given(
+        strategies.floats(0, freshness.RECENT_POLL_S), strategies.floats(0, 4)
+    )
+    def test_lost_peer_makes_no_pause_at_the_start_of_an_outage(
+        self, age, passed
+    ):
+        lost = freshness.Evidence(NOW, ids.Revision(1), True, NOW - age)
+        now = NOW + passed
+        others = freshness.Evidence(now, ids.Revision(1), False)
+        evidence = {'a': lost, 'b': others, 'c': others}
+        view = freshness.judge(
+            now,
+            lost.confirmed_at,
+            ids.Revision(1),
+            frozenset(evidence),
+            evidence,
+            False,
+        )
+        self.assertIsNot(freshness.View.STALE, view)
+
+    def test_polls_of_a_large_fleet_stay_below_the_platforms_limit(self):
+        for nodes in (2, 9, 100, 570):
+            rate = nodes / freshness.poll_interval(nodes)
+            self.assertLessEqual(rate, freshness.MAX_POLLS_PER_S)
+
+
+class RosterTest(testtools.TestCase):
+    """Guards against a minority that counts itself as the whole fleet."""
+
+    @hypothesis.given(NODE_SETS, NODE_SETS, NODE_SETS)
+    def test_silent_nodes_go_on_to_count_while_unconfirmed(
+        self, roster, listed, present
+    ):
+        left = frozenset(NODES[:1])
+        after = membership.update_roster(roster, listed, present, left, False)
+        self.assertEqual((roster | listed | present) - left, after)
+        after = membership.update_roster(roster, listed, present, left, True)
+        self.assertEqual((listed | present) - left, after)
+
+    @hypothesis.given(strategies.integers(0, 60), strategies.integers(0, 9))
+    def test_sample_keeps_its_peers(self, size, seed):
+        source = random.Random(seed)
+        roster = frozenset(ids.NodeId(f'n{number}') for number in range(size))
+        sample = membership.draw_sample(frozenset(), roster, source)
+        self.assertEqual(min(size, membership.FULL_SAMPLE), len(sample))
+        again = membership.draw_sample(
+            sample, roster | frozenset(NODES), source
+        )
+        self.assertLessEqual(sample, again)
+
+
+class MembersTest(testtools.TestCase):
+    """Guards against news of a process that has ended, or of none."""
+
+    def setUp(self):
+        super().setUp()
+        self.members = membership.Members(ids.NodeId('a'))
+
+    def _state(self, now, node='b'):
+        return self.members.state(ids.NodeId(node), now)
+
+    def test_member_ages_from_alive_to_dead(self):
+        self.members.note(heard(), direct=True)
+        ages = (0, membership.ALIVE_S, membership.DEAD_S, 6.1)
+        found = [self._state(NOW + age).value for age in ages]
+        self.assertEqual(['alive', 'alive', 'suspect', 'dead'], found)
+
+    def test_only_a_higher_heartbeat_vouches(self):
+        self.members.note(heard(heartbeat=5), direct=True)
+        hashed = membership.hash_of(ids.Incarnation('b.1'))
+        self.members.vouch(hashed, 5, NOW + 9)
+        self.assertEqual('dead', self._state(NOW + 9).value)
+        self.members.vouch(hashed, 6, NOW + 9)
+        self.assertEqual('alive', self._state(NOW + 9).value)
+
+    def test_ended_process_does_not_come_back_by_hearsay(self):
+        self.members.note(heard(process='1', heartbeat=900), direct=True)
+        self.members.note(heard(process='2', at=NOW + 1), direct=True)
+        self.members.note(
+            heard(process='1', heartbeat=901, at=NOW + 2), direct=False
+        )
+        self.assertEqual('b.2', self.members.all['b'].incarnation)
+        self.assertTrue(self.members.is_dead(ids.Incarnation('b.1'), NOW + 1))
+        self.assertFalse(self.members.is_dead(ids.Incarnation('b.2'), NOW + 1))
+
+    def test_leaving_lasts_until_a_new_process_is_heard(self):
+        leaving = states.MemberState.LEAVING
+        self.members.note(heard(heartbeat=5, state=leaving), direct=True)
+        self.members.note(heard(heartbeat=6), direct=False)
+        self.assertEqual('leaving', self._state(NOW).value)
+        self.assertEqual({'b'}, self.members.left)
+        self.members.note(heard(process='2', at=NOW + 1), direct=True)
+        self.assertEqual('alive', self._state(NOW + 1).value)
+
+    def test_own_id_never_becomes_a_member(self):
+        self.members.note(heard(node='a'), direct=True)
+        self.members.list_node(ids.NodeId('a'), '127.0.0.1:1')
+        self.assertEqual({}, self.members.all)
+
+    def test_wrong_address_alternates_with_the_listed_one(self):
+        self.members.list_node(ids.NodeId('b'), 'listed')
+        self.members.note(heard(address='wrong'), direct=True)
+        member = self.members.all['b']
+        tried = []
+        for failures in range(3):
+            member.failures = failures
+            tried.append(member.next_address)
+        self.assertEqual(['wrong', 'listed', 'wrong'], tried)
+
+
+class ChoiceTest(testtools.TestCase):
+    """Guards against a peer that is asked too seldom to be known."""
+
+    @hypothesis.given(strategies.integers(2, 17), strategies.integers(0, 99))
+    def test_each_peer_is_asked_once_before_any_is_asked_twice(
+        self, nodes, seed
+    ):
+        source = random.Random(seed)
+        live = [
+            membership.Member(
+                ids.NodeId(f'n{index}'), zone=ids.ZoneId(f'z{index % 3}')
+            )
+            for index in range(nodes - 1)
+        ]
+        count = membership.fanout(nodes)
+        asked = []
+        for turn in range(-(-len(live) // count)):
+            chosen = membership.choose_peers(live, frozenset(), count, source)
+            for member in chosen:
+                member.asked_at = turn + 1.0
+                asked.append(member.node)
+        self.assertEqual(nodes - 1, len(set(asked)))
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -21,12 +21,12 @@
 
 
 @contextlib.contextmanager
-def platform():
+def platform(**options):
     with (
         tempfile.TemporaryDirectory() as folder,
         processes.started(pathlib.Path(folder)) as started,
     ):
-        process = started.stand_in('platform')
+        process = started.stand_in('platform', **options)
         processes.wait_http(process, '/', None)
         yield process
 
@@ -75,10 +75,16 @@
             self.assertEqual({'a': 2}, latest.document)
 
     def test_refusal_over_the_rate_limit_is_told_from_an_outage(self):
+        async def read_twice(source):
+            await source.head()
+            return await source.head()
+
+        with platform(reads=1) as process:
+            self.assertRaises(errors.RateLimited, call, process, read_twice)
         with platform() as process:
             set_fault(process, 'down')
             error = self.assertRaises(
-                errors.Unavailable, call, process, lambda source: source.head()
+                errors.Unavailable, call, process, read_twice
             )
             self.assertNotIsInstance(error, errors.RateLimited)
 
