--- a/packages/node/src/radishcourse_node/controllers/membership.py
+++ b/packages/node/src/radishcourse_node/controllers/membership.py
@@ -22,6 +22,14 @@
 # Reads of the VM list that the fleet may cost the platform.
 MAX_LISTS_PER_S = 50
 
+# Rounds after which silence means that a node is not there.
+SETTLED_ROUNDS = 6
+_PRESENT = (
+    states.MemberState.JOINING,
+    states.MemberState.ALIVE,
+    states.MemberState.SUSPECT,
+)
+
 
 class Member(typing.NamedTuple):
     """Another node as this node sees it.
@@ -84,6 +92,18 @@
             if member.incarnation is not None
         }
 
+    @property
+    def present(self) -> frozenset[ids.NodeId]:
+        """The other nodes that take part; candidates while none is known."""
+        if not self.settled:
+            return frozenset(self._members.all)
+        return self._members.in_states(_PRESENT, self._round_at)
+
+    @property
+    def settled(self) -> bool:
+        """Whether other nodes had time to be heard of."""
+        return self._exchange.heartbeat > SETTLED_ROUNDS
+
     def address(self, node: ids.NodeId) -> str | None:
         """Returns where this node reaches another, or None."""
         route = self._settings.peer_routes.get(node)
@@ -117,10 +137,7 @@
         now = self._round_at
         self._freshness.forget_old()
         left = self._members.left
-        live = (states.MemberState.JOINING, states.MemberState.ALIVE)
-        present = self._members.in_states(
-            (*live, states.MemberState.SUSPECT), now
-        )
+        present = self._members.in_states(_PRESENT, now)
         view = self._freshness.view
         self._roster = policy.update_roster(
             self._roster,
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -1,37 +1,46 @@
 """A node: its controllers put together, its background tasks, its stop."""
 
+import asyncio
 import contextlib
+import functools
 import secrets
 import signal
 
 import anyio
-import msgspec
 from radishcourse_model import ids
 from radishcourse_model import states
 from radishcourse_platform import http
+from radishcourse_platform import leases as lease_rows
 from radishcourse_platform import objects
 from radishcourse_platform import revisions
 from radishcourse_platform import table
 from radishcourse_platform import vms
+from radishcourse_policy import leases as lease_policy
 from radishcourse_wire import client as peer_client
 from radishcourse_wire import credentials
+from radishcourse_wire import messages
 from radishcourse_wire import server as peer_server
 import uvicorn
 
 from radishcourse_node import app
+from radishcourse_node import connections
 from radishcourse_node import environment as environments
 from radishcourse_node import events
 from radishcourse_node import gossip
 from radishcourse_node import metrics
 from radishcourse_node import ratings
 from radishcourse_node import settings as node_settings
+from radishcourse_node import statuses
 from radishcourse_node.controllers import admissions
 from radishcourse_node.controllers import bills
 from radishcourse_node.controllers import claims
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
+from radishcourse_node.controllers import holders
+from radishcourse_node.controllers import leases
 from radishcourse_node.controllers import membership
 from radishcourse_node.controllers import quality
+from radishcourse_node.controllers import readers
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
 
@@ -40,43 +49,7 @@
 # Time limit on reads of the configuration, and on their number at once.
 # Answers that come later than others still confirm, or show a change.
 CONFIGURATION_TIMEOUT_S = 5.0
-
-
-class UpstreamStatus(msgspec.Struct):
-    """An upstream as this node sees it."""
-
-    upstream: str
-    zone: str
-    state: str
-    in_flight: int
-
-
-class MemberStatus(msgspec.Struct):
-    """Another node as this node sees it; the age is that of its heartbeat."""
-
-    node: str
-    zone: str
-    state: str
-    incarnation: str
-    address: str
-    age_ms: int
-
-
-class NodeStatus(msgspec.Struct):
-    """What a node tells operators about itself."""
-
-    node: str
-    incarnation: str
-    zone: str
-    state: str
-    revision: int
-    view: str
-    confirmed_age_ms: int | None
-    platform_reached: bool
-    in_progress: int
-    bills_held: int
-    upstreams: list[UpstreamStatus]
-    members: list[MemberStatus]
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Node:
@@ -122,19 +95,42 @@
             revision_source,
             self.freshness,
         )
-        self.upstreams = upstreams.Upstreams(
-            environment, self.configuration, settings
+        self.vms = vms.Vms(platform)
+        self.membership = membership.Membership(self, self.vms)
+        self.leases = leases.Leases(
+            environment,
+            settings,
+            self.incarnation,
+            lease_rows.LeaseRows(rows),
+            self.freshness,
+            self._lease_names,
+            self._roster,
         )
+        self.upstreams = upstreams.Upstreams(self)
         self.admissions = admissions.Admissions()
         self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
-        self.bills = bills.Bills(environment, settings, self.incarnation, rows)
+        self.bills = bills.Bills(
+            environment,
+            settings,
+            self.incarnation,
+            rows,
+            holders.Holders(
+                environment.clock,
+                settings,
+                self.incarnation,
+                self.peers,
+                self.membership,
+            ),
+            self.membership,
+        )
+        self.peer_server.register(messages.Kind.HOLD_BILLS, self.bills.hold)
+        self.readers = readers.Readers(self.configuration, settings)
         self._draining = False
         self._requests = 0
         self._was_ready = False
-        self.membership = membership.Membership(self, vms.Vms(platform))
 
     @property
     def ready(self) -> bool:
@@ -160,11 +156,37 @@
             return 'no configuration'
         return '' if self.freshness.may_start() else 'stale_view'
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node is on its way to a planned stop."""
+        return self._draining
+
     @property
     def requests(self) -> int:
         """Requests in progress."""
         return self._requests
 
+    def peer_address(self, node: ids.NodeId) -> str | None:
+        """Returns the address at which another node is reached."""
+        return self.membership.address(node)
+
+    def _roster(self) -> leases.Roster:
+        return leases.Roster(
+            sorted({*self.membership.present, self.settings.node}),
+            live=self.membership.settled,
+        )
+
+    def _lease_names(self) -> list[ids.LeaseName]:
+        config = self.configuration.config
+        shards = {
+            lease_policy.shard_name(upstream, self.settings.shards)
+            for upstream in config.upstreams
+        }
+        rollouts = {
+            ids.LeaseName(f'rollout/{name}') for name in config.rollouts
+        }
+        return sorted(shards | rollouts)
+
     @contextlib.contextmanager
     def count_request(self):
         """Counts a request while it is in progress."""
@@ -174,9 +196,9 @@
         finally:
             self._requests -= 1
 
-    def status(self) -> NodeStatus:
+    def status(self) -> statuses.NodeStatus:
         """Returns what operators see."""
-        return NodeStatus(
+        return statuses.NodeStatus(
             node=self.settings.node,
             incarnation=self.incarnation,
             zone=self.settings.zone,
@@ -187,6 +209,8 @@
             platform_reached=self.freshness.platform_reached,
             in_progress=self._requests,
             bills_held=self.bills.held,
+            bills_held_for_others=self.bills.held_for_others,
+            bills_at_risk=self.bills.at_risk,
             upstreams=[
                 self._describe(upstream_id, upstream)
                 for upstream_id, upstream in (
@@ -194,7 +218,7 @@
                 )
             ],
             members=[
-                _describe_member(node, member)
+                statuses.describe_member(node, member)
                 for node, member in sorted(self.membership.members.items())
             ],
         )
@@ -205,14 +229,21 @@
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
             'radishcourse_bills_held': self.bills.held,
+            'radishcourse_bills_held_for_others': self.bills.held_for_others,
+            'radishcourse_bills_at_risk': self.bills.at_risk,
+            'radishcourse_bills_bytes': self.bills.held_bytes,
+            'radishcourse_held_bytes': self.readers.total,
+            'radishcourse_held_bytes_most': self.readers.most,
             'radishcourse_ready': int(self.ready),
         }
 
-    def _describe(self, upstream_id, upstream) -> UpstreamStatus:
+    def _describe(self, upstream_id, upstream) -> statuses.UpstreamStatus:
         health = self.upstreams.health.get(upstream_id)
         state = self.upstreams.state(upstream_id).value
         in_flight = health.in_flight if health else 0
-        return UpstreamStatus(upstream_id, upstream.zone, state, in_flight)
+        return statuses.UpstreamStatus(
+            upstream_id, upstream.zone, state, in_flight
+        )
 
     async def serve(self) -> None:
         """Serves callers until SIGTERM or SIGINT, then drains."""
@@ -227,6 +258,7 @@
             for controller in (
                 self.configuration,
                 self.membership,
+                self.leases,
                 self.upstreams,
                 self.bills,
             ):
@@ -234,7 +266,11 @@
             tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
             await server.serve()
+            # Nothing is left to stop; a signal must not change the exit code.
+            for number in _STOP_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
             await self._finish_bills()
+            await self.leases.release()
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
 
@@ -248,11 +284,15 @@
             app.App(self),
             host=host,
             port=port,
-            http='h11',
+            http=functools.partial(
+                connections.Connection,
+                header_limit_s=self.settings.header_limit_s,
+            ),
             lifespan='off',
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=False,
             h11_max_incomplete_event_size=MAX_LINE_BYTES,
             timeout_graceful_shutdown=int(self.settings.drain_limit_s),
         )
@@ -275,21 +315,28 @@
             await anyio.sleep(RESTART_DELAY_S)
 
     async def _drain_on_signal(self, server: uvicorn.Server) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                break
-            self._draining = True
-            events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
-            await anyio.sleep(self.settings.drain_delay_s)
-            server.should_exit = True
-            # Later signals change nothing; they must not end the process.
-            await anyio.sleep_forever()
+        # Handlers of the event loop would be removed before the process ends,
+        # and a second signal in that moment would kill it.
+        loop = asyncio.get_running_loop()
+        stopping = anyio.Event()
+        for number in _STOP_SIGNALS:
+            signal.signal(
+                number,
+                lambda *_: loop.call_soon_threadsafe(stopping.set),
+            )
+        await stopping.wait()
+        self._draining = True
+        events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
+        await anyio.sleep(self.settings.drain_delay_s)
+        server.should_exit = True
 
     async def _finish_bills(self) -> None:
-        if not await self.bills.flush():
-            events.log(events.Event.BILLS_AT_RISK, held=self.bills.held)
+        if not await self.bills.finish():
+            events.log(
+                events.Event.BILLS_LEFT,
+                held=self.bills.held,
+                at_risk=self.bills.at_risk,
+            )
 
     async def aclose(self) -> None:
         """Closes all connections."""
@@ -298,17 +345,6 @@
         await self.ratings.aclose()
 
 
-def _describe_member(node, member: membership.Member) -> MemberStatus:
-    return MemberStatus(
-        node=node,
-        zone=member.zone,
-        state=member.state.value,
-        incarnation=member.incarnation,
-        address=member.address,
-        age_ms=int(member.age_s * 1000),
-    )
-
-
 def _note_reject(reason: str) -> None:
     events.log(events.Event.PEER_REJECTED, reason=reason)
 
