Take test ports from outside the range of outgoing connections

Cause: test_freshness MinorityTest failed in 1 of 3 runs at once with "Address already in use" in a node's peer server. The port was chosen from the range that the system gives to outgoing connections (32768 to 60999), and another connection took it before the node listened.

Ruled out: a fault of the node (the log shows the bind alone).

Change: free_port chooses from 10000 to 32767 and binds to try.

Conclusion: the harness no longer races with its own connections.

--- a/packages/standins/src/radishcourse_standins/processes.py
+++ b/packages/standins/src/radishcourse_standins/processes.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -15,6 +16,8 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
+_PORTS = (10_000, 32_768)
+_random = random.SystemRandom()
 
 
 @dataclasses.dataclass
@@ -135,10 +138,20 @@
 
 
 def free_port() -> int:
-    """Returns a port on 127.0.0.1 that was free a moment ago."""
-    with socket.socket() as listener:
-        listener.bind(('127.0.0.1', 0))
-        return listener.getsockname()[1]
+    """Returns a port on 127.0.0.1 that was free a moment ago.
+
+    It lies below the ports that the system gives to outgoing connections;
+    one of those could be taken before the process that is to listen starts.
+    """
+    while True:
+        port = _random.randrange(*_PORTS)
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                listener.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_http(process: Process, path: str, status: int | None = 200) -> None:
