--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -7,8 +7,8 @@
 import signal
 
 import anyio
-import msgspec
 from radishcourse_model import ids
+from radishcourse_model import states
 from radishcourse_platform import http
 from radishcourse_platform import leases as lease_rows
 from radishcourse_platform import objects
@@ -26,9 +26,11 @@
 from radishcourse_node import connections
 from radishcourse_node import environment as environments
 from radishcourse_node import events
+from radishcourse_node import gossip
 from radishcourse_node import metrics
 from radishcourse_node import ratings
 from radishcourse_node import settings as node_settings
+from radishcourse_node import statuses
 from radishcourse_node.controllers import admissions
 from radishcourse_node.controllers import bills
 from radishcourse_node.controllers import claims
@@ -36,6 +38,7 @@
 from radishcourse_node.controllers import freshness
 from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import leases
+from radishcourse_node.controllers import membership
 from radishcourse_node.controllers import orders
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import readers
@@ -44,34 +47,12 @@
 
 MAX_LINE_BYTES = 32 * 1024
 RESTART_DELAY_S = 1.0
+# Time limit on reads of the configuration, and on their number at once.
+# Answers that come later than others still confirm, or show a change.
+CONFIGURATION_TIMEOUT_S = 5.0
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-class UpstreamStatus(msgspec.Struct):
-    """An upstream as this node sees it."""
-
-    upstream: str
-    zone: str
-    state: str
-    in_flight: int
-
-
-class NodeStatus(msgspec.Struct):
-    """What a node tells operators about itself."""
-
-    node: str
-    incarnation: str
-    zone: str
-    state: str
-    revision: int
-    view: str
-    in_progress: int
-    bills_held: int
-    bills_held_for_others: int
-    bills_at_risk: int
-    upstreams: list[UpstreamStatus]
-
-
 class Node:
     """One node process.
 
@@ -79,6 +60,8 @@
       environment: Streams, clock and random source.
       settings: The node's settings.
       platform: Client of the platform.
+      source: Client of the platform for the configuration only, with a
+        longer time limit; its calls must not wait for those of others.
     """
 
     def __init__(
@@ -86,6 +69,7 @@
         environment: environments.Environment,
         settings: node_settings.Settings,
         platform: http.Http,
+        source: http.Http,
     ):
         self.environment = environment
         self.settings = settings
@@ -101,16 +85,19 @@
         self.peers = peer_client.Client(own)
         self.peer_server = peer_server.Server(own, _note_reject)
         rows = table.Table(platform)
-        store = objects.Objects(platform)
+        revision_source = revisions.Revisions(
+            table.Table(source), objects.Objects(source)
+        )
         self.metrics = metrics.Metrics()
         self.freshness = freshness.Freshness(environment.clock)
         self.configuration = configuration.Configuration(
             settings,
             environment.clock,
-            revisions.Revisions(rows, store),
+            revision_source,
             self.freshness,
         )
         self.vms = vms.Vms(platform)
+        self.membership = membership.Membership(self, self.vms)
         self.leases = leases.Leases(
             environment,
             settings,
@@ -135,22 +122,43 @@
             self.incarnation,
             rows,
             holders.Holders(
-                environment.clock, settings, self.incarnation, self.peers
+                environment.clock,
+                settings,
+                self.incarnation,
+                self.peers,
+                self.membership,
             ),
+            self.membership,
         )
         self.peer_server.register(messages.Kind.HOLD_BILLS, self.bills.hold)
         self.readers = readers.Readers(self.configuration, settings)
         self._draining = False
         self._requests = 0
+        self._was_ready = False
 
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests."""
-        return (
-            not self._draining
-            and self.configuration.revision > 0
-            and self.freshness.may_start()
-        )
+        return not self.unready_reason
+
+    @property
+    def state(self) -> states.MemberState:
+        """What this node announces of itself."""
+        if self._draining:
+            return states.MemberState.LEAVING
+        self._was_ready = self._was_ready or self.ready
+        if self._was_ready:
+            return states.MemberState.ALIVE
+        return states.MemberState.JOINING
+
+    @property
+    def unready_reason(self) -> str:
+        """Why the node is not ready, or an empty text."""
+        if self._draining:
+            return self.state.value
+        if not self.configuration.revision:
+            return 'no configuration'
+        return '' if self.freshness.may_start() else 'stale_view'
 
     @property
     def draining(self) -> bool:
@@ -164,14 +172,13 @@
 
     def peer_address(self, node: ids.NodeId) -> str | None:
         """Returns the address at which another node is reached."""
-        if node in self.settings.peer_routes:
-            return self.settings.peer_routes[node]
-        seeds = {seed.node: seed.address for seed in self.settings.seeds}
-        return seeds.get(node)
+        return self.membership.address(node)
 
     def _roster(self) -> leases.Roster:
-        seeds = {seed.node for seed in self.settings.seeds}
-        return leases.Roster(sorted({*seeds, self.settings.node}), live=False)
+        return leases.Roster(
+            sorted({*self.membership.present, self.settings.node}),
+            live=self.membership.settled,
+        )
 
     def _lease_names(self) -> list[ids.LeaseName]:
         config = self.configuration.config
@@ -193,15 +200,17 @@
         finally:
             self._requests -= 1
 
-    def status(self) -> NodeStatus:
+    def status(self) -> statuses.NodeStatus:
         """Returns what operators see."""
-        return NodeStatus(
+        return statuses.NodeStatus(
             node=self.settings.node,
             incarnation=self.incarnation,
             zone=self.settings.zone,
-            state='leaving' if self._draining else 'alive',
+            state=self.state.value,
             revision=self.configuration.revision,
             view=self.freshness.view.value,
+            confirmed_age_ms=gossip.encode_age(self.freshness.age_s),
+            platform_reached=self.freshness.platform_reached,
             in_progress=self._requests,
             bills_held=self.bills.held,
             bills_held_for_others=self.bills.held_for_others,
@@ -212,6 +221,10 @@
                     self.configuration.config.upstreams.items()
                 )
             ],
+            members=[
+                statuses.describe_member(node, member)
+                for node, member in sorted(self.membership.members.items())
+            ],
         )
 
     def gauges(self) -> dict[str, float]:
@@ -228,11 +241,13 @@
             'radishcourse_ready': int(self.ready),
         }
 
-    def _describe(self, upstream_id, upstream) -> UpstreamStatus:
+    def _describe(self, upstream_id, upstream) -> statuses.UpstreamStatus:
         health = self.upstreams.health.get(upstream_id)
         state = self.upstreams.state(upstream_id).value
         in_flight = health.in_flight if health else 0
-        return UpstreamStatus(upstream_id, upstream.zone, state, in_flight)
+        return statuses.UpstreamStatus(
+            upstream_id, upstream.zone, state, in_flight
+        )
 
     async def serve(self) -> None:
         """Serves callers until SIGTERM or SIGINT, then drains."""
@@ -246,6 +261,7 @@
         async with anyio.create_task_group() as tasks:
             for controller in (
                 self.configuration,
+                self.membership,
                 self.leases,
                 self.upstreams,
                 self.orders,
@@ -342,8 +358,11 @@
 @contextlib.asynccontextmanager
 async def open_node(environment, settings):
     """Yields a node and closes its connections at the end."""
-    async with http.open_http(settings.platform) as platform:
-        node = Node(environment, settings, platform)
+    async with (
+        http.open_http(settings.platform) as platform,
+        http.open_http(settings.platform, CONFIGURATION_TIMEOUT_S) as source,
+    ):
+        node = Node(environment, settings, platform, source)
         try:
             yield node
         finally:
