Give each process ports of its own and an exit code to a taken address

Cause: in the merge run test_eight_nodes_send_one_trial_at_a_time failed since a node's port was taken by another process between its choice and its use; the node ended with a traceback, because uvicorn's SystemExit came wrapped in a group. Ruled out: a retry in the tests (it would hide a node that can't listen), random ports below the kernel's range (two test processes that take 60 and 100 ports in the same second clash in about a quarter of the cases, reckoned). Change: ports come from a slice locked by the process; the node listens on both addresses before it starts anything and raises AddressError.

--- a/packages/node/src/radishcourse_node/errors.py
+++ b/packages/node/src/radishcourse_node/errors.py
@@ -18,6 +18,12 @@
     code = 'settings_invalid'
 
 
+class AddressError(NodeError):
+    """An address of the node can't be listened on."""
+
+    code = 'address_in_use'
+
+
 class RefusalCode(enum.Enum):
     """Codes of refusals with their HTTP status and what became of the job."""
 
--- a/packages/node/src/radishcourse_node/main.py
+++ b/packages/node/src/radishcourse_node/main.py
@@ -44,13 +44,12 @@
     except errors.SettingsError as error:
         environment.stderr.write(f'{error.code}: {error}\n')
         return ExitStatus.INVALID
+    except errors.AddressError as error:
+        environment.stderr.write(f'{error.code}: {error}\n')
+        return ExitStatus.ADDRESS_IN_USE
     except model_errors.RadishcourseError as error:
         environment.stderr.write(f'{error.code}: {error}\n')
         return ExitStatus.ERROR
-    except SystemExit:
-        # uvicorn exits the process when it can't bind its address.
-        environment.stderr.write('address_in_use: can not listen\n')
-        return ExitStatus.ADDRESS_IN_USE
     return ExitStatus.SUCCESS
 
 
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -5,6 +5,7 @@
 import functools
 import secrets
 import signal
+import socket
 
 import anyio
 from radishcourse_model import ids
@@ -25,6 +26,7 @@
 from radishcourse_node import app
 from radishcourse_node import connections
 from radishcourse_node import environment as environments
+from radishcourse_node import errors
 from radishcourse_node import events
 from radishcourse_node import gossip
 from radishcourse_node import metrics
@@ -252,6 +254,8 @@
     async def serve(self) -> None:
         """Serves callers until SIGTERM or SIGINT, then drains."""
         server = self._make_server()
+        callers = await _listen(self.settings.listen)
+        peers = await _listen(self.settings.peer_listen)
         events.log(
             events.Event.NODE_STARTED,
             node=self.settings.node,
@@ -269,9 +273,9 @@
                 self.quality,
             ):
                 tasks.start_soon(self._supervise, controller)
-            tasks.start_soon(self._serve_peers)
+            tasks.start_soon(self.peer_server.serve_on, peers)
             tasks.start_soon(self._drain_on_signal, server)
-            await server.serve()
+            await server.serve([_raw_socket(callers)])
             # Nothing is left to stop; a signal must not change the exit code.
             for number in _STOP_SIGNALS:
                 signal.signal(number, signal.SIG_IGN)
@@ -280,16 +284,9 @@
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
 
-    async def _serve_peers(self) -> None:
-        host, port = node_settings.split_address(self.settings.peer_listen)
-        await self.peer_server.serve(host, port)
-
     def _make_server(self) -> uvicorn.Server:
-        host, port = node_settings.split_address(self.settings.listen)
         config = uvicorn.Config(
             app.App(self),
-            host=host,
-            port=port,
             http=functools.partial(
                 connections.Connection,
                 header_limit_s=self.settings.header_limit_s,
@@ -351,6 +348,26 @@
         await self.ratings.aclose()
 
 
+async def _listen(address: str) -> anyio.abc.SocketListener:
+    """Returns a listener on an address.
+
+    Raises:
+      AddressError: The address can't be listened on.
+    """
+    host, port = node_settings.split_address(address)
+    try:
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, reuse_port=False
+        )
+    except OSError as error:
+        raise errors.AddressError(f'{address}: {error}') from error
+    return listener.listeners[0]
+
+
+def _raw_socket(listener: anyio.abc.SocketListener) -> socket.socket:
+    return listener.extra(anyio.abc.SocketAttribute.raw_socket)
+
+
 def _note_reject(reason: str) -> None:
     events.log(events.Event.PEER_REJECTED, reason=reason)
 
--- a/packages/standins/src/radishcourse_standins/processes.py
+++ b/packages/standins/src/radishcourse_standins/processes.py
@@ -2,13 +2,14 @@
 
 import contextlib
 import dataclasses
+import fcntl
 import json
 import pathlib
-import random
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 
 import httpcore
@@ -16,8 +17,9 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
-_PORTS = (10_000, 32_768)
-_random = random.SystemRandom()
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+SLICE_PORTS = 500
 
 
 @dataclasses.dataclass
@@ -138,20 +140,44 @@
 
 
 def free_port() -> int:
-    """Returns a port on 127.0.0.1 that was free a moment ago.
+    """Returns a port on 127.0.0.1 that no other process is about to use.
 
-    It lies below the ports that the system gives to outgoing connections;
-    one of those could be taken before the process that is to listen starts.
+    Ports chosen by the kernel would clash: between the choice and the use
+    another process may get the same one, also for an outgoing connection.
+    So each process takes its ports from a slice of its own, below the range
+    that the kernel chooses from.
     """
+    return next(_ports)
+
+
+def _own_ports():
+    # The lock is held for as long as its file is open.
+    _lock, first = _lock_slice()
     while True:
-        port = _random.randrange(*_PORTS)
-        with socket.socket() as listener:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                listener.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
+        for port in range(first, first + SLICE_PORTS):
+            with socket.socket() as listener:
+                try:
+                    listener.bind(('127.0.0.1', port))
+                except OSError:
+                    continue
+            yield port
+
+
+def _lock_slice():
+    """Returns a lock held for the life of this process, and a first port."""
+    folder = pathlib.Path(tempfile.gettempdir())
+    for first in range(FIRST_PORT, LAST_PORT, SLICE_PORTS):
+        lock = (folder / f'radishcourse-ports-{first}.lock').open('w')
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        return lock, first
+    raise OSError('all slices of ports are taken')
+
+
+_ports = _own_ports()
 
 
 def wait_http(process: Process, path: str, status: int | None = 200) -> None:
