--- a/packages/node/src/radishcourse_node/connections.py
+++ b/packages/node/src/radishcourse_node/connections.py
@@ -21,6 +21,51 @@
 STATE_KEY = 'connection'
 
 
+class _CorkedTransport:
+    """Writes once in a turn of the event loop.
+
+    The tokens that came in one read from the engine leave in one system
+    call, which is the largest cost of a token.
+    """
+
+    def __init__(self, transport: asyncio.Transport, loop):
+        self._transport = transport
+        self._loop = loop
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def write(self, data: bytes) -> None:
+        """Writes at the end of this turn."""
+        if not self._parts:
+            self._loop.call_soon(self._flush)
+        self._parts.append(data)
+        self._size += len(data)
+
+    def get_write_buffer_size(self) -> int:
+        """Bytes that the kernel did not take yet."""
+        return self._size + self._transport.get_write_buffer_size()
+
+    def close(self) -> None:
+        """Closes after what was written."""
+        self._flush()
+        self._transport.close()
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Sets the number of bytes at which the writer has to pause."""
+        self._flush()
+        self._transport.set_write_buffer_limits(high=high)
+
+    def _flush(self) -> None:
+        if self._parts:
+            data = b''.join(self._parts)
+            self._parts.clear()
+            self._size = 0
+            self._transport.write(data)
+
+    def __getattr__(self, name: str):
+        return getattr(self._transport, name)
+
+
 class Connection(h11_impl.H11Protocol):
     """One caller's connection; found in the ASGI scope's state.
 
@@ -59,7 +104,7 @@
 
     def connection_made(self, transport) -> None:
         """Bounds the buffers and the time for the first request."""
-        super().connection_made(transport)
+        super().connection_made(_CorkedTransport(transport, self.loop))
         self._set_limits()
         transport.get_extra_info('socket').setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
--- a/packages/node/src/radishcourse_node/streams.py
+++ b/packages/node/src/radishcourse_node/streams.py
@@ -1,10 +1,13 @@
 """Streamed answers: one attempt, resumed at the same engine if it breaks."""
 
+import asyncio
 import contextlib
+import socket
 
 import anyio
 import msgspec
 from radishcourse_model import states
+from radishcourse_platform import http
 
 from radishcourse_node import engines
 from radishcourse_node import errors
@@ -23,6 +26,8 @@
 PARK_AFTER_S = 5.0
 # Wait for the end of a body whose last event has come.
 END_LIMIT_S = 0.25
+# The event loop and the node count time by different clocks.
+CLOCK_MARGIN_S = 0.005
 
 
 class Streams:
@@ -163,21 +168,26 @@
     async def _read(self, response):
         chunks = response.aiter_stream()
         reader = self._reader
-        while not reader.finished:
-            if not self._has_room():
-                await self._wait_for_room()
-            left = self._job.deadline - self._streams.clock.now()
-            with anyio.move_on_after(left) as scope:
-                chunk = await anext(chunks, None)
-            if scope.cancelled_caught or left <= 0:
-                self._can_resume = False
-                raise errors.AttemptError('the deadline passed', sent=True)
-            if chunk is None:
-                reader.finish()
-                return
-            part = reader.feed(chunk)
-            if part:
-                yield part
+        clock, deadline = self._streams.clock, self._job.deadline
+        with _closing_after(response, deadline - clock.now()):
+            while not reader.finished:
+                if not self._has_room():
+                    await self._wait_for_room()
+                try:
+                    chunk = await anext(chunks, None)
+                except http.CALL_ERRORS as error:
+                    if clock.now() < deadline:
+                        raise
+                    # The node closed it; that is no sign of a lost state.
+                    raise _late() from error
+                if clock.now() >= deadline:
+                    raise _late()
+                if chunk is None:
+                    reader.finish()
+                    return
+                part = reader.feed(chunk)
+                if part:
+                    yield part
         # The connection can be used again only after the body's end.
         with anyio.move_on_after(END_LIMIT_S):
             async for _ in chunks:
@@ -269,6 +279,34 @@
         )
 
 
+@contextlib.contextmanager
+def _closing_after(response, seconds: float):
+    """Ends the reading of a response after some time.
+
+    One timer for each connection; a cancel scope around each read cost a
+    quarter of the time of a token.
+    """
+    stream = response.extensions['network_stream']
+    timer = asyncio.get_running_loop().call_later(
+        max(0.0, seconds) + CLOCK_MARGIN_S,
+        _shut_down,
+        stream.get_extra_info('socket'),
+    )
+    try:
+        yield
+    finally:
+        timer.cancel()
+
+
+def _late() -> errors.AttemptError:
+    return errors.AttemptError('the deadline passed', sent=True)
+
+
+def _shut_down(connection: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+
+
 @contextlib.asynccontextmanager
 async def cancelling(upstream, request_id: str):
     """Cancels the work at the engine when the block does not end well.
--- a/packages/standins/src/radishcourse_standins/asgi.py
+++ b/packages/standins/src/radishcourse_standins/asgi.py
@@ -127,7 +127,7 @@
         return None
 
 
-async def serve(app, host: str, port: int) -> None:
+async def serve(app, host: str, port: int, **options) -> None:
     """Serves an ASGI application until SIGTERM or SIGINT."""
     config = uvicorn.Config(
         app,
@@ -137,6 +137,7 @@
         log_config=None,
         access_log=False,
         timeout_graceful_shutdown=1,
+        **options,
     )
     server = uvicorn.Server(config)
     server.capture_signals = contextlib.nullcontext
--- a/packages/standins/src/radishcourse_standins/demo.py
+++ b/packages/standins/src/radishcourse_standins/demo.py
@@ -130,7 +130,12 @@
     }
 
 
-def _apply(platform: processes.Process, folder: pathlib.Path) -> str:
+def apply(platform: processes.Process, folder: pathlib.Path) -> str:
+    """Applies a configuration folder and returns the revision.
+
+    Raises:
+      DemoError: It was not accepted.
+    """
     stdout, stderr = io.StringIO(), io.StringIO()
     environment = environments.Environment(stdout, stderr, platform.url, 'demo')
     if cli.main(['apply', str(folder)], environment):
@@ -180,7 +185,7 @@
             )
             for zone in ('sofia-a', 'sofia-b')
         ]
-        revision = _apply(platform, _folder_for(started, upstreams))
+        revision = apply(platform, _folder_for(started, upstreams))
         print(f'revision {revision} accepted')
         for node in nodes:
             processes.wait_http(node, '/readyz')
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -199,6 +199,34 @@
             self.assertEqual(1, len(cluster.served('small-1')))
 
 
+class DeadlineTest(testtools.TestCase):
+    """Guards against streams that outlive their deadline."""
+
+    def test_a_stalled_stream_ends_at_the_deadline(self):
+        with clusters.running(engines=('small-1',), node_count=1) as cluster:
+            engine, node = (
+                cluster.upstreams['small-1'],
+                cluster.nodes['entry-0'],
+            )
+            cluster.control(engine, 'settings', {'token_ms': 60_000})
+            headers = {'X-Radish-Deadline-Ms': '1000'}
+            start = time.monotonic()
+            answer = streaming.stream(node, headers, kind='tag')
+            # Far less than the time of a token.
+            self.assertLess(time.monotonic() - start, 10)
+            self.assertTrue(answer.interrupted, answer.body[-300:])
+            self.assertIn(b'the deadline passed', answer.body)
+            states = cluster.status('entry-0')['upstreams']
+            self.assertEqual(
+                ['warm'],
+                [
+                    item['state']
+                    for item in states
+                    if item['upstream'] == 'small-1'
+                ],
+            )
+
+
 class CallerLeftTest(testtools.TestCase):
     """Guards against engine slots held for callers that are gone."""
 
