--- /dev/null
+++ b/packages/node/src/radishcourse_node/excerpts.py
@@ -0,0 +1,95 @@
+"""Text of streamed answers that is kept until the answer can be rated."""
+
+import contextlib
+
+import msgspec
+
+# Bytes kept of one answer, and of all answers of the node at once. A stream
+# that goes beyond is not rated; slow readers keep their streams for long.
+MAX_BYTES = 32 * 1024
+MAX_HELD_BYTES = 2 * 2**20
+
+
+class Excerpt:
+    """The text of one stream."""
+
+    def __init__(self, excerpts: 'Excerpts'):
+        self._excerpts = excerpts
+        self._parts: list[str] = []
+        self._size = 0
+        self._whole = True
+
+    @property
+    def text(self) -> str | None:
+        """The whole text, or None when it was too long."""
+        return ''.join(self._parts) if self._whole else None
+
+    def add(self, events: bytes) -> None:
+        """Adds the text of whole server-sent events."""
+        if not self._whole:
+            return
+        text = read_events(events)
+        self._whole = (
+            self._size + len(text) <= MAX_BYTES
+            and self._excerpts.held + len(text) <= MAX_HELD_BYTES
+        )
+        if not self._whole:
+            self.drop()
+            return
+        self._parts.append(text)
+        self._size += len(text)
+        self._excerpts.held += len(text)
+
+    def drop(self) -> None:
+        """Gives the memory back."""
+        self._excerpts.held -= self._size
+        self._parts, self._size = [], 0
+
+
+class Excerpts:
+    """Bounds the memory of all excerpts.
+
+    Attributes:
+      held: Characters that are held now.
+    """
+
+    def __init__(self):
+        self.held = 0
+
+    @contextlib.contextmanager
+    def open(self):
+        """Yields an excerpt and frees it at the end."""
+        excerpt = Excerpt(self)
+        try:
+            yield excerpt
+        finally:
+            excerpt.drop()
+
+
+class _Delta(msgspec.Struct):
+    content: str = ''
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+
+
+_event_decoder = msgspec.json.Decoder(_Event)
+
+
+def read_events(events_text: bytes) -> str:
+    """Returns the text of the server-sent events of a whole answer."""
+    parts = []
+    for event in events_text.split(b'\n\n'):
+        if not event.startswith(b'data: {'):
+            continue
+        try:
+            decoded = _event_decoder.decode(event[6:])
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            continue
+        parts += [item.delta.content for item in decoded.choices if item.delta]
+    return ''.join(parts)
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -121,8 +121,10 @@
         )
         self.upstreams = upstreams.Upstreams(self)
         self.admissions = admissions.Admissions()
-        self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
+        self.quality = quality.Quality(
+            environment, self.configuration, settings, self.ratings
+        )
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
         self.bills = bills.Bills(
@@ -245,6 +247,7 @@
                 self.leases,
                 self.upstreams,
                 self.bills,
+                self.quality,
             ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
