Settle claims in the background and refuse truthfully

Cause: a claim's first and last write shared one write id, so a lost answer of the last one was taken for written; a failed last write left the key unknown for ever; a claim whose answer was lost stayed as still running, then unknown, although its caller was told "not run"; a leaving caller or a streamed answer had no stored outcome; another body under the same key got the first one's outcome. Ruled out: comparing wall clocks to decide whether a key may run again (the state machine gives the nodes clocks 60 s apart; `until` only separates two words); reading a claimed stream in the caller's task (what it holds open belongs to the task that opened it, so the whole job runs in one background task); pooled connections for calls that must not be repeated (the upstream may close an idle one at the moment of use).

--- a/packages/model/src/radishcourse_model/states.py
+++ b/packages/model/src/radishcourse_model/states.py
@@ -61,11 +61,15 @@
 
 
 class ClaimState(enum.Enum):
-    """Life of a claim on a non-idempotent request."""
+    """Life of a claim on a request with an idempotency key.
+
+    FAILED is for idempotent work only; it may be claimed anew like NOT_RUN.
+    """
 
     CLAIMED = 'claimed'
     DONE = 'done'
     NOT_RUN = 'not_run'
+    FAILED = 'failed'
     UNKNOWN = 'unknown'
 
 
--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -160,8 +160,8 @@
             [(b'content-type', b'application/json')],
             msgspec.json.encode(call),
             max(0.001, job.deadline - self._clock.now()),
+            lambda: self._guard.start(job),
         ) as response:
-            job.sent = True
             upstream.note_signs(engines.read_signs(response))
             engines.check_status(response)
             yield response
--- /dev/null
+++ b/packages/node/src/radishcourse_node/controllers/claimrows.py
@@ -0,0 +1,250 @@
+"""Rows of claims: writes whose answers are lost, ends that come late."""
+
+import base64
+import dataclasses
+import uuid
+
+import anyio
+import msgspec
+from radishcourse_model import ids
+from radishcourse_model import states
+from radishcourse_platform import errors as platform_errors
+from radishcourse_platform import objects
+from radishcourse_platform import table
+from radishcourse_policy import claims as policy
+
+from radishcourse_node import events
+from radishcourse_node import job as jobs
+
+# Larger bodies go to the object store, so that rows stay small.
+MAX_INLINE_BYTES = 32 * 1024
+# Ends of claims that wait for the platform.
+MAX_WAITING_BYTES = 16 * 2**20
+MIN_RETRY_S = 0.5
+MAX_RETRY_S = 5.0
+
+
+class Claim(msgspec.Struct):
+    """A claim's row.
+
+    Attributes:
+      state: Its state.
+      write_id: Unique for each write of the row.
+      request_id: The request that holds the claim.
+      digest: Hash of the request's content.
+      until: Wall time in seconds after which its holder has given up.
+      status: HTTP status of the stored outcome.
+      headers: Headers of the stored outcome.
+      body: Body of the stored outcome, in base64.
+      stored_as: Key of the object with the body, or empty.
+      facts: What is told about the stored outcome.
+    """
+
+    state: states.ClaimState
+    write_id: ids.WriteId
+    request_id: ids.RequestId
+    digest: str
+    until: float
+    status: int = 0
+    headers: dict[str, str] = {}
+    body: str = ''
+    stored_as: str = ''
+    facts: jobs.Facts | None = None
+
+
+@dataclasses.dataclass
+class Held:
+    """A claim that this node made.
+
+    Attributes:
+      key: Key of the row.
+      claim: The claim, with its end once there is one.
+      base_version: Version of the row on which it was conditioned.
+      claim_write: Write id of the row that claimed.
+      version: Version of the row that claimed; None once its end may have
+        been written, and then the row is read first.
+      body: Body of the outcome.
+      last_write: Write id of the last attempt to write the end.
+    """
+
+    key: str
+    claim: Claim
+    base_version: int
+    claim_write: ids.WriteId
+    version: int | None = None
+    body: bytes = b''
+    last_write: ids.WriteId | None = None
+
+
+class ClaimRows:
+    """Reads and writes claims, and settles those whose end came late."""
+
+    def __init__(self, rows: table.Table, store: objects.Objects):
+        self._rows = rows
+        self._store = store
+        self._waiting: dict[str, Held] = {}
+        self._waiting_bytes = 0
+
+    @property
+    def waiting(self) -> int:
+        """Claims whose end is not written yet."""
+        return len(self._waiting)
+
+    @property
+    def full(self) -> bool:
+        """Whether too many ends wait for the platform."""
+        return self._waiting_bytes >= MAX_WAITING_BYTES
+
+    async def read(self, key: str) -> tuple[Claim | None, int]:
+        """Returns the claim under a key and its row's version.
+
+        Raises:
+          PlatformError: The platform did not answer.
+        """
+        held = self._waiting.get(key)
+        if held is not None and held.claim.state is states.ClaimState.DONE:
+            return held.claim, held.base_version
+        row = await self._rows.read(key)
+        if row is None:
+            return None, table.ABSENT
+        return msgspec.convert(row.value, Claim), row.version
+
+    async def read_body(self, claim: Claim) -> bytes:
+        """Returns the body of a stored outcome.
+
+        Raises:
+          PlatformError: The platform did not answer.
+        """
+        for held in self._waiting.values():
+            if held.claim is claim:
+                return held.body
+        if not claim.stored_as:
+            return base64.b64decode(claim.body)
+        body = await self._store.read(claim.stored_as)
+        if body is None:
+            raise platform_errors.Unavailable('the outcome is not there')
+        return body
+
+    async def claim(self, key: str, claim: Claim, version: int) -> Held:
+        """Writes a claim.
+
+        Raises:
+          Conflict: Another request has the claim.
+          PlatformError: It is not known to be written. A claim that may
+            still arrive is given back in the background.
+        """
+        held = Held(key, claim, version, claim.write_id)
+        try:
+            held.version = await self._write(key, claim, version)
+        except platform_errors.AnswerLost:
+            held.claim = msgspec.structs.replace(
+                claim, state=states.ClaimState.NOT_RUN
+            )
+            self._wait(held)
+            raise
+        return held
+
+    async def finish(self, held: Held) -> None:
+        """Writes the end of a claim now, or else in the background."""
+        try:
+            await self._settle(held)
+        except platform_errors.PlatformError as error:
+            _log(held, stored=False, error=str(error))
+            self._wait(held)
+
+    async def run(self) -> None:
+        """Writes the ends that wait, with growing pauses."""
+        pause = MIN_RETRY_S
+        while True:
+            await anyio.sleep(pause)
+            try:
+                await self.settle_all()
+                pause = MIN_RETRY_S
+            except platform_errors.PlatformError:
+                pause = min(MAX_RETRY_S, 2 * pause)
+
+    async def settle_all(self) -> None:
+        """Writes the ends that wait.
+
+        Raises:
+          PlatformError: The platform did not answer; some still wait.
+        """
+        for held in list(self._waiting.values()):
+            await self._settle(held)
+            self._waiting_bytes -= _size(held)
+            if self._waiting.get(held.key) is held:
+                del self._waiting[held.key]
+            _log(held, stored=True)
+
+    def _wait(self, held: Held) -> None:
+        earlier = self._waiting.get(held.key)
+        if earlier is not None:
+            self._waiting_bytes -= _size(earlier)
+        self._waiting[held.key] = held
+        self._waiting_bytes += _size(held)
+
+    async def _settle(self, held: Held) -> None:
+        await self._keep_body(held)
+        version, held.version = held.version, None
+        if version is None:
+            version = await self._find_version(held)
+        if version is None:
+            return
+        held.last_write = held.claim.write_id = new_write_id()
+        await self._write(held.key, held.claim, version)
+
+    async def _find_version(self, held: Held) -> int | None:
+        """Returns the version to write over; None when nothing is to do."""
+        row = await self._rows.read(held.key)
+        found = row.value.get('write_id') if row else None
+        version = row.version if row else table.ABSENT
+        written = found is not None and found == held.last_write
+        may_settle = policy.may_settle(
+            found, version, held.claim_write, held.base_version
+        )
+        return version if may_settle and not written else None
+
+    async def _keep_body(self, held: Held) -> None:
+        if len(held.body) <= MAX_INLINE_BYTES:
+            held.claim.body = base64.b64encode(held.body).decode('ascii')
+            return
+        name = f'outcomes/{held.claim_write}'
+        await self._store.write(name, held.body)
+        held.claim.stored_as = name
+
+    async def _write(self, key: str, claim: Claim, version: int) -> int:
+        transaction = table.Transaction(
+            conditions=[table.Condition(key, version)],
+            puts=[table.Put(key, msgspec.to_builtins(claim))],
+        )
+        try:
+            return (await self._rows.transact(transaction))[key]
+        except platform_errors.AnswerLost:
+            row = await self._reread(key)
+            if row is None or row.value.get('write_id') != claim.write_id:
+                raise
+            return row.version
+
+    async def _reread(self, key: str) -> table.Row | None:
+        try:
+            return await self._rows.read(key)
+        except platform_errors.PlatformError as error:
+            raise platform_errors.AnswerLost(str(error)) from error
+
+
+def new_write_id() -> ids.WriteId:
+    """Returns an id for one write."""
+    return ids.WriteId(uuid.uuid4().hex)
+
+
+def _size(held: Held) -> int:
+    return len(held.body) + 1024
+
+
+def _log(held: Held, **fields: object) -> None:
+    events.log(
+        events.Event.CLAIM_RESOLVED,
+        key=held.key,
+        state=held.claim.state.value,
+        **fields,
+    )
--- a/packages/node/src/radishcourse_node/controllers/claims.py
+++ b/packages/node/src/radishcourse_node/controllers/claims.py
@@ -2,150 +2,268 @@
 
 A claim is written to the platform's table before any byte goes to an
 upstream, and is never handed on: a claim whose holder died stays, and
-repeats are told that the outcome is unknown.
+repeats are told that the outcome is unknown. A caller that leaves does not
+stop a claimed request, and a streamed answer is kept whole as the outcome.
 """
 
-import base64
-import uuid
+import contextlib
+import dataclasses
+import hashlib
 
+import anyio
 import msgspec
-from radishcourse_model import ids
 from radishcourse_model import states
 from radishcourse_platform import errors as platform_errors
+from radishcourse_platform import objects
 from radishcourse_platform import table
+from radishcourse_policy import claims as policy
 
 from radishcourse_node import errors
-from radishcourse_node import events
 from radishcourse_node import job as jobs
+from radishcourse_node.controllers import claimrows
+from radishcourse_node.controllers import relays
 
+# Time at a stop for ends of claims that wait for the platform.
+SETTLE_LIMIT_S = 10.0
+_SETTLE_POLL_S = 0.2
 
-class Claim(msgspec.Struct):
-    """A claim's row.
-
-    Attributes:
-      state: Its state.
-      write_id: Unique for the write that made the claim.
-      request_id: The request that holds the claim.
-      until: Wall time in seconds after which its holder has given up.
-      status: HTTP status of the stored outcome.
-      headers: Headers of the stored outcome.
-      body: Body of the stored outcome, in base64.
-      facts: What is told about the stored outcome.
-    """
-
-    state: states.ClaimState
-    write_id: ids.WriteId
-    request_id: ids.RequestId
-    until: float
+
+class Told(msgspec.Struct):
+    """What `GET /v1/requests/<key>` tells; `body` is text."""
+
+    state: str
+    outcome: str
+    request_id: str
     status: int = 0
     headers: dict[str, str] = {}
     body: str = ''
-    facts: jobs.Facts | None = None
 
 
 class Claims:
     """Claims requests and answers repeats from the stored outcome."""
 
-    def __init__(self, environment, rows: table.Table):
+    def __init__(self, environment, rows: table.Table, store: objects.Objects):
         self._clock = environment.clock
-        self._rows = rows
+        self._rows = claimrows.ClaimRows(rows, store)
+        self._relays = relays.Relays()
+
+    @property
+    def waiting(self) -> int:
+        """Claims whose end is not written yet."""
+        return self._rows.waiting
+
+    async def run(self) -> None:
+        """Writes ends of claims that came late; reads claimed streams."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._relays.run)
+            tasks.start_soon(self._rows.run)
+
+    async def finish(self) -> None:
+        """Waits at a stop for claimed streams and for ends of claims."""
+        await self._relays.finish()
+        with anyio.move_on_after(SETTLE_LIMIT_S):
+            while self._rows.waiting:
+                with contextlib.suppress(platform_errors.PlatformError):
+                    await self._rows.settle_all()
+                await anyio.sleep(_SETTLE_POLL_S)
 
-    async def run(self, job: jobs.Job, proceed) -> jobs.Answer:
+    async def handle(self, job: jobs.Job, proceed) -> jobs.Answer:
         """Runs a job under its claim, or returns the stored outcome.
 
         Raises:
           Refusal: The claim is held by another request, its outcome is
             unknown, or it could not be claimed.
         """
-        key = f'claims/{job.organisation_id}/{job.idempotency_key}'
-        claim, version = await self._acquire(job, key)
-        if claim.state is not states.ClaimState.CLAIMED:
-            return _stored(claim)
+        # A caller that leaves must not leave the claim without its end.
+        with anyio.CancelScope(shield=True):
+            try:
+                held = await self._acquire(job)
+            except platform_errors.PlatformError as error:
+                raise _unavailable(error) from error
+            if isinstance(held, jobs.Answer):
+                return held
+            return await self._run_claimed(job, held, proceed)
+
+    async def _run_claimed(self, job, held, proceed) -> jobs.Answer:
+        if job.streamed:
+            # The outcome is kept whole in memory, so a slow reader of the
+            # original job must not hold up the upstream.
+            job = dataclasses.replace(job)
+
+        async def run() -> jobs.Answer:
+            return await self._run_or_finish(job, held, proceed)
+
+        async def end(answer: jobs.Answer, body: bytes | None) -> None:
+            await self._finish_done(held, answer, body)
+
+        if job.streamed:
+            return await self._relays.carry(run, end)
+        answer = await run()
+        await end(answer, answer.body)
+        return answer
+
+    async def _run_or_finish(self, job, held, proceed) -> jobs.Answer:
         try:
-            answer = await proceed(job)
+            return await proceed(job)
         except errors.Refusal as refusal:
-            await self._finish_refused(key, claim, version, refusal)
+            held.claim.state = _END_STATES[refusal.reason.outcome]
+            await self._rows.finish(held)
+            raise
+        except Exception:
+            unknown = states.ClaimState.UNKNOWN
+            held.claim.state = unknown if job.sent else _NOT_RUN
+            await self._rows.finish(held)
             raise
-        claim.state = states.ClaimState.DONE
-        claim.status = answer.status
-        claim.headers = answer.headers
-        claim.body = base64.b64encode(answer.body).decode('ascii')
-        claim.facts = answer.facts
-        await self._finish(key, claim, version)
-        return answer
 
-    async def _acquire(self, job, key) -> tuple[Claim, int]:
-        left = job.deadline - self._clock.now()
-        claim = Claim(
+    async def _finish_done(self, held, answer, body: bytes | None) -> None:
+        """Stores an answer; without a body its stream was interrupted."""
+        claim = held.claim
+        if body is None:
+            claim.state = states.ClaimState.UNKNOWN
+        else:
+            claim.state = states.ClaimState.DONE
+            claim.status, claim.headers = answer.status, answer.headers
+            claim.facts = answer.facts
+            held.body = body
+        await self._rows.finish(held)
+
+    async def _acquire(self, job: jobs.Job) -> claimrows.Held | jobs.Answer:
+        key = _row_key(job)
+        found, version = await self._rows.read(key)
+        if found is not None:
+            answer = await self._repeat(job, found)
+            if answer is not None:
+                return answer
+        if self._rows.full:
+            raise platform_errors.Unavailable('too many claims wait')
+        self._relays.check_room(job)
+        left_s = job.deadline - self._clock.now()
+        claim = claimrows.Claim(
             state=states.ClaimState.CLAIMED,
-            write_id=ids.WriteId(uuid.uuid4().hex),
+            write_id=claimrows.new_write_id(),
             request_id=job.request_id,
-            until=self._clock.wall() + left,
-        )
-        try:
-            row = await self._rows.read(key)
-            if row is not None:
-                held = msgspec.convert(row.value, Claim)
-                if held.state is not states.ClaimState.NOT_RUN:
-                    return self._repeat(held), row.version
-            version = row.version if row else table.ABSENT
-            return claim, await self._write(key, claim, version)
-        except platform_errors.PlatformError as error:
-            raise errors.Refusal(
-                errors.RefusalCode.CLAIM_UNAVAILABLE,
-                f'the request could not be claimed: {error}',
-                retry_after_s=1,
-            ) from error
-
-    async def _write(self, key, claim: Claim, version: int) -> int:
-        transaction = table.Transaction(
-            conditions=[table.Condition(key, version)],
-            puts=[table.Put(key, msgspec.to_builtins(claim))],
+            digest=_digest(job),
+            until=policy.end(self._clock.wall(), left_s),
         )
         try:
-            return (await self._rows.transact(transaction))[key]
-        except platform_errors.AnswerLost:
-            row = await self._rows.read(key)
-            if row is None or row.value.get('write_id') != claim.write_id:
+            return await self._rows.claim(key, claim, version)
+        except platform_errors.Conflict:
+            # Another request was faster; its claim is there now.
+            found, _ = await self._rows.read(key)
+            answer = await self._repeat(job, found) if found else None
+            if answer is None:
                 raise
-            return row.version
-
-    def _repeat(self, held: Claim) -> Claim:
-        if held.state is states.ClaimState.DONE:
-            return held
-        running = held.state is states.ClaimState.CLAIMED
-        if running and self._clock.wall() < held.until:
-            raise errors.Refusal(
-                errors.RefusalCode.STILL_RUNNING,
-                f'request {held.request_id} is running',
-                retry_after_s=1,
-            )
+            return answer
+
+    async def _repeat(self, job, found) -> jobs.Answer | None:
+        """Returns the stored outcome, or None when the job may be claimed."""
+        action = policy.judge(
+            found.state,
+            found.digest == _digest(job),
+            found.until,
+            self._clock.wall(),
+        )
+        if action is policy.Action.CLAIM:
+            return None
+        if action is policy.Action.RETURN_OUTCOME:
+            return await self._restore(job, found)
+        reason, message = _REFUSALS[action]
         raise errors.Refusal(
-            errors.RefusalCode.OUTCOME_UNKNOWN,
-            f'the outcome of request {held.request_id} is not known',
+            reason,
+            f'request {found.request_id}: {message}',
+            1 if action is policy.Action.REFUSE_RUNNING else None,
         )
 
-    async def _finish_refused(self, key, claim, version, refusal) -> None:
-        if refusal.reason.outcome is states.Outcome.NOT_RUN:
-            claim.state = states.ClaimState.NOT_RUN
-        else:
-            claim.state = states.ClaimState.UNKNOWN
-        await self._finish(key, claim, version)
+    async def _restore(self, job, claim: claimrows.Claim) -> jobs.Answer:
+        body = await self._rows.read_body(claim)
+        headers = {**claim.headers, 'x-radish-repeated': claim.request_id}
+        answer = jobs.Answer(claim.status, headers, body, None, claim.facts)
+        if job.streamed:
+            answer.stream, answer.body = _once(body), b''
+        return answer
+
+    async def tell(self, job: jobs.Job) -> jobs.Answer:
+        """Returns what became of the request under a key.
 
-    async def _finish(self, key, claim: Claim, version: int) -> None:
+        Raises:
+          Refusal: There is no such request, or the platform is down.
+        """
         try:
-            await self._write(key, claim, version)
+            claim, _ = await self._rows.read(_row_key(job))
+            if claim is None:
+                raise errors.Refusal(
+                    errors.RefusalCode.NOT_FOUND,
+                    'no request has claimed this key',
+                )
+            told = await self._describe(claim)
         except platform_errors.PlatformError as error:
-            events.log(
-                events.Event.CLAIM_RESOLVED,
-                key=key,
-                state=claim.state.value,
-                stored=False,
-                error=str(error),
+            raise _unavailable(error) from error
+        headers = {'content-type': 'application/json'}
+        facts = jobs.Facts(outcome=states.Outcome(told.outcome))
+        return jobs.Answer(200, headers, msgspec.json.encode(told), None, facts)
+
+    async def _describe(self, claim: claimrows.Claim) -> Told:
+        state = claim.state
+        if state is states.ClaimState.DONE:
+            body = await self._rows.read_body(claim)
+            return Told(
+                state.value,
+                claim.facts.outcome.value,
+                claim.request_id,
+                claim.status,
+                claim.headers,
+                body.decode('utf-8', 'replace'),
             )
+        running = state is states.ClaimState.CLAIMED
+        if running and self._clock.wall() >= claim.until:
+            state = states.ClaimState.UNKNOWN
+        outcome = _OUTCOMES.get(state, states.Outcome.UNKNOWN)
+        return Told(state.value, outcome.value, claim.request_id)
+
+
+_NOT_RUN = states.ClaimState.NOT_RUN
+_END_STATES = {
+    states.Outcome.NOT_RUN: _NOT_RUN,
+    states.Outcome.FAILED: states.ClaimState.FAILED,
+    states.Outcome.UNKNOWN: states.ClaimState.UNKNOWN,
+}
+_OUTCOMES = {
+    _NOT_RUN: states.Outcome.NOT_RUN,
+    states.ClaimState.FAILED: states.Outcome.FAILED,
+}
+_REFUSALS = {
+    policy.Action.REFUSE_RUNNING: (
+        errors.RefusalCode.STILL_RUNNING,
+        'it is running',
+    ),
+    policy.Action.REFUSE_UNKNOWN: (
+        errors.RefusalCode.OUTCOME_UNKNOWN,
+        'its outcome is not known',
+    ),
+    policy.Action.REFUSE_REUSED: (
+        errors.RefusalCode.KEY_REUSED,
+        'it had another content under the same key',
+    ),
+}
+
+
+def _row_key(job: jobs.Job) -> str:
+    return f'claims/{job.organisation_id}/{job.idempotency_key}'
+
+
+def _digest(job: jobs.Job) -> str:
+    kind = job.headers.get('x-radish-kind', '')
+    head = '\0'.join((job.method, job.path, job.query, kind)).encode()
+    return hashlib.sha256(head + b'\0' + job.body).hexdigest()
+
+
+def _unavailable(error: platform_errors.PlatformError) -> errors.Refusal:
+    return errors.Refusal(
+        errors.RefusalCode.CLAIM_UNAVAILABLE,
+        f'the claim could not be read or written: {error}',
+        retry_after_s=1,
+    )
 
 
-def _stored(claim: Claim) -> jobs.Answer:
-    headers = {**claim.headers, 'x-radish-repeated': claim.request_id}
-    body = base64.b64decode(claim.body)
-    return jobs.Answer(claim.status, headers, body, None, claim.facts)
+async def _once(body: bytes):
+    yield body
--- a/packages/node/src/radishcourse_node/engines.py
+++ b/packages/node/src/radishcourse_node/engines.py
@@ -87,22 +87,37 @@
 
 
 class Sent:
-    """Tells whether any byte of a request may have left the node."""
+    """Tells whether any byte of a request may have left the node.
 
-    def __init__(self):
+    Args:
+      check: Called immediately before the first byte, after any wait for a
+        connection; what it raises stops the request.
+    """
+
+    def __init__(self, check: typing.Callable[[], None] | None = None):
         self.started = False
+        self._check = check
 
     async def trace(self, name: str, info: object) -> None:
         """Takes note of the progress of a request in httpcore."""
         del info
         if name.endswith('send_request_headers.started'):
+            if self._check is not None:
+                self._check()
             self.started = True
 
 
 class Pools:
-    """Connection pools, one for each upstream address."""
+    """Connection pools, one for each upstream address.
+
+    Args:
+      keep: Whether connections are used again. An upstream may close an
+        idle connection at the moment at which it is used; whether the
+        request ran is unknown then.
+    """
 
-    def __init__(self):
+    def __init__(self, keep: bool = True):
+        self._keep = None if keep else 0
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     def get(self, address: str) -> httpcore.AsyncConnectionPool:
@@ -111,6 +126,7 @@
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
                 max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=self._keep,
                 keepalive_expiry=30,
                 socket_options=_SOCKET_OPTIONS,
             )
@@ -131,6 +147,7 @@
     headers: list[tuple[bytes, bytes]],
     body: bytes,
     timeout_s: float,
+    check: typing.Callable[[], None] | None = None,
 ):
     """Yields the response of an upstream with its body unread.
 
@@ -141,11 +158,12 @@
       headers: Request headers.
       body: Request body.
       timeout_s: Longest wait for each read, in seconds.
+      check: Called immediately before the first byte is written.
 
     Raises:
       AttemptError: There is no whole response.
     """
-    sent = Sent()
+    sent = Sent(check)
     extensions = {
         'trace': sent.trace,
         'timeout': {
--- a/packages/node/src/radishcourse_node/errors.py
+++ b/packages/node/src/radishcourse_node/errors.py
@@ -40,6 +40,7 @@
     STALE_VIEW = ('stale_view', 503, states.Outcome.NOT_RUN)
     CLAIM_UNAVAILABLE = ('claim_unavailable', 503, states.Outcome.NOT_RUN)
     BILLING_BACKLOG = ('billing_backlog', 503, states.Outcome.NOT_RUN)
+    KEY_REUSED = ('key_reused', 422, states.Outcome.NOT_RUN)
     DEADLINE_EXPIRED = ('deadline_expired', 504, states.Outcome.NOT_RUN)
     STILL_RUNNING = ('still_running', 409, states.Outcome.UNKNOWN)
     UPSTREAM_FAILED = ('upstream_failed', 500, states.Outcome.FAILED)
--- a/packages/node/src/radishcourse_node/filters/__init__.py
+++ b/packages/node/src/radishcourse_node/filters/__init__.py
@@ -26,6 +26,7 @@
 
 _MODULES = (
     'authentication',
+    'outcome',
     'parsing',
     'permission',
     'session',
--- a/packages/node/src/radishcourse_node/filters/claim.py
+++ b/packages/node/src/radishcourse_node/filters/claim.py
@@ -15,4 +15,4 @@
         """Refuses repeats whose outcome is not known yet."""
         if job.idempotency_key is None:
             return await proceed(job)
-        return await self._claims.run(job, proceed)
+        return await self._claims.handle(job, proceed)
--- a/packages/node/src/radishcourse_node/guard.py
+++ b/packages/node/src/radishcourse_node/guard.py
@@ -38,6 +38,18 @@
                 errors.RefusalCode.DEADLINE_EXPIRED, 'the deadline has passed'
             )
 
+    def start(self, job: jobs.Job) -> None:
+        """Checks the view again at the first byte of an attempt.
+
+        A process that was frozen while it waited for a connection sends
+        nothing when it wakes after the deadline.
+
+        Raises:
+          Refusal: New work may not start.
+        """
+        self.check_view(job)
+        job.sent = True
+
     def allows_version(
         self, job: jobs.Job, model: ids.ModelId, version: ids.VersionId
     ) -> bool:
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -109,7 +109,7 @@
         self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
         self.versions = versions.Versions(environment, self.configuration)
-        self.claims = claims.Claims(environment, rows)
+        self.claims = claims.Claims(environment, rows, store)
         self.bills = bills.Bills(
             environment,
             settings,
@@ -178,6 +178,7 @@
         return {
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
+            'radishcourse_claims_waiting': self.claims.waiting,
             'radishcourse_bills_held': self.bills.held,
             'radishcourse_bills_held_for_others': self.bills.held_for_others,
             'radishcourse_bills_at_risk': self.bills.at_risk,
@@ -203,11 +204,17 @@
             listen=self.settings.listen,
         )
         async with anyio.create_task_group() as tasks:
-            for controller in (self.configuration, self.upstreams, self.bills):
+            for controller in (
+                self.configuration,
+                self.upstreams,
+                self.bills,
+                self.claims,
+            ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
             await server.serve()
+            await self.claims.finish()
             await self._finish_bills()
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -13,6 +13,8 @@
 MAX_ATTEMPTS = 3
 MAX_ANSWER_BYTES = 16 * 2**20
 _PASSED_ON = ('content-type', 'accept', 'idempotency-key')
+_FRAMED = {b'content-length', b'transfer-encoding'}
+_WITHOUT_BODY = (204, 304)
 _RETURNED = (b'content-type', b'etag', b'location', b'cache-control')
 
 
@@ -24,6 +26,7 @@
         self._configuration = node.configuration
         self._upstreams = node.upstreams
         self._guard = guard.Guard(node)
+        self._fresh = engines.Pools(keep=False)
 
     async def run(self, job: jobs.Job) -> jobs.Answer:
         """Returns the service's answer.
@@ -38,7 +41,7 @@
                 return await self._attempt(job, tried)
             except errors.AttemptError as error:
                 self._note_failure(job, error, tried)
-                if not self._may_retry(job, error, attempt):
+                if not self._may_retry(job, error, attempt, tried):
                     raise _failed(job, error) from error
         raise AssertionError('the last attempt returns or raises')
 
@@ -50,17 +53,20 @@
             tried.add(upstream.upstream_id)
             self._guard.check_view(job)
             query = f'?{job.query}' if job.query else ''
+            pool = upstream.pool
+            if not job.may_repeat:
+                pool = self._fresh.get(upstream.address)
             async with engines.open_response(
-                upstream.pool,
+                pool,
                 job.method,
                 f'http://{upstream.address}{job.call.path}{query}',
                 _headers(job),
                 job.body,
                 max(0.001, job.deadline - self._clock.now()),
+                lambda: self._guard.start(job),
             ) as response:
-                job.sent = True
                 upstream.note_signs(engines.read_signs(response))
-                body = await _read(response)
+                body = await _read(response, job.method)
             if response.status >= 500:
                 raise errors.AttemptError(
                     f'status {response.status}', sent=True
@@ -94,17 +100,31 @@
             error=str(error),
         )
 
-    def _may_retry(self, job, error: errors.AttemptError, attempt) -> bool:
+    def _may_retry(
+        self, job, error: errors.AttemptError, attempt: int, tried
+    ) -> bool:
         if attempt + 1 >= MAX_ATTEMPTS or self._clock.now() >= job.deadline:
             return False
         if error.sent and not job.may_repeat:
             return False
-        return self._upstreams.spend_retry(
-            job.organisation_id, job.call.service
+        # Requests earn retries under the name of their upstream's pool.
+        upstreams = self._configuration.config.upstreams
+        pools = [upstreams[name].pool for name in tried if name in upstreams]
+        return bool(pools) and self._upstreams.spend_retry(
+            job.organisation_id, pools[0]
         )
 
 
-async def _read(response: httpcore.Response) -> bytes:
+async def _read(response: httpcore.Response, method: str) -> bytes:
+    """Returns the whole body.
+
+    Raises:
+      AttemptError: It is too large, or its end can't be told from a cut.
+    """
+    names = {name.lower() for name, _ in response.headers}
+    bodiless = method == 'HEAD' or response.status in _WITHOUT_BODY
+    if not bodiless and not names & _FRAMED:
+        raise errors.AttemptError('a body without a length', sent=True)
     parts = []
     size = 0
     async for part in response.aiter_stream():
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -220,13 +220,27 @@
         body,
         headers: dict[str, str] | None = None,
         timeout_s: float = 30.0,
+    ) -> Reply:
+        """Sends a request with the test organisation's key."""
+        return self.request(
+            'POST', name, path, json.dumps(body).encode(), headers, timeout_s
+        )
+
+    def request(
+        self,
+        method: str,
+        name: str,
+        path: str,
+        content: bytes = b'',
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 30.0,
     ) -> Reply:
         """Sends a request with the test organisation's key."""
         reply = httpcore.request(
-            'POST',
+            method,
             self.nodes[name].url + path,
             headers={'Authorization': f'Bearer {KEY}', **(headers or {})},
-            content=json.dumps(body).encode(),
+            content=content,
             extensions={'timeout': dict.fromkeys(
                 ('connect', 'read', 'write', 'pool'), timeout_s)},
         )  # fmt: skip
--- a/tests/load.py
+++ b/tests/load.py
@@ -3,12 +3,15 @@
 import collections
 import concurrent.futures
 import contextlib
+import itertools
 import json
 import pathlib
 import random
 import tempfile
 
 import httpcore
+import hypothesis
+from hypothesis import stateful
 import msgspec
 
 from tests import cluster as clusters
@@ -30,12 +33,11 @@
         self.random = random.Random(seed)
         self.seed = seed
         self._calls: list[histories.Call] = []
-        self._number = 0
+        self._numbers = itertools.count(1)
 
     def new_name(self) -> str:
         """Returns a name that no order of this run has yet."""
-        self._number += 1
-        return f'o{self.seed}-{self._number}'
+        return f'o{self.seed}-{next(self._numbers)}'
 
     def order(
         self, node: str, name: str = '', keyed: bool = True, **options
@@ -61,15 +63,26 @@
         headers = {'X-Radish-Kind': 'tag'}
         return self._send(call, '/v1/chat/completions', body, headers, options)
 
-    def any(self, node: str) -> histories.Call:
+    def any(self, node: str, **options) -> histories.Call:
         """Sends a request of a sort that is drawn."""
         drawn = self.random.random()
         if drawn < 0.6:
-            return self.order(node, keyed=drawn < 0.45)
-        return self.chat(node, drawn < 0.8, drawn < 0.65)
+            return self.order(node, keyed=drawn < 0.45, **options)
+        return self.chat(node, drawn < 0.8, drawn < 0.65, **options)
+
+    def repeat(
+        self, call: histories.Call, node: str, **options
+    ) -> histories.Call:
+        """Sends a request with a key again."""
+        if call.kind == 'order':
+            return self.order(node, call.name, **options)
+        return self.chat(
+            node, call.kind == 'stream', True, name=call.name, **options
+        )
 
     def _send(self, call, path, body, headers, options) -> histories.Call:
         self._calls.append(call)
+        options = dict(options)
         headers = {**headers, **options.pop('headers', {})}
         if call.key:
             headers['Idempotency-Key'] = call.key
@@ -100,7 +113,7 @@
                     ran[item['request_id'].rpartition('-')[0]] += 1
         billed = [bill[1] for bill in self.cluster.bills()]
         return histories.History(
-            self.seed, self._calls, dict(runs), dict(ran), billed
+            self.seed, list(self._calls), dict(runs), dict(ran), billed
         )
 
     def wait_bills(self, timeout_s: float = 30.0) -> None:
@@ -145,6 +158,19 @@
         yield pool
 
 
+def run_machine(machine, examples: int) -> None:
+    """Runs a state machine; the same examples each time."""
+    stateful.run_state_machine_as_test(
+        machine,
+        settings=hypothesis.settings(
+            max_examples=examples,
+            stateful_step_count=40,
+            deadline=None,
+            derandomize=True,
+        ),
+    )
+
+
 def check(case, recorder: Recorder) -> histories.History:
     """Fails a test with the whole history when a guarantee is violated."""
     recorder.wait_bills()
--- a/tests/test_bills.py
+++ b/tests/test_bills.py
@@ -106,15 +106,7 @@
     """Runs the state machine, and checks sizes."""
 
     def test_concurrent_flushes_write_each_bill_once(self):
-        stateful.run_state_machine_as_test(
-            FlushMachine,
-            settings=hypothesis.settings(
-                max_examples=200,
-                stateful_step_count=40,
-                deadline=None,
-                derandomize=True,
-            ),
-        )
+        load.run_machine(FlushMachine, 200)
 
     @hypothesis.given(
         strategies.lists(strategies.integers(1, 400), unique=True),
