Add a seeded soak that checks the guarantees under mixed faults

Cause: single tests bring about one failure each; guarantees must hold under several at once. Ruled out: two faults of one node at the same time, such as a cut and a kill (bills that no other node could be given are lost then, as the design says). Change: tests/soak.py: kills, stops, freezes, cuts of nodes and upstreams, faults of platform, engines and desks, configuration changes, under load with repeated keys; a table for each guarantee.

--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,265 @@
+"""Runs real processes under load and faults, and checks the guarantees.
+
+`python -m tests.soak --seconds 600 --seed 1 --nodes 8` prints a table with
+the cases tried and the violations of each guarantee. The faults and the
+requests are drawn from the seed.
+"""
+
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+import typing
+
+import fire
+
+from tests import cluster as clusters
+from tests import histories
+from tests import load
+
+ENGINES = ('small-1', 'small-2', 'small-3', 'large-1', 'large-2')
+DESKS = ('desk-1', 'desk-2')
+CLIENTS = 12
+DEADLINE_MS = '2000'
+TIMEOUT_S = 10.0
+# Time that a client waits between requests, and whether it repeats the key
+# of an order that was not completed.
+PAUSE_S = 0.05
+REPEATS = 3
+# Faults are far enough apart for holders to take over a dead node's bills.
+FAULT_GAP_S = 3.0
+SETTLE_S = 40.0
+
+_faults: dict[str, typing.Callable] = {}
+
+
+def fault(function):
+    """Registers a fault; it yields while it lasts."""
+    _faults[function.__name__] = contextlib.contextmanager(function)
+    return function
+
+
+@dataclasses.dataclass
+class Soak:
+    """The state of a run.
+
+    Attributes:
+      cluster: The processes.
+      recorder: Requests and what came of them.
+      random: Source of the faults.
+      document: The configuration in force.
+      stop: Set at the end of the load.
+      busy: Nodes that have a fault now.
+    """
+
+    cluster: clusters.Cluster
+    recorder: load.Recorder
+    random: random.Random
+    document: dict
+    stop: threading.Event
+    busy: set[str] = dataclasses.field(default_factory=set)
+
+    def any_node(self) -> str:
+        """Returns a node that has no fault.
+
+        Two faults of one node, such as a cut and a kill, are beyond what
+        the design covers for bills that no other node could be given.
+        """
+        free = [name for name in self.cluster.names if name not in self.busy]
+        name = self.random.choice(free)
+        self.busy.add(name)
+        return name
+
+
+@fault
+def kill(soak: Soak):
+    """Kills a node and starts it anew."""
+    name = soak.any_node()
+    soak.cluster.nodes[name].kill()
+    yield
+    soak.cluster.start_node(name)
+
+
+@fault
+def stop(soak: Soak):
+    """Stops a node gracefully and starts it anew."""
+    name = soak.any_node()
+    soak.cluster.nodes[name].signal(signal.SIGTERM)
+    yield
+    soak.cluster.nodes[name].stop()
+    soak.cluster.start_node(name)
+
+
+@fault
+def freeze(soak: Soak):
+    """Freezes a node."""
+    node = soak.cluster.nodes[soak.any_node()]
+    node.signal(signal.SIGSTOP)
+    yield
+    node.signal(signal.SIGCONT)
+
+
+@fault
+def cut_node(soak: Soak):
+    """Cuts a node off from the platform and from all other nodes."""
+    name = soak.any_node()
+    mode = soak.random.choice(('refuse', 'blackhole'))
+    soak.cluster.cut_off(name, mode)
+    yield
+    soak.cluster.cut_off(name, 'pass')
+
+
+@fault
+def cut_upstream(soak: Soak):
+    """Resets connections to an upstream after some bytes."""
+    link = f'all>{soak.random.choice(ENGINES + DESKS)}'
+    soak.cluster.fault(
+        'reset',
+        [link],
+        direction=soak.random.choice(('requests', 'answers')),
+        after_bytes=soak.random.randrange(4000),
+    )
+    yield
+    soak.cluster.fault('pass', [link])
+
+
+@fault
+def platform(soak: Soak):
+    """Takes the platform down, or makes it slow or lose answers."""
+    mode = soak.random.choice(
+        ('down', 'hang', 'slow', 'lose_answers', 'stale_reads')
+    )
+    soak.cluster.platform_fault(mode, delay_ms=300, probability=0.5)
+    yield
+    soak.cluster.platform_fault('up')
+
+
+@fault
+def cold_engine(soak: Soak):
+    """Turns an engine cold."""
+    engine = soak.cluster.upstreams[soak.random.choice(ENGINES)]
+    soak.cluster.control(engine, 'state', {'state': 'cold'})
+    yield
+
+
+@fault
+def bad_engine(soak: Soak):
+    """Makes an engine fail and truncate some answers."""
+    engine = soak.cluster.upstreams[soak.random.choice(ENGINES)]
+    settings = {'fail': 0.2, 'truncate': 0.2}
+    soak.cluster.control(engine, 'settings', settings)
+    yield
+    soak.cluster.control(engine, 'settings', {})
+
+
+@fault
+def bad_desk(soak: Soak):
+    """Makes a desk hang, close, fail, cut or delay after it ran orders."""
+    desk = soak.cluster.upstreams[soak.random.choice(DESKS)]
+    kind = soak.random.choice(('hang', 'close', 'error', 'truncate', 'none'))
+    settings = {'fault': kind, 'every': 5, 'delay_ms': 200}
+    soak.cluster.control(desk, 'settings', settings)
+    yield
+    soak.cluster.control(desk, 'settings', {})
+
+
+@fault
+def configuration(soak: Soak):
+    """Changes the configuration."""
+    shares = soak.random.choice(((100, 0), (50, 50)))
+    versions = soak.document['models']['small']['versions']
+    for version, share in zip(('v1', 'v2'), shares, strict=True):
+        versions[version]['share'] = share
+    with contextlib.suppress(AssertionError):
+        soak.cluster.apply(soak.document)
+    yield
+
+
+def _send_load(soak: Soak, seed: int) -> None:
+    drawn = random.Random(seed)
+    headers = {'X-Radish-Deadline-Ms': DEADLINE_MS}
+    options = {'headers': headers, 'timeout_s': TIMEOUT_S}
+    while not soak.stop.is_set():
+        node = drawn.choice(soak.cluster.names)
+        call = soak.recorder.any(node, **options)
+        for _ in range(REPEATS):
+            if not call.key or call.outcome == histories.COMPLETED:
+                break
+            time.sleep(drawn.random())
+            node = drawn.choice(soak.cluster.names)
+            call = soak.recorder.repeat(call, node, **options)
+        time.sleep(PAUSE_S)
+
+
+def _inject_faults(soak: Soak, end: float) -> dict[str, int]:
+    counts = dict.fromkeys(_faults, 0)
+    while time.monotonic() < end:
+        names = soak.random.sample(sorted(_faults), soak.random.choice((1, 2)))
+        with contextlib.ExitStack() as stack:
+            for name in names:
+                counts[name] += 1
+                stack.enter_context(_faults[name](soak))
+            time.sleep(soak.random.uniform(0.5, 8.0))
+        soak.busy.clear()
+        time.sleep(FAULT_GAP_S)
+    return counts
+
+
+def run(seconds: float = 600, seed: int = 1, nodes: int = 8) -> int:
+    """Runs the soak; returns 1 when a guarantee is violated.
+
+    Args:
+      seconds: Time under load and faults.
+      seed: Seed of requests and faults.
+      nodes: Nodes.
+    """
+    with clusters.running(nodes, ENGINES, DESKS, flush_s=1.0) as cluster:
+        recorder = load.Recorder(cluster, seed)
+        soak = Soak(
+            cluster,
+            recorder,
+            random.Random(seed),
+            clusters.make_document(cluster),
+            threading.Event(),
+        )
+        with load.at_once(CLIENTS) as pool:
+            futures = [
+                pool.submit(_send_load, soak, seed * 1000 + index)
+                for index in range(CLIENTS)
+            ]
+            try:
+                counts = _inject_faults(soak, time.monotonic() + seconds)
+            finally:
+                soak.stop.set()
+            for future in futures:
+                future.result()
+        recorder.wait_bills(SETTLE_S)
+        history = recorder.history()
+    return _report(history, counts)
+
+
+def _report(history: histories.History, counts: dict[str, int]) -> int:
+    print(histories.describe(history))
+    print(f'faults: {json.dumps(counts)}')
+    if not histories.violated(history):
+        return 0
+    path = pathlib.Path(tempfile.gettempdir())
+    path /= f'radishcourse-soak-{history.seed}.json'
+    histories.save(history, path)
+    print(f'check again: python -m tests.histories {path}')
+    return 1
+
+
+def main() -> None:
+    """Entry point."""
+    sys.exit(int(fire.Fire(run, serialize=lambda status: None)))
+
+
+if __name__ == '__main__':
+    main()
