--- a/packages/node/src/radishcourse_node/engines.py
+++ b/packages/node/src/radishcourse_node/engines.py
@@ -14,6 +14,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_CONNECTIONS = 1024
+# The step of httpcore before the first byte of a request.
+SENDING = 'send_request_headers.started'
 CANCEL_TIMEOUT_S = 1.0
 # A small receive buffer makes a node that stops reading hold back the engine
 # instead of filling megabytes in the kernel; at 2 ms it still passes 16 MB/s
@@ -90,20 +92,20 @@
     """Tells whether any byte of a request may have left the node.
 
     Args:
-      check: Called immediately before the first byte, after any wait for a
-        connection; what it raises stops the request.
+      check: Called with the name of each step of httpcore; what it raises
+        before the first byte stops the request.
     """
 
-    def __init__(self, check: typing.Callable[[], None] | None = None):
+    def __init__(self, check=None):
         self.started = False
         self._check = check
 
     async def trace(self, name: str, info: object) -> None:
         """Takes note of the progress of a request in httpcore."""
         del info
-        if name.endswith('send_request_headers.started'):
-            if self._check is not None:
-                self._check()
+        if self._check is not None:
+            await self._check(name)
+        if name.endswith(SENDING):
             self.started = True
 
 
@@ -147,7 +149,7 @@
     headers: list[tuple[bytes, bytes]],
     body: bytes,
     timeout_s: float,
-    check: typing.Callable[[], None] | None = None,
+    check=None,
 ):
     """Yields the response of an upstream with its body unread.
 
@@ -158,7 +160,8 @@
       headers: Request headers.
       body: Request body.
       timeout_s: Longest wait for each read, in seconds.
-      check: Called immediately before the first byte is written.
+      check: Called with the name of each step of httpcore; it may raise
+        `AttemptError` or `Refusal` before the first byte is sent.
 
     Raises:
       AttemptError: There is no whole response.
--- a/packages/node/src/radishcourse_node/guard.py
+++ b/packages/node/src/radishcourse_node/guard.py
@@ -8,6 +8,7 @@
 from radishcourse_model import schema
 from radishcourse_model import states
 
+from radishcourse_node import engines
 from radishcourse_node import errors
 from radishcourse_node import job as jobs
 
@@ -38,17 +39,22 @@
                 errors.RefusalCode.DEADLINE_EXPIRED, 'the deadline has passed'
             )
 
-    def start(self, job: jobs.Job) -> None:
-        """Checks the view again at the first byte of an attempt.
+    def checking(self, job: jobs.Job, upstream):
+        """Returns the check of an attempt's steps in httpcore.
 
-        A process that was frozen while it waited for a connection sends
-        nothing when it wakes after the deadline.
-
-        Raises:
-          Refusal: New work may not start.
+        The view and the deadline are checked again at the first byte, so
+        that a process that was frozen while it waited for a connection
+        sends nothing when it wakes after the deadline. From then on "not
+        run" is no longer said of the job.
         """
-        self.check_view(job)
-        job.sent = True
+
+        async def check(step: str) -> None:
+            await upstream.trace(step)
+            if step.endswith(engines.SENDING):
+                self.check_view(job)
+                job.sent = True
+
+        return check
 
     def allows_version(
         self, job: jobs.Job, model: ids.ModelId, version: ids.VersionId
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -1,6 +1,8 @@
 """A node: its controllers put together, its background tasks, its stop."""
 
+import asyncio
 import contextlib
+import functools
 import secrets
 import signal
 
@@ -8,9 +10,12 @@
 import msgspec
 from radishcourse_model import ids
 from radishcourse_platform import http
+from radishcourse_platform import leases as lease_rows
 from radishcourse_platform import objects
 from radishcourse_platform import revisions
 from radishcourse_platform import table
+from radishcourse_platform import vms
+from radishcourse_policy import leases as lease_policy
 from radishcourse_wire import client as peer_client
 from radishcourse_wire import credentials
 from radishcourse_wire import messages
@@ -30,6 +35,7 @@
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
 from radishcourse_node.controllers import holders
+from radishcourse_node.controllers import leases
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import readers
 from radishcourse_node.controllers import upstreams
@@ -37,6 +43,7 @@
 
 MAX_LINE_BYTES = 32 * 1024
 RESTART_DELAY_S = 1.0
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class UpstreamStatus(msgspec.Struct):
@@ -102,12 +109,22 @@
             revisions.Revisions(rows, store),
             self.freshness,
         )
-        self.upstreams = upstreams.Upstreams(
-            environment, self.configuration, settings
+        self.vms = vms.Vms(platform)
+        self.leases = leases.Leases(
+            environment,
+            settings,
+            self.incarnation,
+            lease_rows.LeaseRows(rows),
+            self.freshness,
+            self._lease_names,
+            self._roster,
         )
+        self.upstreams = upstreams.Upstreams(self)
         self.admissions = admissions.Admissions()
-        self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
+        self.quality = quality.Quality(
+            environment, self.configuration, settings, self.ratings
+        )
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows, store)
         self.bills = bills.Bills(
@@ -143,6 +160,28 @@
         """Requests in progress."""
         return self._requests
 
+    def peer_address(self, node: ids.NodeId) -> str | None:
+        """Returns the address at which another node is reached."""
+        if node in self.settings.peer_routes:
+            return self.settings.peer_routes[node]
+        seeds = {seed.node: seed.address for seed in self.settings.seeds}
+        return seeds.get(node)
+
+    def _roster(self) -> leases.Roster:
+        seeds = {seed.node for seed in self.settings.seeds}
+        return leases.Roster(sorted({*seeds, self.settings.node}), live=False)
+
+    def _lease_names(self) -> list[ids.LeaseName]:
+        config = self.configuration.config
+        shards = {
+            lease_policy.shard_name(upstream, self.settings.shards)
+            for upstream in config.upstreams
+        }
+        rollouts = {
+            ids.LeaseName(f'rollout/{name}') for name in config.rollouts
+        }
+        return sorted(shards | rollouts)
+
     @contextlib.contextmanager
     def count_request(self):
         """Counts a request while it is in progress."""
@@ -206,16 +245,22 @@
         async with anyio.create_task_group() as tasks:
             for controller in (
                 self.configuration,
+                self.leases,
                 self.upstreams,
                 self.bills,
+                self.quality,
                 self.claims,
             ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
             await server.serve()
+            # Nothing is left to stop; a signal must not change the exit code.
+            for number in _STOP_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
             await self.claims.finish()
             await self._finish_bills()
+            await self.leases.release()
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
 
@@ -229,7 +274,10 @@
             app.App(self),
             host=host,
             port=port,
-            http=connections.Connection,
+            http=functools.partial(
+                connections.Connection,
+                header_limit_s=self.settings.header_limit_s,
+            ),
             lifespan='off',
             log_config=None,
             access_log=False,
@@ -257,17 +305,20 @@
             await anyio.sleep(RESTART_DELAY_S)
 
     async def _drain_on_signal(self, server: uvicorn.Server) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                break
-            self._draining = True
-            events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
-            await anyio.sleep(self.settings.drain_delay_s)
-            server.should_exit = True
-            # Later signals change nothing; they must not end the process.
-            await anyio.sleep_forever()
+        # Handlers of the event loop would be removed before the process ends,
+        # and a second signal in that moment would kill it.
+        loop = asyncio.get_running_loop()
+        stopping = anyio.Event()
+        for number in _STOP_SIGNALS:
+            signal.signal(
+                number,
+                lambda *_: loop.call_soon_threadsafe(stopping.set),
+            )
+        await stopping.wait()
+        self._draining = True
+        events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
+        await anyio.sleep(self.settings.drain_delay_s)
+        server.should_exit = True
 
     async def _finish_bills(self) -> None:
         if not await self.bills.finish():
--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -63,7 +63,7 @@
                 _headers(job),
                 job.body,
                 max(0.001, job.deadline - self._clock.now()),
-                lambda: self._guard.start(job),
+                self._guard.checking(job, upstream),
             ) as response:
                 upstream.note_signs(engines.read_signs(response))
                 body = await _read(response, job.method)
