--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -117,7 +117,7 @@
             environment, self.configuration, settings, self.ratings
         )
         self.versions = versions.Versions(environment, self.configuration)
-        self.claims = claims.Claims(environment, rows)
+        self.claims = claims.Claims(environment, rows, store)
         self.bills = bills.Bills(
             environment,
             settings,
@@ -234,6 +234,7 @@
         return {
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
+            'radishcourse_claims_waiting': self.claims.waiting,
             'radishcourse_bills_held': self.bills.held,
             'radishcourse_bills_held_for_others': self.bills.held_for_others,
             'radishcourse_bills_at_risk': self.bills.at_risk,
@@ -271,6 +272,7 @@
                 self.orders,
                 self.bills,
                 self.quality,
+                self.claims,
             ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self.peer_server.serve_on, peers)
@@ -279,6 +281,7 @@
             # Nothing is left to stop; a signal must not change the exit code.
             for number in _STOP_SIGNALS:
                 signal.signal(number, signal.SIG_IGN)
+            await self.claims.finish()
             await self._finish_bills()
             await self.leases.release()
             tasks.cancel_scope.cancel()
