Place attempts by expected time to the first token

Cause: two random choices by reported load trust an old report as much as a new one and know nothing of prompt caches.

See docs/policies/placement.md.

Change: score from own requests, reports that lose trust, cached prefix, service time; caches known from own requests, events and rendezvous homes. Nodes do not read cache events yet.

--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -31,6 +31,7 @@
         self._quality = node.quality
         self._ratings = node.ratings
         self._versions = node.versions
+        self._caches = node.caches
         self._guard = guard.Guard(node)
         self._excerpts = excerpts.Excerpts()
         self._streams = streams.Streams(
@@ -176,9 +177,13 @@
                     f'{model}/{version} is not allowed any more', sent=False
                 )
             call = _make_call(job, model, version, len(tried))
+            began = self._clock.now()
+            self._caches.note_sent(job, upstream.upstream_id)
             async with streams.cancelling(upstream, call.request_id):
                 async with self._request(job, upstream, call) as response:
                     yield response, call
+            seconds = self._clock.now() - began
+            self._caches.note_service(upstream.upstream_id, seconds)
 
     @contextlib.asynccontextmanager
     async def _request(self, job, upstream: upstreams.Reservation, call):
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -68,11 +68,12 @@
 class Upstreams:
     """Keeps the health of all upstreams and hands out reservations."""
 
-    def __init__(self, environment, configuration, settings):
+    def __init__(self, environment, configuration, settings, caches):
         self._clock = environment.clock
         self._random = environment.random
         self._configuration = configuration
         self._settings = settings
+        self._caches = caches
         self._health: dict[ids.UpstreamId, Health] = {}
         self._pools = engines.Pools()
         self._budgets: dict[tuple, retrybudget.RetryBudget] = {}
@@ -117,6 +118,8 @@
             return
         health = self._get(upstream_id)
         health.confirmed_at = self._clock.now()
+        if health.boot != signs.boot:
+            self._caches.forget(upstream_id)
         health.boot = signs.boot
         try:
             self._change(upstream_id, states.UpstreamState(signs.state))
@@ -169,9 +172,11 @@
     @contextlib.asynccontextmanager
     async def _take(self, job, choices, tried):
         untried = {key: choices[key] for key in choices if key not in tried}
+        described = [
+            self._describe(*item) for item in (untried or choices).items()
+        ]
         chosen = placement.choose(
-            [self._describe(*item) for item in (untried or choices).items()],
-            self._random,
+            self._caches.complete(job, described), self._random
         )
         if chosen is None:
             raise errors.Refusal(
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -26,6 +26,7 @@
 from radishcourse_node import settings as node_settings
 from radishcourse_node.controllers import admissions
 from radishcourse_node.controllers import bills
+from radishcourse_node.controllers import caches
 from radishcourse_node.controllers import claims
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
@@ -102,8 +103,9 @@
             revisions.Revisions(rows, store),
             self.freshness,
         )
+        self.caches = caches.Caches()
         self.upstreams = upstreams.Upstreams(
-            environment, self.configuration, settings
+            environment, self.configuration, settings, self.caches
         )
         self.admissions = admissions.Admissions()
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
--- a/packages/standins/src/radishcourse_standins/measure/__main__.py
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -3,10 +3,12 @@
 import fire
 
 from radishcourse_standins.measure import cascade
+from radishcourse_standins.measure import placement
 from radishcourse_standins.measure import report
 
 COMMANDS = {
     'cascade': cascade.main,
+    'placement': placement.main,
 }
 
 
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/measure/placement.py
@@ -0,0 +1,277 @@
+"""Measures placement: time to first token of nodes that decide alone."""
+
+import collections
+import concurrent.futures
+import dataclasses
+import random
+
+from radishcourse_model import ids
+from radishcourse_policy import placement
+from radishcourse_policy import prefixes
+
+from radishcourse_standins.measure import queues
+from radishcourse_standins.measure import report
+
+SEEDS = 5
+JOBS = 12_000
+NODES = 8
+UPSTREAMS = 9
+SLOTS = 8
+CACHE = 10
+PREFIXES = 60
+PREFILL_S = 0.4
+DECODE_S = 1.0
+CACHED_SHARE = 0.8
+REPORT_EVERY_S = 0.5
+EVENT_DELAY_S = 1.0
+EVENT_LOSS = 0.1
+SERVICE_GAIN = 0.02
+WARM_UP_SHARE = 0.2
+PROCESSES = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """A condition: load, age of reports, shared prefixes, a slow upstream."""
+
+    load: float
+    lag_s: float = 0.5
+    shared: bool = True
+    slow: float = 1.0
+
+    @property
+    def name(self) -> str:
+        """Its name in the table."""
+        parts = [f'{self.load:.0%}', f'reports {self.lag_s:g} s']
+        parts.append('shared' if self.shared else 'no shared')
+        if self.slow != 1:
+            parts.append(f'one {self.slow:g}x slow')
+        return ', '.join(parts)
+
+
+CASES = [
+    *(Case(load, shared=shared)
+      for load in (0.3, 0.7, 0.95) for shared in (True, False)),
+    *(Case(0.7, lag, shared)
+      for lag in (0.0, 2.0, 10.0) for shared in (True, False)),
+    *(Case(0.7, shared=shared, slow=3.0) for shared in (True, False)),
+]  # fmt: skip
+
+
+class Node:
+    """A node with its own view."""
+
+    def __init__(self, policy: str, case: Case, upstreams, seed: int):
+        self._policy = policy
+        self._case = case
+        self._upstreams = upstreams
+        self._random = random.Random(seed)
+        self._phase = self._random.random() * REPORT_EVERY_S
+        self._in_flight: collections.Counter = collections.Counter()
+        self._sent: dict[str, list] = collections.defaultdict(list)
+        self._prefixes = prefixes.Prefixes()
+        self._read = collections.Counter()
+        self._service = dict.fromkeys(
+            (item.name for item in upstreams), PREFILL_S + DECODE_S
+        )
+        self._next = self._random.randrange(UPSTREAMS)
+
+    def place(self, model: queues.Model, request: queues.Request) -> None:
+        """Sends a request to the upstream that the policy chooses."""
+        upstream = self._choose(model.now, request)
+        began, name = model.now, upstream.name
+        self._in_flight[name] += 1
+        self._sent[name].append((began, 1))
+        if request.prefix:
+            self._prefixes.note_sent(ids.UpstreamId(name), request.prefix)
+
+        def done() -> None:
+            self._in_flight[name] -= 1
+            self._sent[name].append((model.now, -1))
+            # The wait for the slot is not a part of the service.
+            slot_s = request.decode_s * upstream._pace + request.prefill_s
+            self._service[name] += SERVICE_GAIN * (slot_s - self._service[name])
+
+        upstream.add(request, done)
+
+    def _choose(self, now: float, request) -> queues.Upstream:
+        if self._policy == 'random':
+            return self._random.choice(self._upstreams)
+        if self._policy == 'round robin':
+            self._next = (self._next + 1) % UPSTREAMS
+            return self._upstreams[self._next]
+        candidates = [
+            self._describe(now, item, request) for item in self._upstreams
+        ]
+        if self._policy == 'least reported':
+            chosen = min(
+                candidates, key=lambda item: (item.reported, item.upstream)
+            )
+        elif self._policy == 'power of two':
+            chosen = placement.choose_of_two(candidates, self._random)
+        else:
+            self._read_events(now)
+            chosen = placement.choose(
+                self._with_prefix(candidates, request), self._random
+            )
+        return next(
+            item for item in self._upstreams if item.name == chosen.upstream
+        )
+
+    def _describe(self, now, upstream, request) -> placement.Candidate:
+        sampled = now - (now + self._phase) % REPORT_EVERY_S - self._case.lag_s
+        index = int(sampled / queues.SAMPLE_S)
+        reported = 0
+        if 0 <= index < len(upstream.history):
+            reported = upstream.history[index]
+        return placement.Candidate(
+            upstream=ids.UpstreamId(upstream.name),
+            slots=upstream.slots,
+            in_flight=self._in_flight[upstream.name],
+            reported=reported,
+            report_age_s=now - sampled,
+            in_flight_then=self._own_at(upstream.name, sampled),
+            service_s=self._service[upstream.name],
+            prefill_s=request.prefill_s,
+        )
+
+    def _own_at(self, name: str, when: float) -> int:
+        changes = self._sent[name]
+        own = self._in_flight[name]
+        for at, change in reversed(changes):
+            if at <= when:
+                break
+            own -= change
+        if len(changes) > 2000:
+            del changes[:1000]
+        return own
+
+    def _read_events(self, now: float) -> None:
+        for upstream in self._upstreams:
+            start = self._read[upstream.name]
+            for at, prefix, stored in upstream.events[start:]:
+                if at > now - EVENT_DELAY_S:
+                    break
+                self._read[upstream.name] += 1
+                if self._random.random() < EVENT_LOSS:
+                    continue
+                name = ids.UpstreamId(upstream.name)
+                if stored:
+                    self._prefixes.note_stored(name, prefix)
+                else:
+                    self._prefixes.note_evicted(name, prefix)
+
+    def _with_prefix(self, candidates, request):
+        if not request.prefix:
+            return candidates
+        names = [item.upstream for item in candidates]
+        known = any(
+            self._prefixes.share(name, request.prefix) for name in names
+        )
+        agreed = set(prefixes.homes(request.prefix, names)) if known else ()
+        return [
+            dataclasses.replace(
+                item,
+                cached_share=CACHED_SHARE
+                * self._prefixes.share(item.upstream, request.prefix),
+                preferred=item.upstream in agreed,
+            )
+            for item in candidates
+        ]
+
+
+def run(case: Case, policy: str, seed: int, jobs: int) -> dict[str, float]:
+    """Returns the quantiles of the time to first token of one run."""
+    source = random.Random(seed)
+    model = queues.Model()
+    upstreams = [
+        queues.Upstream(
+            model, f'u{index}', SLOTS, CACHE,
+            case.slow if index == 0 else 1.0, CACHED_SHARE,
+        )
+        for index in range(UPSTREAMS)
+    ]  # fmt: skip
+    nodes = [
+        Node(policy, case, upstreams, seed * 100 + index)
+        for index in range(NODES)
+    ]
+    requests = _make_requests(case, source, jobs)
+    for request in requests:
+        node = source.choice(nodes)
+        model.at(request.at, lambda n=node, r=request: n.place(model, r))
+    greatest = [0]
+
+    def sample() -> None:
+        for upstream in upstreams:
+            upstream.history.append(upstream.load)
+            greatest[0] = max(greatest[0], upstream.load)
+        if model.now < requests[-1].at:
+            model.at(model.now + queues.SAMPLE_S, sample)
+
+    model.at(0.0, sample)
+    model.run()
+    kept = requests[int(WARM_UP_SHARE * jobs) :]
+    times = sorted(item.first_token_s for item in kept)
+    return {
+        'p50 s': times[len(times) // 2],
+        'p99 s': times[int(0.99 * len(times))],
+        'greatest load': float(greatest[0]),
+    }
+
+
+def _make_requests(case: Case, source, jobs: int) -> list[queues.Request]:
+    rate = case.load * UPSTREAMS * SLOTS / (PREFILL_S + DECODE_S)
+    weights = [1 / (index + 1) for index in range(PREFIXES)]
+    now, requests = 0.0, []
+    for index in range(jobs):
+        now += source.expovariate(rate)
+        drawn = source.choices(range(PREFIXES), weights)[0]
+        requests.append(
+            queues.Request(
+                now,
+                f'p{drawn}' if case.shared else f'own{index}',
+                queues.draw_seconds(source, PREFILL_S, 0.3),
+                queues.draw_seconds(source, DECODE_S, 0.6),
+            )
+        )
+    return requests
+
+
+POLICIES = (
+    'random', 'round robin', 'least reported', 'power of two', 'chosen',
+)  # fmt: skip
+
+
+def _measure(task) -> tuple[Case, str, list[dict[str, float]]]:
+    case, policy, seeds, jobs = task
+    return case, policy, [run(case, policy, s, jobs) for s in range(seeds)]
+
+
+def main(
+    seeds: int = SEEDS, jobs: int = JOBS, folder: str = report.FOLDER
+) -> None:
+    """Measures placement."""
+    tasks = [(c, p, seeds, jobs) for c in CASES for p in POLICIES]
+    lines, p99 = [], {}
+    with concurrent.futures.ProcessPoolExecutor(PROCESSES) as pool:
+        for case, policy, results in pool.map(_measure, tasks):
+            p99[case, policy] = [item['p99 s'] for item in results]
+            lines += [
+                report.Line(case.name, policy, key, [r[key] for r in results])
+                for key in results[0]
+            ]
+    figures = []
+    for case in CASES:
+        ratios = [
+            own / other
+            for own, other in zip(
+                p99[case, 'chosen'], p99[case, 'power of two'], strict=True
+            )
+        ]
+        goal = 0.7 if case.shared else 1.05
+        line = report.Line(case.name, 'chosen', 'ratio', ratios)
+        figures.append(
+            f'{case.name}: p99 {line.median:.3f} ({line.spread}) of power of '
+            f'two; goal {goal}'
+        )
+    report.publish('placement', lines, figures, folder)
