Roll out versions by tickets and sequential tests

Cause: roll-outs were configured but nothing acted on them.

Change: the row rollout/<id> is advanced by a pure function in the same compare-and-set by which a node reports and takes tickets; mixture tests in the canary, CUSUM while widening and in service; the running version serves after a return, also where the shares already name the new one.

One row for all nodes does not fit 570 nodes yet.

--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -31,8 +31,9 @@
         self._quality = node.quality
         self._ratings = node.ratings
         self._versions = node.versions
-        self._admissions = node.admissions
         self._caches = node.caches
+        self._admissions = node.admissions
+        self._rollouts = node.rollouts
         self._guard = guard.Guard(node)
         self._excerpts = excerpts.Excerpts()
         self._streams = streams.Streams(
@@ -70,7 +71,7 @@
                 self._quality.note_given(job, good=False)
                 break
             if index >= choice.last:
-                self._audit(job, index, choice, whole.content)
+                self._audit(job, index, choice, facts, whole.content)
                 break
             if await self._is_good(job, index, choice, whole, facts):
                 break
@@ -99,7 +100,9 @@
         facts.rating = rating
         good = rating is not None and rating >= self._ratings.GOOD
         if rating is not None:
-            self._quality.note_rating(job, index, choice.index, good)
+            self._quality.note_rating(
+                job, index, choice.index, facts.version, good
+            )
         if good or not self._time_for(job, index + 1):
             if rating is not None:
                 self._quality.note_given(job, good)
@@ -110,9 +113,10 @@
         left = job.deadline - self._clock.now()
         return self._quality.describe(job)[index].seconds <= left
 
-    def _audit(self, job, index, choice, content: str) -> None:
-        if self._quality.wants_audit(choice):
-            self._quality.audit(job, index, choice, content)
+    def _audit(self, job, index, choice, facts, content: str) -> None:
+        share = self._quality.draw_audit(choice, facts)
+        if share:
+            self._quality.audit(job, index, choice, facts, content, share)
 
     async def _attempt_whole(
         self, job: jobs.Job, index: int, facts: jobs.Facts
@@ -139,27 +143,32 @@
 
     async def _learn(self, job, choice, facts, began, stream):
         """Passes a stream on and learns from it once it is whole."""
-        wanted = self._quality.wants_audit(choice)
+        share = self._quality.draw_audit(choice, facts)
         async with contextlib.aclosing(stream):
             with self._excerpts.open() as excerpt:
                 async for part in stream:
-                    if wanted:
+                    if share:
                         excerpt.add(part)
                     yield part
                 text = excerpt.text
         seconds, start = self._clock.now() - began, choice.index
         self._quality.note_run(job, start, start, facts.cost, seconds)
-        if wanted and text is not None:
-            self._quality.audit(job, start, choice, text)
+        if share and text is not None:
+            self._quality.audit(job, start, choice, facts, text, share)
 
     @contextlib.asynccontextmanager
     async def _open(self, job, model, facts, tried):
         self._guard.check_view(job)
         async with self._admissions.turn(job, model):
             sessions.check(job, self._configuration.config)
-            version = self._versions.choose(job, model)
-            async with self._place(job, model, version, facts, tried) as opened:
-                yield opened
+            version = self._rollouts.choose(job, model)
+            if version is None:
+                version = self._versions.choose(job, model)
+            with self._rollouts.track(job, model, version):
+                async with self._place(
+                    job, model, version, facts, tried
+                ) as opened:
+                    yield opened
 
     @contextlib.asynccontextmanager
     async def _place(self, job, model, version, facts, tried):
--- a/packages/node/src/radishcourse_node/controllers/quality.py
+++ b/packages/node/src/radishcourse_node/controllers/quality.py
@@ -31,12 +31,14 @@
     Attributes:
       job: The job.
       key: Where the rating is noted.
+      version: The version that answered.
       content: Text of the answer.
       share: Probability with which this answer was chosen.
     """
 
     job: jobs.Job
     key: learner.Key
+    version: str
     content: str
     share: float
 
@@ -44,12 +46,13 @@
 class Quality:
     """Learns from ratings and describes models to the cascade policy."""
 
-    def __init__(self, environment, configuration, settings, ratings):
+    def __init__(self, environment, configuration, settings, ratings, rollouts):
         self._clock = environment.clock
         self._random = environment.random
         self._configuration = configuration
         self._node = settings.node
         self._ratings = ratings
+        self._rollouts = rollouts
         # A restarted node's record must replace the one of its last life.
         first = int(environment.clock.wall() * 1000)
         self._learner = learner.Learner(first)
@@ -103,16 +106,17 @@
         """Takes note of the cost and the time of a step's answer."""
         self._learner.note_run(make_key(job, index, start), cost, seconds)
 
-    def note_rating(self, job, index: int, start: int, good: bool) -> None:
+    def note_rating(self, job, index, start, version, good: bool) -> None:
         """Takes note of a rating made before the answer was given out."""
-        self._note(job, make_key(job, index, start), good)
+        self._note(job, make_key(job, index, start), version, good)
 
     def note_given(self, job: jobs.Job, good: bool, share=1.0) -> None:
         """Takes note of a rated answer that the caller gets."""
         balance = self._learner.balance(job.organisation_id, job.kind_id)
         balance.note(job.kind.quality_target, good, share)
 
-    def _note(self, job, key: learner.Key, good: bool) -> None:
+    def _note(self, job, key: learner.Key, version, good: bool) -> None:
+        self._rollouts.note_rating(key.model, version, good)
         if self._learner.note_rating(key, good):
             events.log(
                 events.Event.QUALITY_CHANGED,
@@ -122,17 +126,26 @@
                 good=round(self._learner.belief(key).mean, 3),
             )
 
-    def wants_audit(self, choice: cascade.Choice) -> bool:
-        """Tells whether an answer is to be rated after it is given out."""
-        return self._ratings.works and self._random.random() < choice.audit
+    def draw_audit(self, choice: cascade.Choice, facts: jobs.Facts) -> float:
+        """Tells whether an answer is to be rated after it is given out.
 
-    def audit(self, job, index, choice: cascade.Choice, content: str) -> None:
+        Returns:
+          The probability with which it was chosen, or 0 when it was not.
+        """
+        if not self._ratings.works:
+            return 0.0
+        share = choice.audit
+        if self._rollouts.is_canary(facts.model, facts.version):
+            share = 1.0
+        return share if self._random.random() < share else 0.0
+
+    def audit(self, job, index, choice, facts, content: str, share) -> None:
         """Has an answer rated in the background."""
         if len(self._audits) >= MAX_AUDITS:
             return
         key = make_key(job, index, choice.index)
         text = content[:MAX_AUDIT_BYTES]
-        self._audits.append(Audit(job, key, text, choice.audit))
+        self._audits.append(Audit(job, key, facts.version, text, share))
         self._waiting.set()
 
     async def run(self) -> None:
@@ -152,7 +165,7 @@
             if rating is None:
                 continue
             good = rating >= self._ratings.GOOD
-            self._note(audit.job, audit.key, good)
+            self._note(audit.job, audit.key, audit.version, good)
             self.note_given(audit.job, good, audit.share)
 
     def records(self) -> list[ttypes.LearnedRecord]:
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -33,6 +33,7 @@
 from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import readers
+from radishcourse_node.controllers import rollouts
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
 
@@ -111,8 +112,15 @@
             environment, self.configuration, lambda: self.live_nodes
         )
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
+        self.rollouts = rollouts.Rollouts(
+            environment, settings, self.configuration, rows
+        )
         self.quality = quality.Quality(
-            environment, self.configuration, settings, self.ratings
+            environment,
+            self.configuration,
+            settings,
+            self.ratings,
+            self.rollouts,
         )
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
@@ -219,6 +227,7 @@
                 self.upstreams,
                 self.bills,
                 self.quality,
+                self.rollouts,
             ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
--- /dev/null
+++ b/packages/policy/src/radishcourse_policy/rollout.py
@@ -0,0 +1,307 @@
+"""Progress of a roll-out: tickets, sequential tests, widening, return.
+
+The progress is one row. A node reports its outcomes and takes tickets in
+one compare-and-set of that row, and `advance` makes the decision that
+follows from the row and the report. Any node can therefore take every step
+and no two can take different ones.
+"""
+
+import enum
+import math
+
+import msgspec
+from radishcourse_model import ids
+
+from radishcourse_policy import sequential
+
+# Tickets that are out at once over the whole fleet: jobs that may still hit
+# a version after the row holds enough evidence against it.
+OUTSTANDING = 16
+# Chance of a false stop of a version that is as good as the running one, for
+# each of the three tests.
+FALSE_STOP = 0.002
+# Chance that a version which is worse by its margin passes the canary.
+FALSE_PASS = 0.05
+# Evidence at which a version in service is given up. With 12 at most one of
+# 400 good versions was given up within 3,000 jobs in service.
+WATCH_LIMIT = 12.0
+# Part of a margin by which a share may have grown when the tickets are used
+# up without certainty. At a half 4 of 400 good versions were returned.
+UNDECIDED_PART = 2 / 3
+# Outcomes of the running version before tickets are handed out.
+MIN_REFERENCE = 50
+# Answers that were rated before the canary may pass.
+MIN_RATED = 30
+# The reference takes up no more outcomes than this; later ones could hide a
+# change of both versions.
+MAX_REFERENCE = 5000
+# Percent of the jobs at each step after the canary.
+SHARES = (5, 25, 50, 100)
+# Outcomes of the new version at each of these steps.
+STEP_JOBS = 200
+# An answer is slow above this quantile of the running version's times.
+_SLOW_DEVIATIONS = 1.28
+
+
+class Stage(enum.Enum):
+    """Where a roll-out is."""
+
+    REFERENCE = 'reference'
+    CANARY = 'canary'
+    WIDENING = 'widening'
+    IN_SERVICE = 'in_service'
+    RETURNED = 'returned'
+
+
+class Measure(enum.Enum):
+    """What is compared; the value is the tolerated increase of the share."""
+
+    RATING = 0.1
+    ERROR = 0.05
+    LATENCY = 0.15
+
+
+class Outcomes(msgspec.Struct):
+    """Outcomes of one version."""
+
+    rating: sequential.Tally = msgspec.field(default_factory=sequential.Tally)
+    error: sequential.Tally = msgspec.field(default_factory=sequential.Tally)
+    latency: sequential.Tally = msgspec.field(default_factory=sequential.Tally)
+
+    def get(self, measure: Measure) -> sequential.Tally:
+        """Returns the tally of a measure."""
+        return getattr(self, measure.name.lower())
+
+    def add(self, other: 'Outcomes') -> None:
+        """Adds the outcomes of another report."""
+        for measure in Measure:
+            self.get(measure).add(other.get(measure))
+
+
+class Times(msgspec.Struct):
+    """Sums of the logarithms of answer times, which set the slow limit."""
+
+    count: int = 0
+    total: float = 0.0
+    squares: float = 0.0
+
+    def note(self, seconds: float) -> None:
+        """Adds an answer time."""
+        value = math.log(max(1e-4, seconds))
+        self.count += 1
+        self.total += value
+        self.squares += value * value
+
+    def add(self, other: 'Times') -> None:
+        """Adds the sums of another report."""
+        self.count += other.count
+        self.total += other.total
+        self.squares += other.squares
+
+    def slow_seconds(self) -> float:
+        """Returns the time that 90 of 100 answers keep."""
+        mean = self.total / self.count
+        variance = max(0.0, self.squares / self.count - mean * mean)
+        return math.exp(mean + _SLOW_DEVIATIONS * math.sqrt(variance))
+
+
+class Holder(msgspec.Struct):
+    """Tickets of one node.
+
+    Attributes:
+      tickets: Tickets that it holds or whose outcome it has not reported.
+      write: Number of its last write, by which it recognises that a write
+        whose response was lost took effect.
+    """
+
+    tickets: int = 0
+    write: int = 0
+
+
+class Report(msgspec.Struct):
+    """What a node reports and asks for in one write.
+
+    Attributes:
+      node: The node.
+      write: Number of this write; grows by one.
+      finished: Tickets whose outcome is in this report, or that it gives
+        back unused.
+      wanted: Tickets that it asks for.
+      canary: Outcomes of the new version.
+      running: Outcomes of the running version.
+      times: Answer times of the running version.
+      lost: Nodes whose tickets have not changed for the reclaim time.
+    """
+
+    node: ids.NodeId
+    write: int
+    finished: int = 0
+    wanted: int = 0
+    canary: Outcomes = msgspec.field(default_factory=Outcomes)
+    running: Outcomes = msgspec.field(default_factory=Outcomes)
+    times: Times = msgspec.field(default_factory=Times)
+    lost: list[ids.NodeId] = []
+
+
+class Progress(msgspec.Struct):
+    """The row of a roll-out.
+
+    Attributes:
+      model: The model; a row of another roll-out with the same id is not
+        continued.
+      to_version: The new version.
+      stage: Where the roll-out is.
+      step: Index of the share while widening.
+      granted: Tickets handed out so far.
+      step_jobs: Outcomes of the new version at this step.
+      canary: Outcomes of the new version.
+      running: Outcomes of the running version.
+      times: Answer times of the running version.
+      slow_seconds: Time above which an answer is slow.
+      evidence: Evidence against the version in service, by measure.
+      holders: Tickets by node.
+      reason: Why it returned.
+    """
+
+    model: ids.ModelId
+    to_version: ids.VersionId
+    stage: Stage = Stage.REFERENCE
+    step: int = 0
+    granted: int = 0
+    step_jobs: int = 0
+    canary: Outcomes = msgspec.field(default_factory=Outcomes)
+    running: Outcomes = msgspec.field(default_factory=Outcomes)
+    times: Times = msgspec.field(default_factory=Times)
+    slow_seconds: float = 0.0
+    evidence: dict[str, float] = {}
+    holders: dict[ids.NodeId, Holder] = {}
+    reason: str = ''
+
+    @property
+    def share(self) -> float:
+        """Share of jobs for the new version apart from tickets."""
+        if self.stage is Stage.WIDENING:
+            return SHARES[self.step] / 100
+        return 1.0 if self.stage is Stage.IN_SERVICE else 0.0
+
+    @property
+    def outstanding(self) -> int:
+        """Tickets whose outcome is not known."""
+        return sum(holder.tickets for holder in self.holders.values())
+
+
+def advance(progress: Progress, report: Report, canary_jobs: int) -> int:
+    """Adds a report to the progress and decides what follows.
+
+    Args:
+      progress: The row; changed in place.
+      report: A node's report.
+      canary_jobs: Most tickets that are handed out in all.
+
+    Returns:
+      Tickets that the node receives.
+    """
+    _add(progress, report)
+    _decide(progress, report, canary_jobs)
+    holder = progress.holders[report.node]
+    granted = 0
+    if progress.stage is Stage.CANARY:
+        granted = min(
+            report.wanted,
+            OUTSTANDING - progress.outstanding,
+            canary_jobs - progress.granted,
+        )
+        granted = max(0, granted)
+    holder.tickets += granted
+    progress.granted += granted
+    return granted
+
+
+def _add(progress: Progress, report: Report) -> None:
+    for node in report.lost:
+        progress.holders.pop(node, None)
+    holder = progress.holders.setdefault(report.node, Holder())
+    holder.tickets = max(0, holder.tickets - report.finished)
+    holder.write = report.write
+    progress.canary.add(report.canary)
+    progress.step_jobs += report.canary.error.total
+    if progress.running.error.total < MAX_REFERENCE:
+        progress.running.add(report.running)
+        progress.times.add(report.times)
+
+
+def _decide(progress: Progress, report: Report, canary_jobs: int) -> None:
+    if progress.stage is Stage.REFERENCE:
+        if progress.times.count >= MIN_REFERENCE:
+            progress.slow_seconds = progress.times.slow_seconds()
+            progress.stage = Stage.CANARY
+        return
+    if progress.stage is Stage.RETURNED:
+        return
+    harmed = _find_harm(progress, report)
+    if harmed is not None:
+        progress.stage = Stage.RETURNED
+        progress.reason = harmed.name.lower()
+    elif progress.stage is Stage.CANARY:
+        _end_canary(progress, canary_jobs)
+    elif progress.stage is Stage.WIDENING and progress.step_jobs >= STEP_JOBS:
+        progress.step_jobs = 0
+        progress.step += 1
+        if progress.step == len(SHARES) - 1:
+            progress.stage = Stage.IN_SERVICE
+
+
+def _find_harm(progress: Progress, report: Report) -> Measure | None:
+    for measure in Measure:
+        reference = progress.running.get(measure)
+        if reference.total < MIN_REFERENCE:
+            continue
+        tally = progress.canary.get(measure)
+        if progress.stage is Stage.CANARY:
+            if sequential.harm(tally, reference) >= math.log(1 / FALSE_STOP):
+                return measure
+            continue
+        # Evidence for a good canary must not hide a later change.
+        name = measure.name.lower()
+        progress.evidence[name] = sequential.watch(
+            progress.evidence.get(name, 0.0),
+            report.canary.get(measure),
+            reference,
+            measure.value,
+        )
+        if progress.evidence[name] >= WATCH_LIMIT:
+            return measure
+    return None
+
+
+def _end_canary(progress: Progress, canary_jobs: int) -> None:
+    rated = progress.canary.rating.total
+    certain = rated >= MIN_RATED and all(
+        sequential.harmlessness(
+            progress.canary.get(measure),
+            progress.running.get(measure),
+            measure.value,
+        )
+        >= math.log(1 / FALSE_PASS)
+        for measure in Measure
+    )
+    spent = progress.granted >= canary_jobs and not progress.outstanding
+    if certain or (spent and rated >= MIN_RATED and _seems_good(progress)):
+        progress.stage = Stage.WIDENING
+        progress.step_jobs = 0
+    elif spent:
+        progress.stage = Stage.RETURNED
+        progress.reason = 'undecided'
+
+
+def _seems_good(progress: Progress) -> bool:
+    """Tells whether no share grew by too much of its margin."""
+    for measure in Measure:
+        canary = progress.canary.get(measure)
+        reference = progress.running.get(measure)
+        if not canary.total or not reference.total:
+            return False
+        increase = canary.bad / canary.total - reference.bad / reference.total
+        if increase > measure.value * UNDECIDED_PART:
+            return False
+    return True
--- a/packages/standins/src/radishcourse_standins/measure/__main__.py
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -6,9 +6,11 @@
 from radishcourse_standins.measure import cascade
 from radishcourse_standins.measure import placement
 from radishcourse_standins.measure import report
+from radishcourse_standins.measure import rollout
 
 COMMANDS = {
     'cascade': cascade.main,
+    'rollout': rollout.main,
     'placement': placement.main,
     'admission': admission.main,
 }
