--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -38,10 +38,13 @@
         self._random = node.environment.random
         self._configuration = node.configuration
         self._settings = node.settings
+        self._caches = node.caches
         self._pools = engines.Pools()
         self._budgets: dict[tuple, retrybudget.RetryBudget] = {}
         self._trial_at: dict[ids.UpstreamId, float] = {}
-        self.registry = health.Registry(self._clock, node.settings.node)
+        self.registry = health.Registry(
+            self._clock, node.settings.node, node.caches.forget
+        )
         self.probes = probes.Probes(node, self.registry, self.engine)
         self.permits = permits.Permits(node, self.registry, self.engine)
         self.slots = slots.Slots(self._clock)
@@ -185,7 +188,9 @@
             for item in trials
             if now >= self._trial_at.get(item.upstream, 0.0) or not warm
         ]
-        chosen = placement.choose(due or warm, self._random)
+        chosen = placement.choose(
+            self._caches.complete(job, due or warm), self._random
+        )
         if chosen is None:
             return None
         if chosen.cold:
