Park slow streams whose connection is still paused

Waiting for a caller lowers the connection's high-water mark to 0; after 5 s the mark is restored, but asyncio keeps a connection paused until it has drained below the low-water mark. When the organisation had meanwhile fallen below its bound, has_room said yes, and the next write waited in uvicorn, where nothing parks a stream: its engine slot stayed taken.

Change: a reader has no room while its connection is paused.

--- a/packages/node/src/radishcourse_node/connections.py
+++ b/packages/node/src/radishcourse_node/connections.py
@@ -87,6 +87,10 @@
         """Bytes written that the kernel did not take yet."""
         return self.transport.get_write_buffer_size()
 
+    def is_paused(self) -> bool:
+        """Whether a write would wait."""
+        return self.flow.write_paused
+
     async def wait_flushed(self) -> None:
         """Returns when the kernel took all written bytes, or at the end."""
         self.transport.set_write_buffer_limits(high=0)
--- a/packages/node/src/radishcourse_node/controllers/readers.py
+++ b/packages/node/src/radishcourse_node/controllers/readers.py
@@ -28,6 +28,9 @@
     def held_bytes(self) -> int:
         """Bytes written that the kernel did not take yet."""
 
+    def is_paused(self) -> bool:
+        """Whether a write would wait."""
+
     async def wait_flushed(self) -> None:
         """Returns when the kernel took all written bytes."""
 
@@ -51,8 +54,12 @@
             self._note(held)
         if not held:
             return True
-        return held <= HIGH_BYTES and not self._controller.is_full(
-            self._organisation_id
+        # A paused connection would block the next write, where the stream
+        # could not be parked.
+        return (
+            held <= HIGH_BYTES
+            and not self._connection.is_paused()
+            and not self._controller.is_full(self._organisation_id)
         )
 
     async def wait_flushed(self) -> None:
