Leave idle work out of the benchmark's cost of a request

Cause: since gossip and leases run, an idle node uses 4 to 6% of a core on the loaded machine; over a coalesced run that was 15 to 25 us for each of 6400 tokens, so the ratio told more of the run's length than of a token.

Ruled out: longer runs (the engine, not the node, sets their length).

Change: the share of a core that the idle node uses is measured for 5 s, printed by itself and subtracted for the length of each run.

--- a/packages/standins/src/radishcourse_standins/bench.py
+++ b/packages/standins/src/radishcourse_standins/bench.py
@@ -47,11 +47,20 @@
 
 @dataclasses.dataclass
 class Target:
-    """A measured process and how requests reach the engine through it."""
+    """A measured process and how requests reach the engine through it.
+
+    Attributes:
+      process: The process.
+      headers: Headers of its requests.
+      body: Body of its requests.
+      idle_share: Share of a core that it uses without requests, which is
+        printed by itself and left out of the cost of a request.
+    """
 
     process: processes.Process
     headers: dict[str, str]
     body: dict[str, typing.Any]
+    idle_share: float = 0.0
 
     def cpu_s(self) -> float:
         """Processor time that the process has used."""
@@ -127,9 +136,11 @@
         costs: dict[int, list[float]] = {0: [], 1: []}
         for _ in range(ROUNDS):
             for index, target in enumerate((self.relay, self.node)):
-                start = target.cpu_s()
+                start, began_at = target.cpu_s(), time.perf_counter()
                 await work(target, count)
-                costs[index].append((target.cpu_s() - start) / count)
+                idle_s = target.idle_share * (time.perf_counter() - began_at)
+                cost_s = target.cpu_s() - start - idle_s
+                costs[index].append(cost_s / count)
         relay, node = (statistics.median(costs[index]) for index in (0, 1))
         print(f'{name}: relay {relay * 1e6:.1f} us, node {node * 1e6:.1f} us')
         return f'{name}: {node / relay:.2f} x the relay'
@@ -285,8 +296,9 @@
         time.sleep(5 * SETTLE_S)
         idle = node_target.resident_bytes() - _libraries_bytes()
         start = node_target.cpu_s()
-        time.sleep(2 * SETTLE_S)
-        share = (node_target.cpu_s() - start) / (2 * SETTLE_S)
+        time.sleep(5 * SETTLE_S)
+        share = (node_target.cpu_s() - start) / (5 * SETTLE_S)
+        node_target.idle_share = share
         print(
             f'idle node: {idle / 2**20:.1f} MB above its libraries, '
             f'{share:.2%} of a core'
