--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -10,8 +10,11 @@
 from radishcourse_node import engines
 from radishcourse_node import errors
 from radishcourse_node import events
+from radishcourse_node import excerpts
 from radishcourse_node import guard
 from radishcourse_node import job as jobs
+from radishcourse_node import sessions
+from radishcourse_node import streams
 from radishcourse_node.controllers import reservations
 
 MAX_ATTEMPTS = 4
@@ -29,6 +32,10 @@
         self._ratings = node.ratings
         self._versions = node.versions
         self._guard = guard.Guard(node)
+        self._excerpts = excerpts.Excerpts()
+        self._streams = streams.Streams(
+            node, self._open, self._note_failure, self._may_retry, self._charge
+        )
 
     async def run(self, job: jobs.Job) -> jobs.Answer:
         """Returns the answer to a job.
@@ -36,20 +43,16 @@
         Raises:
           Refusal: No step gave an answer.
         """
-        choice = self._choose(job)
+        choice = self._quality.choose(job)
         if job.streamed:
-            return await self._run_streamed(job, choice.index)
+            began = self._clock.now()
+            answer = await self._streams.run(job, job.steps[choice.index])
+            answer.stream = self._learn(
+                job, choice, answer.facts, began, answer.stream
+            )
+            return answer
         return await self._run_whole(job, choice)
 
-    def _choose(self, job: jobs.Job) -> policy.Choice:
-        return policy.choose(
-            self._quality.describe(job),
-            job.kind.quality_target,
-            job.deadline - self._clock.now(),
-            job.streamed,
-            self._ratings.works,
-        )
-
     async def _run_whole(
         self, job: jobs.Job, choice: policy.Choice
     ) -> jobs.Answer:
@@ -57,17 +60,17 @@
         whole = None
         for index in range(choice.index, len(job.steps)):
             try:
-                whole = await self._attempt_whole(job, index, facts)
+                whole = await self._run_step(job, index, choice.index, facts)
             except errors.Refusal:
                 # An answer below the target is worth more than none.
                 if whole is None:
                     raise
+                self._quality.note_given(job, good=False)
                 break
-            last = index == len(job.steps) - 1
-            good = await self._rate(job, whole, facts, choice.rate or last)
-            if last or good:
+            if index >= choice.last:
+                self._audit(job, index, choice, whole.content)
                 break
-            if not self._time_for_next(job, index):
+            if await self._is_good(job, index, choice, whole, facts):
                 break
             events.log(
                 events.Event.STEP_ESCALATED,
@@ -80,21 +83,34 @@
             200, {'content-type': 'application/json'}, whole.body, None, facts
         )
 
-    def _time_for_next(self, job: jobs.Job, index: int) -> bool:
-        following = self._quality.describe(job)[index + 1]
-        left = job.deadline - self._clock.now()
-        return following.seconds <= left
+    async def _run_step(self, job, index, start, facts) -> engines.Whole:
+        began, cost = self._clock.now(), facts.cost
+        whole = await self._attempt_whole(job, index, facts)
+        self._quality.note_run(
+            job, index, start, facts.cost - cost, self._clock.now() - began
+        )
+        return whole
 
-    async def _rate(self, job, whole, facts, wanted: bool) -> bool:
-        if not wanted or len(job.steps) == 1:
-            return True
+    async def _is_good(self, job, index, choice, whole, facts) -> bool:
+        """Rates an answer; tells whether it is given out as it is."""
         rating = await self._ratings.rate(job, whole.content)
         facts.rating = rating
-        if rating is None:
-            return False
-        good = rating >= self._ratings.GOOD
-        self._quality.note(job, facts.model, facts.version, good)
-        return good
+        good = rating is not None and rating >= self._ratings.GOOD
+        if rating is not None:
+            self._quality.note_rating(job, index, choice.index, good)
+        if good or not self._time_for(job, index + 1):
+            if rating is not None:
+                self._quality.note_given(job, good)
+            return True
+        return False
+
+    def _time_for(self, job: jobs.Job, index: int) -> bool:
+        left = job.deadline - self._clock.now()
+        return self._quality.describe(job)[index].seconds <= left
+
+    def _audit(self, job, index, choice, content: str) -> None:
+        if self._quality.wants_audit(choice):
+            self._quality.audit(job, index, choice, content)
 
     async def _attempt_whole(
         self, job: jobs.Job, index: int, facts: jobs.Facts
@@ -112,48 +128,32 @@
             except errors.AttemptError as error:
                 self._note_failure(job, attempted, error)
                 if not self._may_retry(job, attempted, attempt):
-                    raise _failed(error) from error
+                    raise streams.failed(error) from error
                 continue
             facts.take_over(attempted)
             self._charge(facts, whole.tokens)
             return whole
         raise AssertionError('the last attempt returns or raises')
 
-    async def _run_streamed(self, job: jobs.Job, index: int) -> jobs.Answer:
-        facts = jobs.Facts(steps=1)
-        tried: set[ids.UpstreamId] = set()
-        for attempt in range(MAX_ATTEMPTS):
-            stream = self._events(job, job.steps[index], facts, tried)
-            try:
-                first = await anext(stream)
-            except errors.AttemptError as error:
-                self._note_failure(job, facts, error)
-                if not self._may_retry(job, facts, attempt):
-                    raise _failed(error) from error
-                continue
-            headers = {'content-type': 'text/event-stream'}
-            whole = _prepend(first, stream)
-            return jobs.Answer(200, headers, b'', whole, facts)
-        raise AssertionError('the last attempt returns or raises')
-
-    async def _events(self, job, model, facts, tried):
-        async with self._open(job, model, facts, tried) as opened:
-            response, call = opened
-            reader = engines.StreamReader(call.request_id)
-            chunks = response.aiter_stream()
-            async for chunk in chunks:
-                part = reader.feed(chunk)
-                if part:
+    async def _learn(self, job, choice, facts, began, stream):
+        """Passes a stream on and learns from it once it is whole."""
+        wanted = self._quality.wants_audit(choice)
+        async with contextlib.aclosing(stream):
+            with self._excerpts.open() as excerpt:
+                async for part in stream:
+                    if wanted:
+                        excerpt.add(part)
                     yield part
-                if self._clock.now() > job.deadline:
-                    raise errors.AttemptError('deadline passed', sent=True)
-            reader.finish()
-            self._charge(facts, reader.tokens)
-            facts.outcome = states.Outcome.COMPLETED
+                text = excerpt.text
+        seconds, start = self._clock.now() - began, choice.index
+        self._quality.note_run(job, start, start, facts.cost, seconds)
+        if wanted and text is not None:
+            self._quality.audit(job, start, choice, text)
 
     @contextlib.asynccontextmanager
     async def _open(self, job, model, facts, tried):
         self._guard.check_view(job)
+        sessions.check(job, self._configuration.config)
         version = self._versions.choose(job, model)
         if not self._guard.allows_version(job, model, version):
             raise errors.Refusal(
@@ -169,14 +169,16 @@
             facts.revision = self._configuration.revision
             # Waiting for the reservation may have taken long.
             self._guard.check_view(job)
+            sessions.check(job, self._configuration.config)
             if not self._guard.allows_version(job, model, version):
-                raise errors.Refusal(
-                    errors.RefusalCode.MODEL_NOT_ALLOWED,
-                    f'{model}/{version} is not allowed any more',
+                # The next attempt chooses another version.
+                raise errors.AttemptError(
+                    f'{model}/{version} is not allowed any more', sent=False
                 )
             call = _make_call(job, model, version, upstream.request_id)
-            async with self._request(job, upstream, call) as response:
-                yield response, call
+            async with streams.cancelling(upstream, call.request_id):
+                async with self._request(job, upstream, call) as response:
+                    yield response, call
 
     @contextlib.asynccontextmanager
     async def _request(self, job, upstream: reservations.Reservation, call):
@@ -227,20 +229,3 @@
         stream=job.chat.stream,
         priority=job.kind.priority,
     )
-
-
-async def _prepend(first: bytes, rest):
-    try:
-        yield first
-        async for part in rest:
-            yield part
-    finally:
-        await rest.aclose()
-
-
-def _failed(error: errors.AttemptError) -> errors.Refusal:
-    if not error.sent:
-        return errors.Refusal(
-            errors.RefusalCode.NO_UPSTREAM, str(error), retry_after_s=1
-        )
-    return errors.Refusal(errors.RefusalCode.UPSTREAM_FAILED, str(error))
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -93,9 +93,20 @@
         return self._budget(organisation_id, pool_name).spend()
 
     @contextlib.asynccontextmanager
-    async def reserve(self, job, model, version, tried, allowed):
+    async def reserve(
+        self, job, model, version, tried, allowed, request_id: str = ''
+    ):
         """Yields a reservation on an upstream that serves a version.
 
+        Args:
+          job: The job.
+          model: The model.
+          version: The version.
+          tried: Upstreams to use only if there is no other.
+          allowed: Tells whether an upstream may receive new work now.
+          request_id: The request as the upstream knows it already, when it
+            goes on with a stream.
+
         Raises:
           Refusal: No upstream may or can take the attempt.
         """
@@ -111,7 +122,7 @@
                 and allowed(upstream_id)
             }
 
-        async with self._take(job, find, tried) as reservation:
+        async with self._take(job, find, tried, request_id) as reservation:
             yield reservation
 
     def _has_loaded(self, upstream_id, model, version) -> bool:
@@ -139,9 +150,9 @@
             yield reservation
 
     @contextlib.asynccontextmanager
-    async def _take(self, job: jobs.Job, find, tried):
+    async def _take(self, job: jobs.Job, find, tried, request_id: str = ''):
         job.attempts += 1
-        request_id = f'{job.request_id}-{job.attempts}'
+        request_id = request_id or f'{job.request_id}-{job.attempts}'
         while True:
             choices = self._narrow(find(), tried)
             chosen = await self._choose(job, choices)
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -1,6 +1,8 @@
 """A node: its controllers put together, its background tasks, its stop."""
 
+import asyncio
 import contextlib
+import functools
 import secrets
 import signal
 
@@ -16,10 +18,12 @@
 from radishcourse_policy import leases as lease_policy
 from radishcourse_wire import client as peer_client
 from radishcourse_wire import credentials
+from radishcourse_wire import messages
 from radishcourse_wire import server as peer_server
 import uvicorn
 
 from radishcourse_node import app
+from radishcourse_node import connections
 from radishcourse_node import environment as environments
 from radishcourse_node import events
 from radishcourse_node import metrics
@@ -30,14 +34,17 @@
 from radishcourse_node.controllers import claims
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
+from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import leases
 from radishcourse_node.controllers import orders
 from radishcourse_node.controllers import quality
+from radishcourse_node.controllers import readers
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
 
 MAX_LINE_BYTES = 32 * 1024
 RESTART_DELAY_S = 1.0
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class UpstreamStatus(msgspec.Struct):
@@ -60,6 +67,8 @@
     view: str
     in_progress: int
     bills_held: int
+    bills_held_for_others: int
+    bills_at_risk: int
     upstreams: list[UpstreamStatus]
 
 
@@ -114,11 +123,23 @@
         self.upstreams = upstreams.Upstreams(self)
         self.orders = orders.Orders(self)
         self.admissions = admissions.Admissions()
-        self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
+        self.quality = quality.Quality(
+            environment, self.configuration, settings, self.ratings
+        )
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
-        self.bills = bills.Bills(environment, settings, self.incarnation, rows)
+        self.bills = bills.Bills(
+            environment,
+            settings,
+            self.incarnation,
+            rows,
+            holders.Holders(
+                environment.clock, settings, self.incarnation, self.peers
+            ),
+        )
+        self.peer_server.register(messages.Kind.HOLD_BILLS, self.bills.hold)
+        self.readers = readers.Readers(self.configuration, settings)
         self._draining = False
         self._requests = 0
 
@@ -131,6 +152,11 @@
             and self.freshness.may_start()
         )
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node is on its way to a planned stop."""
+        return self._draining
+
     @property
     def requests(self) -> int:
         """Requests in progress."""
@@ -178,6 +204,8 @@
             view=self.freshness.view.value,
             in_progress=self._requests,
             bills_held=self.bills.held,
+            bills_held_for_others=self.bills.held_for_others,
+            bills_at_risk=self.bills.at_risk,
             upstreams=[
                 self._describe(upstream_id, upstream)
                 for upstream_id, upstream in (
@@ -192,6 +220,11 @@
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
             'radishcourse_bills_held': self.bills.held,
+            'radishcourse_bills_held_for_others': self.bills.held_for_others,
+            'radishcourse_bills_at_risk': self.bills.at_risk,
+            'radishcourse_bills_bytes': self.bills.held_bytes,
+            'radishcourse_held_bytes': self.readers.total,
+            'radishcourse_held_bytes_most': self.readers.most,
             'radishcourse_ready': int(self.ready),
         }
 
@@ -217,11 +250,15 @@
                 self.upstreams,
                 self.orders,
                 self.bills,
+                self.quality,
             ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
             tasks.start_soon(self._drain_on_signal, server)
             await server.serve()
+            # Nothing is left to stop; a signal must not change the exit code.
+            for number in _STOP_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
             await self._finish_bills()
             await self.leases.release()
             tasks.cancel_scope.cancel()
@@ -237,11 +274,15 @@
             app.App(self),
             host=host,
             port=port,
-            http='h11',
+            http=functools.partial(
+                connections.Connection,
+                header_limit_s=self.settings.header_limit_s,
+            ),
             lifespan='off',
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=False,
             h11_max_incomplete_event_size=MAX_LINE_BYTES,
             timeout_graceful_shutdown=int(self.settings.drain_limit_s),
         )
@@ -264,21 +305,28 @@
             await anyio.sleep(RESTART_DELAY_S)
 
     async def _drain_on_signal(self, server: uvicorn.Server) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                break
-            self._draining = True
-            events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
-            await anyio.sleep(self.settings.drain_delay_s)
-            server.should_exit = True
-            # Later signals change nothing; they must not end the process.
-            await anyio.sleep_forever()
+        # Handlers of the event loop would be removed before the process ends,
+        # and a second signal in that moment would kill it.
+        loop = asyncio.get_running_loop()
+        stopping = anyio.Event()
+        for number in _STOP_SIGNALS:
+            signal.signal(
+                number,
+                lambda *_: loop.call_soon_threadsafe(stopping.set),
+            )
+        await stopping.wait()
+        self._draining = True
+        events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
+        await anyio.sleep(self.settings.drain_delay_s)
+        server.should_exit = True
 
     async def _finish_bills(self) -> None:
-        if not await self.bills.flush():
-            events.log(events.Event.BILLS_AT_RISK, held=self.bills.held)
+        if not await self.bills.finish():
+            events.log(
+                events.Event.BILLS_LEFT,
+                held=self.bills.held,
+                at_risk=self.bills.at_risk,
+            )
 
     async def aclose(self) -> None:
         """Closes all connections."""
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -9,7 +9,7 @@
 import testtools
 
 from tests import cluster as clusters
-from tests import load as loads
+from tests import traffic
 
 NODES = 8
 COLD = {'cold_first_token_ms': 300, 'warm_after': 100_000}
@@ -125,7 +125,7 @@
     def test_restarted_engine_is_spared_from_its_first_request(self):
         with (
             clusters.running(4, ('small-1',), (), shards=1) as cluster,
-            loads.running(cluster) as load,
+            traffic.running(cluster) as load,
         ):
             self._await(load, 50)
             engine = cluster.upstreams['small-1']
@@ -141,7 +141,7 @@
     def test_engine_that_forgets_in_place_is_spared_within_a_second(self):
         with (
             clusters.running(4, ('small-1',), (), shards=1) as cluster,
-            loads.running(cluster) as load,
+            traffic.running(cluster) as load,
         ):
             self._await(load, 50)
             engine = cluster.upstreams['small-1']
--- a/tests/test_cutoff.py
+++ b/tests/test_cutoff.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from tests import load as loads
 from tests import test_cold
+from tests import traffic
 
 
 class CutTest(testtools.TestCase):
@@ -12,7 +12,7 @@
     def test_holder_that_is_cut_off_stops_granting(self):
         with (
             test_cold.cold_cluster(4, test_cold.COLD) as cluster,
-            loads.running(cluster),
+            traffic.running(cluster),
         ):
             first = test_cold.holder(cluster)
             cluster.cut_off(first, 'blackhole')
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from tests import load as loads
 from tests import test_cold
+from tests import traffic
 
 
 class HolderTest(testtools.TestCase):
@@ -14,7 +14,7 @@
     def test_holders_fail_one_after_the_other(self):
         with (
             test_cold.cold_cluster(4, test_cold.COLD) as cluster,
-            loads.running(cluster),
+            traffic.running(cluster),
         ):
             test_cold.await_grants(cluster)
             first = test_cold.holder(cluster)
