Probe after a new connection, and wake the next waiting job

Cause: a request on a new connection shared a probe that may have been sent before the connection was made, so it could be answered by the process from before a restart. A job that got a slot left those behind it to their 0.1 s timers, so jobs in a queue with several free slots started one by one.

Ruled out: one probe for each connection; connections made at the same time share one that is sent after all of them.

Change: a question that was sent before the connection does not count; a job that goes on wakes the next one.

Conclusion: the race of a restart and a shared probe is closed.

--- a/packages/node/src/radishcourse_node/controllers/probes.py
+++ b/packages/node/src/radishcourse_node/controllers/probes.py
@@ -30,7 +30,7 @@
         self._engine = engine
         self._told: dict[ids.UpstreamId, enginecontrol.EngineState] = {}
         self._probing: dict[ids.UpstreamId, anyio.Event] = {}
-        self._listed_at = float('-inf')
+        self._asked_at: dict[ids.UpstreamId, float] = {}
 
     def told(self, upstream: ids.UpstreamId) -> enginecontrol.EngineState:
         """Returns the last state that an upstream told this node."""
@@ -69,13 +69,23 @@
             self._registry.tick()
             await anyio.sleep(health.TICK_S)
 
-    async def probe(self, upstream: ids.UpstreamId) -> None:
-        """Asks an upstream for its state; callers at once ask once."""
+    async def probe(
+        self, upstream: ids.UpstreamId, after: float = float('-inf')
+    ) -> None:
+        """Asks an upstream for its state; callers at once ask once.
+
+        Args:
+          upstream: The upstream.
+          after: A question that was sent before this does not count.
+        """
         running = self._probing.get(upstream)
-        if running is not None:
+        while running is not None:
             await running.wait()
-            return
+            if self._asked_at[upstream] >= after:
+                return
+            running = self._probing.get(upstream)
         event = self._probing[upstream] = anyio.Event()
+        self._asked_at[upstream] = self._clock.now()
         try:
             await self._ask(upstream)
         finally:
--- a/packages/node/src/radishcourse_node/controllers/reservations.py
+++ b/packages/node/src/radishcourse_node/controllers/reservations.py
@@ -30,7 +30,7 @@
         self._upstreams = upstreams
         self._registry = upstreams.registry
         self._permit = permit
-        self._connected = False
+        self._connected_at: float | None = None
 
     def note_signs(self, signs: engines.Signs) -> None:
         """Takes note of what the upstream tells of itself."""
@@ -46,15 +46,18 @@
           AttemptError: The request must not be sent.
         """
         if name.endswith(_CONNECTED):
-            self._connected = True
+            self._connected_at = self._upstreams.now()
         elif name.endswith(_SENDING):
             await self._check()
 
     async def _check(self) -> None:
-        if self._permit is None and self._connected:
+        if self._permit is None and self._connected_at is not None:
             # Nothing is known of the process behind a new connection: the
             # old one may have closed because the upstream restarted.
-            await self._upstreams.probes.probe(self.upstream_id)
+            await self._upstreams.probes.probe(
+                self.upstream_id, self._connected_at
+            )
+            self._connected_at = None
         if not self._may_send():
             message = f'{self.upstream_id} may not be used any more'
             raise errors.AttemptError(message, sent=False)
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -55,6 +55,10 @@
         """Returns the state of an upstream."""
         return self.registry.state(upstream_id)
 
+    def now(self) -> float:
+        """Returns the time by the node's clock, in seconds."""
+        return self._clock.now()
+
     def records(self) -> list[ttypes.UpstreamRecord]:
         """Returns the news that peers are to have."""
         return self.registry.records()
@@ -159,6 +163,8 @@
             if chosen is None:
                 await self.slots.wait(job, choices)
                 continue
+            # Jobs that wait behind this one need not wait for their timers.
+            self.slots.wake(chosen)
             async with self._admit(chosen, request_id) as reservation:
                 # Probes and permits take time in which the view may change.
                 if reservation is None or chosen not in find():
