--- a/packages/node/src/radishcourse_node/engines.py
+++ b/packages/node/src/radishcourse_node/engines.py
@@ -14,6 +14,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_CONNECTIONS = 1024
+# The step of httpcore before the first byte of a request.
+SENDING = 'send_request_headers.started'
 CANCEL_TIMEOUT_S = 1.0
 # A small receive buffer makes a node that stops reading hold back the engine
 # instead of filling megabytes in the kernel; at 2 ms it still passes 16 MB/s
@@ -87,7 +89,12 @@
 
 
 class Sent:
-    """Tells whether any byte of a request may have left the node."""
+    """Tells whether any byte of a request may have left the node.
+
+    Args:
+      check: Called with the name of each step of httpcore; what it raises
+        before the first byte stops the request.
+    """
 
     def __init__(self, check=None):
         self.started = False
@@ -98,14 +105,21 @@
         del info
         if self._check is not None:
             await self._check(name)
-        if name.endswith('send_request_headers.started'):
+        if name.endswith(SENDING):
             self.started = True
 
 
 class Pools:
-    """Connection pools, one for each upstream address."""
+    """Connection pools, one for each upstream address.
+
+    Args:
+      keep: Whether connections are used again. An upstream may close an
+        idle connection at the moment at which it is used; whether the
+        request ran is unknown then.
+    """
 
-    def __init__(self):
+    def __init__(self, keep: bool = True):
+        self._keep = None if keep else 0
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     def get(self, address: str) -> httpcore.AsyncConnectionPool:
@@ -114,6 +128,7 @@
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
                 max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=self._keep,
                 keepalive_expiry=30,
                 socket_options=_SOCKET_OPTIONS,
             )
@@ -146,7 +161,7 @@
       body: Request body.
       timeout_s: Longest wait for each read, in seconds.
       check: Called with the name of each step of httpcore; it may raise
-        `AttemptError` before the first byte is sent.
+        `AttemptError` or `Refusal` before the first byte is sent.
 
     Raises:
       AttemptError: There is no whole response.
--- /dev/null
+++ b/packages/node/src/radishcourse_node/statuses.py
@@ -0,0 +1,59 @@
+"""What a node tells operators."""
+
+import msgspec
+from radishcourse_model import ids
+
+from radishcourse_node.controllers import membership
+
+
+class UpstreamStatus(msgspec.Struct):
+    """An upstream as this node sees it."""
+
+    upstream: str
+    zone: str
+    state: str
+    in_flight: int
+
+
+class MemberStatus(msgspec.Struct):
+    """Another node as this node sees it; the age is that of its heartbeat."""
+
+    node: str
+    zone: str
+    state: str
+    incarnation: str
+    address: str
+    age_ms: int
+
+
+class NodeStatus(msgspec.Struct):
+    """What a node tells operators about itself."""
+
+    node: str
+    incarnation: str
+    zone: str
+    state: str
+    revision: int
+    view: str
+    confirmed_age_ms: int | None
+    platform_reached: bool
+    in_progress: int
+    bills_held: int
+    bills_held_for_others: int
+    bills_at_risk: int
+    upstreams: list[UpstreamStatus]
+    members: list[MemberStatus]
+
+
+def describe_member(
+    node: ids.NodeId, member: membership.Member
+) -> MemberStatus:
+    """Returns what operators see of another node."""
+    return MemberStatus(
+        node=node,
+        zone=member.zone,
+        state=member.state.value,
+        incarnation=member.incarnation,
+        address=member.address,
+        age_ms=int(member.age_s * 1000),
+    )
