Poll all upstreams only while no other node is there

Change: membership tells whether other nodes are present; holders of shards poll then, and a node asks on demand what it has not heard for a second.

--- a/packages/node/src/radishcourse_node/controllers/health.py
+++ b/packages/node/src/radishcourse_node/controllers/health.py
@@ -69,7 +69,6 @@
         self._node = node
         self._health: dict[ids.UpstreamId, Health] = {}
         self._counter = 0
-        self._merged_at = float('-inf')
         self._ticked_at = clock.now()
         self._distrust_until = float('-inf')
 
@@ -78,11 +77,6 @@
         """Health of each upstream that was seen."""
         return self._health
 
-    @property
-    def merged_at(self) -> float:
-        """When gossip last brought news."""
-        return self._merged_at
-
     def get(self, upstream: ids.UpstreamId) -> Health:
         """Returns the health of an upstream."""
         return self._health.setdefault(upstream, Health())
@@ -220,7 +214,6 @@
             that a call may take is assumed.
         """
         now = self._clock.now()
-        self._merged_at = now
         if asked_at is None:
             asked_at = now - peer_client.TIMEOUT_S
         for record in records:
--- a/packages/node/src/radishcourse_node/controllers/probes.py
+++ b/packages/node/src/radishcourse_node/controllers/probes.py
@@ -12,8 +12,6 @@
 
 POLL_S = 0.5
 LIST_S = 1.0
-# Without news of peers for this long, the node asks all upstreams itself.
-GOSSIP_S = 3.0
 _UNSEEN = (states.UpstreamState.UNKNOWN, states.UpstreamState.DOWN)
 
 
@@ -24,6 +22,7 @@
         self._clock = node.environment.clock
         self._configuration = node.configuration
         self._leases = node.leases
+        self._membership = node.membership
         self._shards = node.settings.shards
         self._vms: vms.Vms = node.vms
         self._registry = registry
@@ -62,7 +61,8 @@
         ]
 
     def _is_alone(self) -> bool:
-        return self._clock.now() - self._registry.merged_at > GOSSIP_S
+        """Tells whether no other node is there to tell changes."""
+        return not (self._membership.settled and self._membership.present)
 
     async def _tick(self) -> None:
         while True:
