--- a/packages/node/src/radishcourse_node/controllers/permits.py
+++ b/packages/node/src/radishcourse_node/controllers/permits.py
@@ -28,6 +28,7 @@
 RETRY_S = 0.1
 # A report of an upstream's load counts for clearance while it is this new.
 CLEARANCE_AGE_S = 1.0
+_SEPARATOR = '#'
 _UNUSABLE = (states.UpstreamState.LEAVING, states.UpstreamState.DOWN)
 
 
@@ -43,8 +44,8 @@
 
     Attributes:
       upstream: The upstream.
-      permit: Its id; it is known before the permit is granted, so that it
-        can be released when the reply is lost.
+      permit: Its id, unique on this node; it is known before the permit is
+        granted, so that it can be released when the reply is lost.
       request_id: The request as the upstream knows it.
       asked_at: When the request was sent that was granted last.
       cancelled: Whether the job was cancelled because the permit ended.
@@ -76,6 +77,7 @@
         ] = {}
         self._cleared: dict[ids.UpstreamId, ids.Epoch] = {}
         self._owned: dict[str, Owned] = {}
+        self._acquired = 0
         self._ended: list[tuple[Owned, bool]] = []
         node.peer_server.register(
             messages.Kind.ACQUIRE_PERMIT, self._on_acquire
@@ -92,7 +94,10 @@
           upstream: The cold upstream.
           request_id: The request as the upstream will know it.
         """
-        permit = f'{self._incarnation}/{request_id}'
+        # A resumed stream has the same request id as before, and its first
+        # permit may be released after the second one was granted.
+        self._acquired += 1
+        permit = f'{request_id}{_SEPARATOR}{self._acquired}'
         owned = Owned(upstream, permit, request_id)
         if not await self._ask(owned):
             # The grant's reply may have been lost.
@@ -138,14 +143,18 @@
                 await anyio.sleep(TICK_S / 25)
 
     async def _give_back(self, owned: Owned, clean: bool) -> None:
-        if not clean:
+        resumed = any(
+            item.request_id == owned.request_id for item in self._owned.values()
+        )
+        if not clean and not resumed:
             # The job may still run although its connection is closed.
             try:
                 await self._engine(owned.upstream).cancel(owned.request_id)
             except enginecontrol.ControlError:
                 return
         message = ttypes.ReleasePermit(
-            upstream=owned.upstream, permit=owned.permit
+            upstream=owned.upstream,
+            permit=f'{self._incarnation}/{owned.permit}',
         )
         holder = self._leases.holder(self._shard(owned.upstream))
         if holder == self._node_id:
@@ -169,7 +178,7 @@
         asked = [holder] if holder else self._leases.preferred(name)
         message = ttypes.AcquirePermit(
             upstream=owned.upstream,
-            request_id=owned.request_id,
+            request_id=owned.permit,
             ttl_ms=int(policy.LIFE_S * 1000),
         )
         for node in asked[: lease_policy.WATCHERS]:
@@ -225,14 +234,15 @@
         configured = self._configuration.config.upstreams.get(upstream)
         unusable = self._registry.state(upstream) in _UNUSABLE
         ledger = self._ledger(upstream, hold.epoch)
+        permit = f'{incarnation}/{message.request_id}'
         granted = (
             configured is not None
             and not unusable
             and self._may_grant(upstream, hold, ledger)
             and ledger.grant(
                 self._clock.now(),
-                f'{incarnation}/{message.request_id}',
-                message.request_id,
+                permit,
+                message.request_id.rpartition(_SEPARATOR)[0],
                 message.ttl_ms / 1000,
                 configured.cold_limit,
             )
@@ -241,7 +251,7 @@
             granted=granted,
             retry_after_ms=int(RETRY_S * 1000),
             epoch=hold.epoch,
-            permit=f'{incarnation}/{message.request_id}',
+            permit=permit,
         )
 
     def _ledger(self, upstream, epoch: ids.Epoch) -> policy.Ledger:
--- a/packages/node/src/radishcourse_node/controllers/probes.py
+++ b/packages/node/src/radishcourse_node/controllers/probes.py
@@ -12,8 +12,6 @@
 
 POLL_S = 0.5
 LIST_S = 1.0
-# Without news of peers for this long, the node asks all upstreams itself.
-GOSSIP_S = 3.0
 _UNSEEN = (states.UpstreamState.UNKNOWN, states.UpstreamState.DOWN)
 
 
@@ -24,13 +22,14 @@
         self._clock = node.environment.clock
         self._configuration = node.configuration
         self._leases = node.leases
+        self._membership = node.membership
         self._shards = node.settings.shards
         self._vms: vms.Vms = node.vms
         self._registry = registry
         self._engine = engine
         self._told: dict[ids.UpstreamId, enginecontrol.EngineState] = {}
         self._probing: dict[ids.UpstreamId, anyio.Event] = {}
-        self._listed_at = float('-inf')
+        self._asked_at: dict[ids.UpstreamId, float] = {}
 
     def told(self, upstream: ids.UpstreamId) -> enginecontrol.EngineState:
         """Returns the last state that an upstream told this node."""
@@ -62,20 +61,31 @@
         ]
 
     def _is_alone(self) -> bool:
-        return self._clock.now() - self._registry.merged_at > GOSSIP_S
+        """Tells whether no other node is there to tell changes."""
+        return not (self._membership.settled and self._membership.present)
 
     async def _tick(self) -> None:
         while True:
             self._registry.tick()
             await anyio.sleep(health.TICK_S)
 
-    async def probe(self, upstream: ids.UpstreamId) -> None:
-        """Asks an upstream for its state; callers at once ask once."""
+    async def probe(
+        self, upstream: ids.UpstreamId, after: float = float('-inf')
+    ) -> None:
+        """Asks an upstream for its state; callers at once ask once.
+
+        Args:
+          upstream: The upstream.
+          after: A question that was sent before this does not count.
+        """
         running = self._probing.get(upstream)
-        if running is not None:
+        while running is not None:
             await running.wait()
-            return
+            if self._asked_at[upstream] >= after:
+                return
+            running = self._probing.get(upstream)
         event = self._probing[upstream] = anyio.Event()
+        self._asked_at[upstream] = self._clock.now()
         try:
             await self._ask(upstream)
         finally:
--- a/packages/standins/src/radishcourse_standins/engine.py
+++ b/packages/standins/src/radishcourse_standins/engine.py
@@ -9,7 +9,6 @@
 
 import collections
 import contextlib
-import enum
 import hashlib
 import secrets
 
@@ -20,6 +19,7 @@
 from radishcourse_standins import asgi
 from radishcourse_standins import engineorders
 from radishcourse_standins import enginereports
+from radishcourse_standins import enginesettings
 
 MAX_KEPT_STREAMS = 1024
 CACHED_PREFIXES = 64
@@ -28,101 +28,25 @@
 SETTLED_S = 1.0
 
 
-class State(enum.Enum):
-    """State of the engine, as it tells it."""
-
-    COLD = 'cold'
-    WARM = 'warm'
-    LEAVING = 'leaving'
-
-
-class Disorder(enum.Enum):
-    """What is wrong with the events of a stream.
-
-    DUPLICATE sends each event twice, REORDER swaps neighbours, FOREIGN adds
-    events of another request, CRLF ends lines with CR LF and adds comments.
-    """
-
-    NONE = 'none'
-    DUPLICATE = 'duplicate'
-    REORDER = 'reorder'
-    FOREIGN = 'foreign'
-    CRLF = 'crlf'
-
-
-class Settings(msgspec.Struct):
-    """Behaviour that `POST /control/settings` changes.
-
-    Attributes:
-      quality: Mean quality by `model/version`; 0.9 for all others.
-      token_ms: Time between tokens.
-      first_token_ms: Time to the first token when warm.
-      cold_first_token_ms: Time to the first token when cold.
-      warm_after: Answers after which a cold engine is warm.
-      truncate: Share of answers that end before their last part, by the
-        request's hash; resumed streams are whole.
-      cut_at: Index at which streams end, when not 0; resumed streams are
-        whole.
-      padding: Bytes added to each token.
-      disorder: What is wrong with the events of streams.
-      fail: Share of requests answered with 500, by the request's hash.
-      load_lag_ms: Age of the load that the engine tells.
-      event_lag_ms: Age at which an event of the cache is published.
-      event_gap_every: Each event of the cache whose number is a multiple of
-        this is lost; 0 for none.
-    """
-
-    quality: dict[str, float] = {}
-    token_ms: float = 1.0
-    first_token_ms: float = 5.0
-    cold_first_token_ms: float = 50.0
-    warm_after: int = 3
-    truncate: float = 0.0
-    fail: float = 0.0
-    cut_at: int = 0
-    padding: int = 0
-    disorder: Disorder = Disorder.NONE
-    load_lag_ms: float = 0.0
-    event_lag_ms: float = 0.0
-    event_gap_every: int = 0
-
-
-class Completion(msgspec.Struct):
-    """A request for a chat completion."""
-
-    request_id: str
-    model: str
-    version: str
-    messages: list[dict] = []
-    max_tokens: int = 16
-    stream: bool = False
-    priority: int = 5
-
-
-class Resume(msgspec.Struct):
-    """A request to go on with a stream from a token's index."""
-
-    request_id: str
-    from_index: int
-
-
 class Engine:
     """The HTTP interface of the stand-in."""
 
     def __init__(self, slots: int, cold: bool, orders: engineorders.Orders):
-        self._settings = Settings()
+        self._settings = enginesettings.Settings()
         self._slots = anyio.Semaphore(slots)
         self._slot_count = slots
         self._orders = orders
         self._reports = enginereports.Reports(CACHED_PREFIXES)
-        self._state = State.COLD if cold else State.WARM
+        self._state = (
+            enginesettings.State.COLD if cold else enginesettings.State.WARM
+        )
         self._boot = secrets.token_hex(4)
         self._answered_cold = 0
         self._running = 0
         self._queued = 0
-        self._streams: collections.OrderedDict[str, Completion] = (
-            collections.OrderedDict()
-        )
+        self._streams: collections.OrderedDict[
+            str, enginesettings.Completion
+        ] = collections.OrderedDict()
         # A stream that is cancelled or resumed ends its earlier generation.
         self._generations: collections.Counter[str] = collections.Counter()
         self._cancels: list[str] = []
@@ -168,7 +92,7 @@
         }
 
     async def _complete(self, request: asgi.Request) -> asgi.Response:
-        job = request.json(Completion)
+        job = request.json(enginesettings.Completion)
         if job.request_id in self._cancelled:
             return asgi.reply({'error': 'cancelled'}, 409, **self._names)
         self._note_start(job)
@@ -206,7 +130,7 @@
             200, response.body, {**response.headers, **self._headers}
         )
 
-    def _note_start(self, job: Completion) -> None:
+    def _note_start(self, job: enginesettings.Completion) -> None:
         self._runs[job.request_id] += 1
         self._reports.note_prefix(_prefix(job))
         self._served.append(
@@ -220,12 +144,14 @@
             }
         )
 
-    def _stream(self, job: Completion, start: int) -> asgi.Response:
+    def _stream(
+        self, job: enginesettings.Completion, start: int
+    ) -> asgi.Response:
         headers = {'content-type': 'text/event-stream', **self._headers}
         events = _disorder(self._events(job, start), self._settings.disorder)
         return asgi.Response(200, b'', headers, events)
 
-    async def _events(self, job: Completion, start: int):
+    async def _events(self, job: enginesettings.Completion, start: int):
         cut = self._settings.cut_at
         if _fraction(job.request_id, 'truncate') < self._settings.truncate:
             cut = job.max_tokens // 2
@@ -240,7 +166,7 @@
             yield _event(job, index, {}, 'stop', completion_tokens=index)
             yield b'data: [DONE]\n\n'
 
-    async def _generate(self, job: Completion, start: int):
+    async def _generate(self, job: enginesettings.Completion, start: int):
         generation = self._generations[job.request_id]
         with self._count_cold():
             self._count(queued=1)
@@ -270,7 +196,7 @@
 
     @contextlib.contextmanager
     def _count_cold(self):
-        cold = self._state is State.COLD
+        cold = self._state is enginesettings.State.COLD
         late = cold and anyio.current_time() - self._cold_since >= SETTLED_S
         self._cold_work += cold
         self._cold_total += cold
@@ -284,7 +210,7 @@
             self._late_work -= late
 
     async def _pause(
-        self, job: Completion, generation: int, seconds: float
+        self, job: enginesettings.Completion, generation: int, seconds: float
     ) -> None:
         """Waits until some time has passed or the request is cancelled."""
         end = anyio.current_time() + seconds
@@ -294,30 +220,30 @@
             await anyio.sleep(min(left, CANCEL_CHECK_S))
 
     def _first_token_s(self) -> float:
-        if self._state is State.COLD:
+        if self._state is enginesettings.State.COLD:
             return self._settings.cold_first_token_ms / 1000
         return self._settings.first_token_ms / 1000
 
-    def _token(self, job: Completion, index: int) -> str:
+    def _token(self, job: enginesettings.Completion, index: int) -> str:
         if index == 0:
             return f'[q={self._quality(job):.3f}] '
         padding = '.' * self._settings.padding
         return f'{job.request_id[-6:]}.{index} {padding}'
 
-    def _quality(self, job: Completion) -> float:
+    def _quality(self, job: enginesettings.Completion) -> float:
         name = f'{job.model}/{job.version}'
         mean = self._settings.quality.get(name, 0.9)
         return 1.0 if _fraction(job.request_id, name) < mean else 0.0
 
     def _note_answer(self) -> None:
-        if self._state is not State.COLD:
+        if self._state is not enginesettings.State.COLD:
             return
         self._answered_cold += 1
         if self._answered_cold >= self._settings.warm_after:
-            self._state = State.WARM
+            self._state = enginesettings.State.WARM
 
     async def _resume(self, request: asgi.Request) -> asgi.Response:
-        wanted = request.json(Resume)
+        wanted = request.json(enginesettings.Resume)
         job = self._streams.get(wanted.request_id)
         if job is None:
             return asgi.reply({'error': 'no such stream'}, 404)
@@ -358,13 +284,13 @@
         )
 
     async def _set(self, request: asgi.Request) -> asgi.Response:
-        self._settings = request.json(Settings)
+        self._settings = request.json(enginesettings.Settings)
         return asgi.reply(self._settings)
 
     async def _set_state(self, request: asgi.Request) -> asgi.Response:
         wanted = request.json(dict)
-        self._state = State(wanted['state'])
-        if self._state is State.COLD:
+        self._state = enginesettings.State(wanted['state'])
+        if self._state is enginesettings.State.COLD:
             self._boot = secrets.token_hex(4)
             self._answered_cold = 0
             self._cold_since = anyio.current_time()
@@ -379,15 +305,15 @@
             {
                 'served': self._served,
                 'max_cold': self._max_cold,
-                'cancels': self._cancels,
                 'max_late': self._max_late,
+                'cancels': self._cancels,
                 'cold_total': self._cold_total,
                 'orders': self._orders.taken,
             }
         )
 
 
-def _prefix(job: Completion) -> str:
+def _prefix(job: enginesettings.Completion) -> str:
     first = msgspec.json.encode(job.messages[:1])
     return hashlib.sha256(job.model.encode() + first).hexdigest()[:16]
 
@@ -397,16 +323,16 @@
     return int.from_bytes(digest[:6], 'big') / 2**48
 
 
-async def _disorder(events, disorder: Disorder):
+async def _disorder(events, disorder: enginesettings.Disorder):
     held = b''
     async for event in events:
-        if disorder is Disorder.DUPLICATE:
+        if disorder is enginesettings.Disorder.DUPLICATE:
             yield event * 2
-        elif disorder is Disorder.FOREIGN:
+        elif disorder is enginesettings.Disorder.FOREIGN:
             yield event.replace(b'"request_id":"', b'"request_id":"x') + event
-        elif disorder is Disorder.CRLF:
+        elif disorder is enginesettings.Disorder.CRLF:
             yield b': comment\r\n\r\n' + event.replace(b'\n', b'\r\n')
-        elif disorder is Disorder.REORDER and not held:
+        elif disorder is enginesettings.Disorder.REORDER and not held:
             held = event
         else:
             yield event + held
