--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -39,6 +39,7 @@
 from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import leases
 from radishcourse_node.controllers import membership
+from radishcourse_node.controllers import orders
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import readers
 from radishcourse_node.controllers import upstreams
@@ -107,9 +108,12 @@
             self._roster,
         )
         self.upstreams = upstreams.Upstreams(self)
+        self.orders = orders.Orders(self)
         self.admissions = admissions.Admissions()
-        self.quality = quality.Quality(self.configuration)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
+        self.quality = quality.Quality(
+            environment, self.configuration, settings, self.ratings
+        )
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(environment, rows)
         self.bills = bills.Bills(
@@ -260,7 +264,9 @@
                 self.membership,
                 self.leases,
                 self.upstreams,
+                self.orders,
                 self.bills,
+                self.quality,
             ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self._serve_peers)
