--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -195,7 +195,6 @@
             max(0.001, job.deadline - self._clock.now()),
             self._guard.before_bytes(job, facts, upstream.trace),
         ) as response:
-            job.sent = True
             upstream.note_signs(engines.read_signs(response))
             engines.check_status(response)
             yield response
--- a/packages/node/src/radishcourse_node/controllers/reservations.py
+++ b/packages/node/src/radishcourse_node/controllers/reservations.py
@@ -8,7 +8,6 @@
 from radishcourse_node import errors
 
 _CONNECTED = 'connect_tcp.complete'
-_SENDING = 'send_request_headers.started'
 
 
 class Reservation:
@@ -47,7 +46,7 @@
         """
         if name.endswith(_CONNECTED):
             self._connected = True
-        elif name.endswith(_SENDING):
+        elif name.endswith(engines.SENDING):
             await self._check()
 
     async def _check(self) -> None:
--- a/packages/node/src/radishcourse_node/guard.py
+++ b/packages/node/src/radishcourse_node/guard.py
@@ -8,11 +8,11 @@
 from radishcourse_model import schema
 from radishcourse_model import states
 
+from radishcourse_node import engines
 from radishcourse_node import errors
 from radishcourse_node import job as jobs
 
 # The step of httpcore after which the first byte is written.
-_SENDING = 'send_request_headers.started'
 
 
 class Guard:
@@ -46,7 +46,8 @@
 
         Between the last look at the view and the first byte a connection
         may be opened, and the process may be paused; what was chosen before
-        a pause may be withdrawn when it ends.
+        a pause may be withdrawn when it ends. From the first byte on "not
+        run" is no longer said of the job.
 
         Args:
           job: The job.
@@ -58,9 +59,10 @@
         async def trace(name: str) -> None:
             if check is not None:
                 await check(name)
-            if name.endswith(_SENDING):
+            if name.endswith(engines.SENDING):
                 self.check_view(job)
                 self._check_choice(job, facts)
+                job.sent = True
 
         return trace
 
