--- a/packages/node/src/radishcourse_node/controllers/caches.py
+++ b/packages/node/src/radishcourse_node/controllers/caches.py
@@ -30,6 +30,10 @@
         self, job: jobs.Job, candidates: list[placement.Candidate]
     ) -> list[placement.Candidate]:
         """Returns candidates with cached shares and service times."""
+        for item in candidates:
+            if item.cold:
+                # It restarted or lost its cache.
+                self._prefixes.forget(item.upstream)
         prefix = _prefix(job)
         names = [item.upstream for item in candidates]
         shares = dict.fromkeys(names, 0.0)
@@ -60,10 +64,6 @@
         known = self._service.get(upstream, seconds)
         self._service[upstream] = known + SERVICE_GAIN * (seconds - known)
 
-    def forget(self, upstream: ids.UpstreamId) -> None:
-        """Drops what was cached on an upstream that restarted."""
-        self._prefixes.forget(upstream)
-
 
 def _prefix(job: jobs.Job) -> str:
     if job.chat is None:
--- a/packages/node/src/radishcourse_node/job.py
+++ b/packages/node/src/radishcourse_node/job.py
@@ -86,6 +86,7 @@
       opens_session: Whether the answer is to carry a new session token.
       left_session: The session that it left, as its version is withdrawn.
       reader: What its caller has left unread, once the answer has started.
+      attempts: Attempts on upstreams that were begun.
       sent: Whether any byte of it may have reached an upstream; while this
         is false, "not run" is true.
     """
@@ -111,6 +112,7 @@
     opens_session: bool = False
     left_session: Session | None = None
     reader: typing.Any = None
+    attempts: int = 0
     sent: bool = False
 
     @property
