--- a/packages/node/src/radishcourse_node/controllers/admissions.py
+++ b/packages/node/src/radishcourse_node/controllers/admissions.py
@@ -2,7 +2,6 @@
 
 import collections
 import contextlib
-import typing
 
 import anyio
 from radishcourse_model import ids
@@ -14,7 +13,6 @@
 # Share of the latest time in the expected service time of a kind.
 SERVICE_GAIN = 0.1
 RETRY_AFTER_S = 2
-LiveNodes = typing.Callable[[], int]
 
 
 class Slot:
@@ -42,18 +40,12 @@
 
 
 class Admissions:
-    """Counts requests of organisations and gives model attempts their turn.
-
-    Args:
-      environment: The node's environment.
-      configuration: The configuration controller.
-      live_nodes: Returns how many nodes share the limits.
-    """
-
-    def __init__(self, environment, configuration, live_nodes: LiveNodes):
-        self._clock = environment.clock
-        self._configuration = configuration
-        self._live_nodes = live_nodes
+    """Counts requests of organisations and gives model attempts their turn."""
+
+    def __init__(self, node):
+        self._clock = node.environment.clock
+        self._configuration = node.configuration
+        self._membership = node.membership
         self._counts: collections.Counter[ids.OrganisationId] = (
             collections.Counter()
         )
@@ -71,6 +63,10 @@
         """Model attempts that wait for their turn."""
         return sum(len(queue.waiting) for queue in self._queues.values())
 
+    @property
+    def _live_nodes(self) -> int:
+        return 1 + len(self._membership.present)
+
     def enter(self, job: jobs.Job) -> Slot:
         """Returns a place for a job.
 
@@ -78,7 +74,7 @@
           Refusal: The organisation is at this node's part of its limit.
         """
         limits, name = job.organisation.limits, job.organisation_id
-        nodes = self._live_nodes()
+        nodes = self._live_nodes
         most = policy.split(limits.concurrent, nodes)
         if self._counts[name] >= most:
             raise errors.Refusal(
@@ -148,7 +144,7 @@
 
     def _start(self, model, queue: _Queue) -> None:
         """Lets attempts go while there is room; drops those too late."""
-        most = policy.most_in_progress(self._slots(model), self._live_nodes())
+        most = policy.most_in_progress(self._slots(model), self._live_nodes)
         while queue.running < most and len(queue.waiting):
             self._drop_late(queue)
             taken = queue.waiting.take()
--- a/packages/node/src/radishcourse_node/controllers/quality.py
+++ b/packages/node/src/radishcourse_node/controllers/quality.py
@@ -46,15 +46,15 @@
 class Quality:
     """Learns from ratings and describes models to the cascade policy."""
 
-    def __init__(self, environment, configuration, settings, ratings, rollouts):
-        self._clock = environment.clock
-        self._random = environment.random
-        self._configuration = configuration
-        self._node = settings.node
-        self._ratings = ratings
-        self._rollouts = rollouts
+    def __init__(self, node):
+        self._clock = node.environment.clock
+        self._random = node.environment.random
+        self._configuration = node.configuration
+        self._node = node.settings.node
+        self._ratings = node.ratings
+        self._rollouts = node.rollouts
         # A restarted node's record must replace the one of its last life.
-        first = int(environment.clock.wall() * 1000)
+        first = int(self._clock.wall() * 1000)
         self._learner = learner.Learner(first)
         self._audits: collections.deque[Audit] = collections.deque()
         self._waiting = anyio.Event()
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -5,10 +5,11 @@
 import functools
 import secrets
 import signal
+import socket
 
 import anyio
-import msgspec
 from radishcourse_model import ids
+from radishcourse_model import states
 from radishcourse_platform import http
 from radishcourse_platform import leases as lease_rows
 from radishcourse_platform import objects
@@ -25,10 +26,13 @@
 from radishcourse_node import app
 from radishcourse_node import connections
 from radishcourse_node import environment as environments
+from radishcourse_node import errors
 from radishcourse_node import events
+from radishcourse_node import gossip
 from radishcourse_node import metrics
 from radishcourse_node import ratings
 from radishcourse_node import settings as node_settings
+from radishcourse_node import statuses
 from radishcourse_node.controllers import admissions
 from radishcourse_node.controllers import bills
 from radishcourse_node.controllers import caches
@@ -37,6 +41,7 @@
 from radishcourse_node.controllers import freshness
 from radishcourse_node.controllers import holders
 from radishcourse_node.controllers import leases
+from radishcourse_node.controllers import membership
 from radishcourse_node.controllers import orders
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import readers
@@ -46,34 +51,12 @@
 
 MAX_LINE_BYTES = 32 * 1024
 RESTART_DELAY_S = 1.0
+# Time limit on reads of the configuration, and on their number at once.
+# Answers that come later than others still confirm, or show a change.
+CONFIGURATION_TIMEOUT_S = 5.0
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-class UpstreamStatus(msgspec.Struct):
-    """An upstream as this node sees it."""
-
-    upstream: str
-    zone: str
-    state: str
-    in_flight: int
-
-
-class NodeStatus(msgspec.Struct):
-    """What a node tells operators about itself."""
-
-    node: str
-    incarnation: str
-    zone: str
-    state: str
-    revision: int
-    view: str
-    in_progress: int
-    bills_held: int
-    bills_held_for_others: int
-    bills_at_risk: int
-    upstreams: list[UpstreamStatus]
-
-
 class Node:
     """One node process.
 
@@ -81,6 +64,8 @@
       environment: Streams, clock and random source.
       settings: The node's settings.
       platform: Client of the platform.
+      source: Client of the platform for the configuration only, with a
+        longer time limit; its calls must not wait for those of others.
     """
 
     def __init__(
@@ -88,6 +73,7 @@
         environment: environments.Environment,
         settings: node_settings.Settings,
         platform: http.Http,
+        source: http.Http,
     ):
         self.environment = environment
         self.settings = settings
@@ -102,17 +88,20 @@
         )
         self.peers = peer_client.Client(own)
         self.peer_server = peer_server.Server(own, _note_reject)
-        rows = table.Table(platform)
-        store = objects.Objects(platform)
+        rows, store = table.Table(platform), objects.Objects(platform)
+        revision_source = revisions.Revisions(
+            table.Table(source), objects.Objects(source)
+        )
         self.metrics = metrics.Metrics()
         self.freshness = freshness.Freshness(environment.clock)
         self.configuration = configuration.Configuration(
             settings,
             environment.clock,
-            revisions.Revisions(rows, store),
+            revision_source,
             self.freshness,
         )
         self.vms = vms.Vms(platform)
+        self.membership = membership.Membership(self, self.vms)
         self.leases = leases.Leases(
             environment,
             settings,
@@ -125,55 +114,61 @@
         self.caches = caches.Caches()
         self.upstreams = upstreams.Upstreams(self)
         self.orders = orders.Orders(self)
-        self.admissions = admissions.Admissions(
-            environment, self.configuration, lambda: self.live_nodes
-        )
+        self.admissions = admissions.Admissions(self)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
-        self.rollouts = rollouts.Rollouts(
-            environment, settings, self.configuration, rows
-        )
-        self.quality = quality.Quality(
-            environment,
-            self.configuration,
-            settings,
-            self.ratings,
-            self.rollouts,
-        )
+        self.rollouts = rollouts.Rollouts(self, rows)
+        self.quality = quality.Quality(self)
         self.versions = versions.Versions(environment, self.configuration)
-        self.claims = claims.Claims(environment, rows)
+        self.claims = claims.Claims(environment, rows, store)
         self.bills = bills.Bills(
             environment,
             settings,
             self.incarnation,
             rows,
             holders.Holders(
-                environment.clock, settings, self.incarnation, self.peers
+                environment.clock,
+                settings,
+                self.incarnation,
+                self.peers,
+                self.membership,
             ),
+            self.membership,
         )
         self.peer_server.register(messages.Kind.HOLD_BILLS, self.bills.hold)
         self.readers = readers.Readers(self.configuration, settings)
         self._draining = False
         self._requests = 0
+        self._was_ready = False
 
     @property
     def ready(self) -> bool:
         """Whether the balancer may send requests."""
-        return (
-            not self._draining
-            and self.configuration.revision > 0
-            and self.freshness.may_start()
-        )
+        return not self.unready_reason
+
+    @property
+    def state(self) -> states.MemberState:
+        """What this node announces of itself."""
+        if self._draining:
+            return states.MemberState.LEAVING
+        self._was_ready = self._was_ready or self.ready
+        if self._was_ready:
+            return states.MemberState.ALIVE
+        return states.MemberState.JOINING
+
+    @property
+    def unready_reason(self) -> str:
+        """Why the node is not ready, or an empty text."""
+        if self._draining:
+            return self.state.value
+        if not self.configuration.revision:
+            return 'no configuration'
+        return '' if self.freshness.may_start() else 'stale_view'
 
     @property
     def draining(self) -> bool:
         """Whether the node is on its way to a planned stop."""
         return self._draining
 
-    @property
-    def live_nodes(self) -> int:
-        """Nodes that share the limits of the fleet, with this one."""
-        return 1 + len(self.settings.seeds)
-
     @property
     def requests(self) -> int:
         """Requests in progress."""
@@ -181,14 +176,13 @@
 
     def peer_address(self, node: ids.NodeId) -> str | None:
         """Returns the address at which another node is reached."""
-        if node in self.settings.peer_routes:
-            return self.settings.peer_routes[node]
-        seeds = {seed.node: seed.address for seed in self.settings.seeds}
-        return seeds.get(node)
+        return self.membership.address(node)
 
     def _roster(self) -> leases.Roster:
-        seeds = {seed.node for seed in self.settings.seeds}
-        return leases.Roster(sorted({*seeds, self.settings.node}), live=False)
+        return leases.Roster(
+            sorted({*self.membership.present, self.settings.node}),
+            live=self.membership.settled,
+        )
 
     def _lease_names(self) -> list[ids.LeaseName]:
         config = self.configuration.config
@@ -210,15 +204,17 @@
         finally:
             self._requests -= 1
 
-    def status(self) -> NodeStatus:
+    def status(self) -> statuses.NodeStatus:
         """Returns what operators see."""
-        return NodeStatus(
+        return statuses.NodeStatus(
             node=self.settings.node,
             incarnation=self.incarnation,
             zone=self.settings.zone,
-            state='leaving' if self._draining else 'alive',
+            state=self.state.value,
             revision=self.configuration.revision,
             view=self.freshness.view.value,
+            confirmed_age_ms=gossip.encode_age(self.freshness.age_s),
+            platform_reached=self.freshness.platform_reached,
             in_progress=self._requests,
             bills_held=self.bills.held,
             bills_held_for_others=self.bills.held_for_others,
@@ -229,6 +225,10 @@
                     self.configuration.config.upstreams.items()
                 )
             ],
+            members=[
+                statuses.describe_member(node, member)
+                for node, member in sorted(self.membership.members.items())
+            ],
         )
 
     def gauges(self) -> dict[str, float]:
@@ -236,6 +236,7 @@
         return {
             'radishcourse_revision': self.configuration.revision,
             'radishcourse_requests_in_progress': self._requests,
+            'radishcourse_claims_waiting': self.claims.waiting,
             'radishcourse_bills_held': self.bills.held,
             'radishcourse_bills_held_for_others': self.bills.held_for_others,
             'radishcourse_bills_at_risk': self.bills.at_risk,
@@ -245,15 +246,19 @@
             'radishcourse_ready': int(self.ready),
         }
 
-    def _describe(self, upstream_id, upstream) -> UpstreamStatus:
+    def _describe(self, upstream_id, upstream) -> statuses.UpstreamStatus:
         health = self.upstreams.health.get(upstream_id)
         state = self.upstreams.state(upstream_id).value
         in_flight = health.in_flight if health else 0
-        return UpstreamStatus(upstream_id, upstream.zone, state, in_flight)
+        return statuses.UpstreamStatus(
+            upstream_id, upstream.zone, state, in_flight
+        )
 
     async def serve(self) -> None:
         """Serves callers until SIGTERM or SIGINT, then drains."""
         server = self._make_server()
+        callers = await _listen(self.settings.listen)
+        peers = await _listen(self.settings.peer_listen)
         events.log(
             events.Event.NODE_STARTED,
             node=self.settings.node,
@@ -263,35 +268,31 @@
         async with anyio.create_task_group() as tasks:
             for controller in (
                 self.configuration,
+                self.membership,
                 self.leases,
                 self.upstreams,
                 self.orders,
                 self.bills,
                 self.quality,
                 self.rollouts,
+                self.claims,
             ):
                 tasks.start_soon(self._supervise, controller)
-            tasks.start_soon(self._serve_peers)
+            tasks.start_soon(self.peer_server.serve_on, peers)
             tasks.start_soon(self._drain_on_signal, server)
-            await server.serve()
+            await server.serve([_raw_socket(callers)])
             # Nothing is left to stop; a signal must not change the exit code.
             for number in _STOP_SIGNALS:
                 signal.signal(number, signal.SIG_IGN)
+            await self.claims.finish()
             await self._finish_bills()
             await self.leases.release()
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
 
-    async def _serve_peers(self) -> None:
-        host, port = node_settings.split_address(self.settings.peer_listen)
-        await self.peer_server.serve(host, port)
-
     def _make_server(self) -> uvicorn.Server:
-        host, port = node_settings.split_address(self.settings.listen)
         config = uvicorn.Config(
             app.App(self),
-            host=host,
-            port=port,
             http=functools.partial(
                 connections.Connection,
                 header_limit_s=self.settings.header_limit_s,
@@ -353,6 +354,26 @@
         await self.ratings.aclose()
 
 
+async def _listen(address: str) -> anyio.abc.SocketListener:
+    """Returns a listener on an address.
+
+    Raises:
+      AddressError: The address can't be listened on.
+    """
+    host, port = node_settings.split_address(address)
+    try:
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, reuse_port=False
+        )
+    except OSError as error:
+        raise errors.AddressError(f'{address}: {error}') from error
+    return listener.listeners[0]
+
+
+def _raw_socket(listener: anyio.abc.SocketListener) -> socket.socket:
+    return listener.extra(anyio.abc.SocketAttribute.raw_socket)
+
+
 def _note_reject(reason: str) -> None:
     events.log(events.Event.PEER_REJECTED, reason=reason)
 
@@ -360,8 +381,11 @@
 @contextlib.asynccontextmanager
 async def open_node(environment, settings):
     """Yields a node and closes its connections at the end."""
-    async with http.open_http(settings.platform) as platform:
-        node = Node(environment, settings, platform)
+    async with (
+        http.open_http(settings.platform) as platform,
+        http.open_http(settings.platform, CONFIGURATION_TIMEOUT_S) as source,
+    ):
+        node = Node(environment, settings, platform, source)
         try:
             yield node
         finally:
