--- a/packages/node/src/radishcourse_node/controllers/health.py
+++ b/packages/node/src/radishcourse_node/controllers/health.py
@@ -1,7 +1,6 @@
 """What this node knows of each upstream, and how news of it is ordered."""
 
 import dataclasses
-import typing
 
 from radishcourse_model import ids
 from radishcourse_model import states
@@ -63,17 +62,10 @@
     Args:
       clock: The node's clock.
       node: This node.
-      on_restart: Called with each upstream that tells another boot id.
     """
 
-    def __init__(
-        self,
-        clock,
-        node: ids.NodeId,
-        on_restart: typing.Callable[[ids.UpstreamId], None],
-    ):
+    def __init__(self, clock, node: ids.NodeId):
         self._clock = clock
-        self._on_restart = on_restart
         self._node = node
         self._health: dict[ids.UpstreamId, Health] = {}
         self._counter = 0
@@ -134,7 +126,6 @@
         if boot and health.boot and boot != health.boot:
             # The next news of the same boot decides whether it is warm.
             told = _State.COLD if told is _State.WARM else told
-            self._on_restart(upstream)
         elif at < health.observed_at:
             return
         health.boot = boot or health.boot
--- a/packages/node/src/radishcourse_node/controllers/rollouts.py
+++ b/packages/node/src/radishcourse_node/controllers/rollouts.py
@@ -59,14 +59,14 @@
 class Rollouts:
     """Takes part in the roll-outs of the configuration."""
 
-    def __init__(self, environment, settings, configuration, rows: table.Table):
-        self._clock = environment.clock
-        self._random = environment.random
-        self._node = settings.node
-        self._configuration = configuration
+    def __init__(self, node, rows: table.Table):
+        self._clock = node.environment.clock
+        self._random = node.environment.random
+        self._node = node.settings.node
+        self._configuration = node.configuration
         self._rows = rows
         self._locals: dict[ids.RolloutId, _Local] = {}
-        self._write = int(environment.clock.wall() * 1000)
+        self._write = int(self._clock.wall() * 1000)
 
     def choose(self, job: jobs.Job, model: ids.ModelId) -> ids.VersionId | None:
         """Returns the version that a roll-out wants for a job, or None."""
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -42,9 +42,7 @@
         self._pools = engines.Pools()
         self._budgets: dict[tuple, retrybudget.RetryBudget] = {}
         self._trial_at: dict[ids.UpstreamId, float] = {}
-        self.registry = health.Registry(
-            self._clock, node.settings.node, node.caches.forget
-        )
+        self.registry = health.Registry(self._clock, node.settings.node)
         self.probes = probes.Probes(node, self.registry, self.engine)
         self.permits = permits.Permits(node, self.registry, self.engine)
         self.slots = slots.Slots(self._clock)
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -88,8 +88,7 @@
         )
         self.peers = peer_client.Client(own)
         self.peer_server = peer_server.Server(own, _note_reject)
-        rows = table.Table(platform)
-        store = objects.Objects(platform)
+        rows, store = table.Table(platform), objects.Objects(platform)
         revision_source = revisions.Revisions(
             table.Table(source), objects.Objects(source)
         )
@@ -115,24 +114,12 @@
         self.caches = caches.Caches()
         self.upstreams = upstreams.Upstreams(self)
         self.orders = orders.Orders(self)
-        self.admissions = admissions.Admissions(
-            environment, self.configuration, lambda: self.live_nodes
-        )
+        self.admissions = admissions.Admissions(self)
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
-        self.rollouts = rollouts.Rollouts(
-            environment, settings, self.configuration, rows
-        )
-        self.quality = quality.Quality(
-            environment,
-            self.configuration,
-            settings,
-            self.ratings,
-            self.rollouts,
-        )
+        self.rollouts = rollouts.Rollouts(self, rows)
+        self.quality = quality.Quality(self)
         self.versions = versions.Versions(environment, self.configuration)
-        self.claims = claims.Claims(
-            environment, rows, objects.Objects(platform)
-        )
+        self.claims = claims.Claims(environment, rows, store)
         self.bills = bills.Bills(
             environment,
             settings,
@@ -182,11 +169,6 @@
         """Whether the node is on its way to a planned stop."""
         return self._draining
 
-    @property
-    def live_nodes(self) -> int:
-        """Nodes that share the limits of the fleet, with this one."""
-        return len({*self.membership.present, self.settings.node})
-
     @property
     def requests(self) -> int:
         """Requests in progress."""
@@ -292,8 +274,8 @@
                 self.orders,
                 self.bills,
                 self.quality,
-                self.claims,
                 self.rollouts,
+                self.claims,
             ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self.peer_server.serve_on, peers)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -51,9 +51,7 @@
         self.lost = False
         self.lease = None
         self.jobs = {}
-        registry = health.Registry(
-            machine.clock, ids.NodeId(name), lambda _: None
-        )
+        registry = health.Registry(machine.clock, ids.NodeId(name))
         self.registry = registry
         upstream = schema.Upstream(
             address='127.0.0.1:1', zone=ids.ZoneId('z'), cold_limit=LIMIT
