Bound the records in an answer and give claims their object store

Cause: each answer of gossip carried all learned and upstream records, so its size grew with the fleet.

Ruled out: fewer answers (freshness needs them).

Change: an answer tells at most 64 upstream and 8 learned records, the node's own first and others at random; later answers tell the rest. Claims get an object store on the client with the short time limit.

Not measured with traffic.

Tests: before the repair `python -m tests test_demo test_path test_freshness test_cold` failed at the start of nodes (NameError: store). After: test_gossip, test_cold, test_path, test_demo, test_freshness, test_guard and test_membership pass. test_cascade failed once with eight modules (`27 not greater than or equal to 28`, a share of random choices) and passed twice alone; reported, not touched.

--- a/packages/node/src/radishcourse_node/exchange.py
+++ b/packages/node/src/radishcourse_node/exchange.py
@@ -10,6 +10,11 @@
 from radishcourse_node import events
 from radishcourse_node import gossip
 
+# Bounds on records in one answer; the others are told in later ones. A
+# fleet's worth of them would exceed the budget for control at each answer.
+MAX_UPSTREAMS = 64
+MAX_LEARNED = 8
+
 
 class Exchange:
     """Makes questions, answers them and takes over answers.
@@ -81,8 +86,8 @@
         reply = ttypes.PullReply(
             digest=digest,
             members=self._tell_members(bool(pull.full), now) or None,
-            upstreams=_collect(self._node.upstreams, 'records') or None,
-            learned=_collect(self._node.quality, 'records') or None,
+            upstreams=self._collect_some('upstreams', MAX_UPSTREAMS) or None,
+            learned=self._collect_some('quality', MAX_LEARNED) or None,
         )
         vouched = self._members.vouches(self._random)
         if vouched:
@@ -90,6 +95,13 @@
         self._add_changes(reply, pull.digest.revision or 0)
         return reply
 
+    def _collect_some(self, controller: str, most: int) -> list:
+        """Returns some of a controller's records, its first one included."""
+        records = _collect(getattr(self._node, controller), 'records')
+        if len(records) <= most:
+            return records
+        return [records[0], *self._random.sample(records[1:], most - 1)]
+
     def _hear(self, digest, node, incarnation, heard_at: float) -> None:
         if digest is None:
             raise wire_errors.Malformed('there is no digest')
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -117,7 +117,9 @@
             environment, self.configuration, settings, self.ratings
         )
         self.versions = versions.Versions(environment, self.configuration)
-        self.claims = claims.Claims(environment, rows, store)
+        self.claims = claims.Claims(
+            environment, rows, objects.Objects(platform)
+        )
         self.bills = bills.Bills(
             environment,
             settings,
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,6 +1,8 @@
 """What nodes take over from one another."""
 
+import random
 import signal
+import types
 
 import anyio
 import hypothesis
@@ -8,11 +10,14 @@
 from radishcourse_model import errors as model_errors
 from radishcourse_model import ids
 from radishcourse_model import merge
+from radishcourse_node import exchange
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
 from radishcourse_platform import revisions
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import freshness as policy
+from radishcourse_policy import membership
+from radishcourse_wire.gen.peer import ttypes
 import testtools
 
 from tests import cluster as clusters
@@ -130,6 +135,27 @@
         self.assertIs(policy.View.OUTAGE, fresh.view)
 
 
+class BoundTest(testtools.TestCase):
+    """Guards against answers that grow with the records of the fleet."""
+
+    def test_answers_tell_some_records_and_always_the_own_one(self):
+        record = ttypes.LearnedRecord('a', 1, b'')
+        others = [ttypes.LearnedRecord('b', 1, b'') for _ in range(500)]
+        node = types.SimpleNamespace(
+            settings=None,
+            environment=types.SimpleNamespace(
+                clock=None, random=random.Random(1)
+            ),
+            configuration=None,
+            freshness=None,
+            quality=types.SimpleNamespace(records=lambda: [record, *others]),
+        )
+        talk = exchange.Exchange(node, membership.Members(ids.NodeId('a')))
+        told = talk._collect_some('quality', exchange.MAX_LEARNED)
+        self.assertEqual(exchange.MAX_LEARNED, len(told))
+        self.assertIs(record, told[0])
+
+
 class MemberTest(testtools.TestCase):
     """Guards against members that are lost, mixed up or believed alive."""
 
