--- a/packages/node/src/radishcourse_node/controllers/health.py
+++ b/packages/node/src/radishcourse_node/controllers/health.py
@@ -1,6 +1,7 @@
 """What this node knows of each upstream, and how news of it is ordered."""
 
 import dataclasses
+import typing
 
 from radishcourse_model import ids
 from radishcourse_model import states
@@ -62,14 +63,20 @@
     Args:
       clock: The node's clock.
       node: This node.
+      on_restart: Called with each upstream that tells another boot id.
     """
 
-    def __init__(self, clock, node: ids.NodeId):
+    def __init__(
+        self,
+        clock,
+        node: ids.NodeId,
+        on_restart: typing.Callable[[ids.UpstreamId], None],
+    ):
         self._clock = clock
+        self._on_restart = on_restart
         self._node = node
         self._health: dict[ids.UpstreamId, Health] = {}
         self._counter = 0
-        self._merged_at = float('-inf')
         self._ticked_at = clock.now()
         self._distrust_until = float('-inf')
 
@@ -78,11 +85,6 @@
         """Health of each upstream that was seen."""
         return self._health
 
-    @property
-    def merged_at(self) -> float:
-        """When gossip last brought news."""
-        return self._merged_at
-
     def get(self, upstream: ids.UpstreamId) -> Health:
         """Returns the health of an upstream."""
         return self._health.setdefault(upstream, Health())
@@ -132,6 +134,7 @@
         if boot and health.boot and boot != health.boot:
             # The next news of the same boot decides whether it is warm.
             told = _State.COLD if told is _State.WARM else told
+            self._on_restart(upstream)
         elif at < health.observed_at:
             return
         health.boot = boot or health.boot
@@ -220,7 +223,6 @@
             that a call may take is assumed.
         """
         now = self._clock.now()
-        self._merged_at = now
         if asked_at is None:
             asked_at = now - peer_client.TIMEOUT_S
         for record in records:
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -38,10 +38,13 @@
         self._random = node.environment.random
         self._configuration = node.configuration
         self._settings = node.settings
+        self._caches = node.caches
         self._pools = engines.Pools()
         self._budgets: dict[tuple, retrybudget.RetryBudget] = {}
         self._trial_at: dict[ids.UpstreamId, float] = {}
-        self.registry = health.Registry(self._clock, node.settings.node)
+        self.registry = health.Registry(
+            self._clock, node.settings.node, node.caches.forget
+        )
         self.probes = probes.Probes(node, self.registry, self.engine)
         self.permits = permits.Permits(node, self.registry, self.engine)
         self.slots = slots.Slots(self._clock)
@@ -55,6 +58,10 @@
         """Returns the state of an upstream."""
         return self.registry.state(upstream_id)
 
+    def now(self) -> float:
+        """Returns the time by the node's clock, in seconds."""
+        return self._clock.now()
+
     def records(self) -> list[ttypes.UpstreamRecord]:
         """Returns the news that peers are to have."""
         return self.registry.records()
@@ -93,9 +100,20 @@
         return self._budget(organisation_id, pool_name).spend()
 
     @contextlib.asynccontextmanager
-    async def reserve(self, job, model, version, tried, allowed):
+    async def reserve(
+        self, job, model, version, tried, allowed, request_id: str = ''
+    ):
         """Yields a reservation on an upstream that serves a version.
 
+        Args:
+          job: The job.
+          model: The model.
+          version: The version.
+          tried: Upstreams to use only if there is no other.
+          allowed: Tells whether an upstream may receive new work now.
+          request_id: The request as the upstream knows it already, when it
+            goes on with a stream.
+
         Raises:
           Refusal: No upstream may or can take the attempt.
         """
@@ -111,7 +129,7 @@
                 and allowed(upstream_id)
             }
 
-        async with self._take(job, find, tried) as reservation:
+        async with self._take(job, find, tried, request_id) as reservation:
             yield reservation
 
     def _has_loaded(self, upstream_id, model, version) -> bool:
@@ -139,15 +157,17 @@
             yield reservation
 
     @contextlib.asynccontextmanager
-    async def _take(self, job: jobs.Job, find, tried):
+    async def _take(self, job: jobs.Job, find, tried, request_id: str = ''):
         job.attempts += 1
-        request_id = f'{job.request_id}-{job.attempts}'
+        request_id = request_id or f'{job.request_id}-{job.attempts}'
         while True:
             choices = self._narrow(find(), tried)
             chosen = await self._choose(job, choices)
             if chosen is None:
                 await self.slots.wait(job, choices)
                 continue
+            # Jobs that wait behind this one need not wait for their timers.
+            self.slots.wake(chosen)
             async with self._admit(chosen, request_id) as reservation:
                 # Probes and permits take time in which the view may change.
                 if reservation is None or chosen not in find():
@@ -185,7 +205,9 @@
             for item in trials
             if now >= self._trial_at.get(item.upstream, 0.0) or not warm
         ]
-        chosen = placement.choose(due or warm, self._random)
+        chosen = placement.choose(
+            self._caches.complete(job, due or warm), self._random
+        )
         if chosen is None:
             return None
         if chosen.cold:
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -35,6 +35,7 @@
 from radishcourse_node import statuses
 from radishcourse_node.controllers import admissions
 from radishcourse_node.controllers import bills
+from radishcourse_node.controllers import caches
 from radishcourse_node.controllers import claims
 from radishcourse_node.controllers import configuration
 from radishcourse_node.controllers import freshness
@@ -44,6 +45,7 @@
 from radishcourse_node.controllers import orders
 from radishcourse_node.controllers import quality
 from radishcourse_node.controllers import readers
+from radishcourse_node.controllers import rollouts
 from radishcourse_node.controllers import upstreams
 from radishcourse_node.controllers import versions
 
@@ -87,6 +89,7 @@
         self.peers = peer_client.Client(own)
         self.peer_server = peer_server.Server(own, _note_reject)
         rows = table.Table(platform)
+        store = objects.Objects(platform)
         revision_source = revisions.Revisions(
             table.Table(source), objects.Objects(source)
         )
@@ -109,12 +112,22 @@
             self._lease_names,
             self._roster,
         )
+        self.caches = caches.Caches()
         self.upstreams = upstreams.Upstreams(self)
         self.orders = orders.Orders(self)
-        self.admissions = admissions.Admissions()
+        self.admissions = admissions.Admissions(
+            environment, self.configuration, lambda: self.live_nodes
+        )
         self.ratings = ratings.Ratings(settings.rating, environment.clock)
+        self.rollouts = rollouts.Rollouts(
+            environment, settings, self.configuration, rows
+        )
         self.quality = quality.Quality(
-            environment, self.configuration, settings, self.ratings
+            environment,
+            self.configuration,
+            settings,
+            self.ratings,
+            self.rollouts,
         )
         self.versions = versions.Versions(environment, self.configuration)
         self.claims = claims.Claims(
@@ -169,6 +182,11 @@
         """Whether the node is on its way to a planned stop."""
         return self._draining
 
+    @property
+    def live_nodes(self) -> int:
+        """Nodes that share the limits of the fleet, with this one."""
+        return len({*self.membership.present, self.settings.node})
+
     @property
     def requests(self) -> int:
         """Requests in progress."""
@@ -275,6 +293,7 @@
                 self.bills,
                 self.quality,
                 self.claims,
+                self.rollouts,
             ):
                 tasks.start_soon(self._supervise, controller)
             tasks.start_soon(self.peer_server.serve_on, peers)
--- a/packages/node/src/radishcourse_node/streams.py
+++ b/packages/node/src/radishcourse_node/streams.py
@@ -227,7 +227,12 @@
         job, facts = self._job, self._facts
         self._check_guard()
         async with self._streams.upstreams.reserve(
-            job, facts.model, facts.version, {facts.upstream}, self._is_same
+            job,
+            facts.model,
+            facts.version,
+            {facts.upstream},
+            self._is_same,
+            self._request_id,
         ) as upstream:
             # Waiting for the reservation may have taken long.
             self._check_guard()
@@ -246,7 +251,9 @@
             [(b'content-type', b'application/json')],
             msgspec.json.encode(call),
             max(0.001, left),
-            self._streams.guard.before_bytes(self._job, self._facts),
+            self._streams.guard.before_bytes(
+                self._job, self._facts, upstream.trace
+            ),
         ) as response:
             signs = engines.read_signs(response)
             upstream.note_signs(signs)
