Remove an object store that nothing uses

Ruled out: another user of the name (ruff finds none).

Change: the line goes; Claims make their own store.

--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -89,7 +89,6 @@
         self.peers = peer_client.Client(own)
         self.peer_server = peer_server.Server(own, _note_reject)
         rows = table.Table(platform)
-        store = objects.Objects(platform)
         revision_source = revisions.Revisions(
             table.Table(source), objects.Objects(source)
         )
