--- a/packages/node/src/radishcourse_node/controllers/permits.py
+++ b/packages/node/src/radishcourse_node/controllers/permits.py
@@ -79,6 +79,7 @@
         self._owned: dict[str, Owned] = {}
         self._acquired = 0
         self._ended: list[tuple[Owned, bool]] = []
+        self._wake = anyio.Event()
         node.peer_server.register(
             messages.Kind.ACQUIRE_PERMIT, self._on_acquire
         )
@@ -101,7 +102,7 @@
         owned = Owned(upstream, permit, request_id)
         if not await self._ask(owned):
             # The grant's reply may have been lost.
-            self._ended.append((owned, True))
+            self._note_ended(owned, clean=True)
             yield None
             return
         self._owned[permit] = owned
@@ -111,7 +112,7 @@
             clean = not owned.cancelled
         finally:
             del self._owned[permit]
-            self._ended.append((owned, clean))
+            self._note_ended(owned, clean)
 
     def usable(self, owned: Owned) -> bool:
         """Tells whether a job may start under a permit now."""
@@ -137,10 +138,14 @@
             for upstream in list(self._ledgers):
                 tasks.start_soon(self._revoke_expired, upstream)
 
+    def _note_ended(self, owned: Owned, clean: bool) -> None:
+        self._ended.append((owned, clean))
+        self._wake.set()
+
     async def _pause(self) -> None:
         with anyio.move_on_after(TICK_S):
-            while not self._ended:
-                await anyio.sleep(TICK_S / 25)
+            await self._wake.wait()
+        self._wake = anyio.Event()
 
     async def _give_back(self, owned: Owned, clean: bool) -> None:
         resumed = any(
