Charge the price at placement and spend the pool's retries

Cause: read as a newcomer, two faults showed. (1) The price of an answer was looked up when the answer had come; a version removed meanwhile gave 500 to a whole answer. (2) Model jobs spent retries under the upstream's id, requests earn them under its pool, so no retry beyond the reserve of 3 was ever allowed. Ruled out: a price of 0 for a missing version (it would give work away). Change: the price is kept with the job at placement; spend_retry takes the upstream and finds its pool, also for services. Conclusion: retries are a tenth of the requests of a pool, as the design says.

--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from radishcourse_model import ids
+from radishcourse_model import schema
 from radishcourse_model import states
 from radishcourse_policy import cascade as policy
 
@@ -137,7 +138,7 @@
                     raise streams.failed(error) from error
                 continue
             facts.take_over(attempted)
-            self._charge(facts, whole.tokens)
+            self._charge(job, facts, whole.tokens)
             return whole
         raise AssertionError('the last attempt returns or raises')
 
@@ -184,6 +185,7 @@
             facts.model, facts.version = model, version
             facts.upstream = upstream.upstream_id
             facts.revision = self._configuration.revision
+            job.price = self._find_price(model, version)
             # Waiting for the reservation may have taken long.
             self._guard.check_view(job)
             sessions.check(job, self._configuration.config)
@@ -235,11 +237,13 @@
             return False
         return self._upstreams.spend_retry(job.organisation_id, facts.upstream)
 
-    def _charge(self, facts: jobs.Facts, tokens: int) -> None:
-        models = self._configuration.config.models
-        version = models[facts.model].versions[facts.version]
-        by_tokens = -(-tokens * version.cost_per_1k_tokens // 1000)
-        facts.cost += version.cost_per_job + by_tokens
+    def _find_price(self, model, version) -> schema.Version | None:
+        configured = self._configuration.config.models.get(model)
+        return configured.versions.get(version) if configured else None
+
+    def _charge(self, job: jobs.Job, facts: jobs.Facts, tokens: int) -> None:
+        by_tokens = -(-tokens * job.price.cost_per_1k_tokens // 1000)
+        facts.cost += job.price.cost_per_job + by_tokens
         facts.tokens = tokens
 
 
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -93,9 +93,17 @@
         if error.reset:
             self.registry.note_reset(upstream_id)
 
-    def spend_retry(self, organisation_id, pool_name: str) -> bool:
-        """Takes a retry from the budget of an organisation and a pool."""
-        return self._budget(organisation_id, pool_name).spend()
+    def spend_retry(self, organisation_id, upstream_id: ids.UpstreamId) -> bool:
+        """Takes a retry from the budget of an organisation and a pool.
+
+        Args:
+          organisation_id: The organisation.
+          upstream_id: The upstream whose attempt failed; its pool counts.
+        """
+        upstream = self._configuration.config.upstreams.get(upstream_id)
+        if upstream is None:
+            return False
+        return self._budget(organisation_id, upstream.pool).spend()
 
     @contextlib.asynccontextmanager
     async def reserve(
--- a/packages/node/src/radishcourse_node/job.py
+++ b/packages/node/src/radishcourse_node/job.py
@@ -87,6 +87,8 @@
       left_session: The session that it left, as its version is withdrawn.
       reader: What its caller has left unread, once the answer has started.
       attempts: Attempts on upstreams that were begun.
+      price: What the version of the last attempt cost when it was placed; it
+        may be gone from the configuration when the answer comes.
       sent: Whether any byte of it may have reached an upstream; while this
         is false, "not run" is true.
     """
@@ -113,6 +115,7 @@
     left_session: Session | None = None
     reader: typing.Any = None
     attempts: int = 0
+    price: schema.Version | None = None
     sent: bool = False
 
     @property
--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -111,11 +111,9 @@
             return False
         if error.sent and not job.may_repeat:
             return False
-        # Requests earn retries under the name of their upstream's pool.
-        upstreams = self._configuration.config.upstreams
-        pools = [upstreams[name].pool for name in tried if name in upstreams]
-        return bool(pools) and self._upstreams.spend_retry(
-            job.organisation_id, pools[0]
+        return any(
+            self._upstreams.spend_retry(job.organisation_id, upstream_id)
+            for upstream_id in sorted(tried)[:1]
         )
 
 
--- a/packages/node/src/radishcourse_node/streams.py
+++ b/packages/node/src/radishcourse_node/streams.py
@@ -124,7 +124,7 @@
                     raise
                 self._note_break(error)
                 await anyio.sleep(RESUME_DELAYS_S[fruitless])
-        self._streams.charge(self._facts, self._reader.tokens)
+        self._streams.charge(self._job, self._facts, self._reader.tokens)
         self._facts.outcome = states.Outcome.COMPLETED
 
     def _may_go_on(self, fruitless: int) -> bool:
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,47 @@
+"""Attempts of model jobs: what they cost and how often they are repeated."""
+
+import concurrent.futures
+
+import testtools
+
+from tests import cluster as clusters
+
+JOBS = 60
+RESERVE = 3
+
+
+class RetryTest(testtools.TestCase):
+    """Guards against retries that no request has earned, or that none can."""
+
+    def test_retries_are_a_tenth_of_the_requests_of_the_pool(self):
+        with clusters.running(1, ('small-1', 'small-2'), ()) as cluster:
+            engine = cluster.upstreams['small-1']
+            cluster.control(engine, 'settings', {'fail': 1.0})
+            replies = [cluster.chat('entry-0', 'tag') for _ in range(JOBS)]
+            failed = len(cluster.served('small-1'))
+            retries = failed + len(cluster.served('small-2')) - JOBS
+            answered = sum(reply.status == 200 for reply in replies)
+            self.assertEqual(JOBS - failed + retries, answered)
+            self.assertGreater(retries, RESERVE)
+            self.assertLessEqual(retries, RESERVE + JOBS // 10)
+
+
+class PriceTest(testtools.TestCase):
+    """Guards against whole answers that are lost for want of a price."""
+
+    def test_version_that_is_removed_meanwhile_costs_what_it_did(self):
+        with clusters.running(1, ('small-1',), ()) as cluster:
+            engine = cluster.upstreams['small-1']
+            cluster.control(engine, 'settings', {'first_token_ms': 2000})
+            document = clusters.make_document(cluster)
+            small = document['models']['small']['versions']
+            small['v3'] = small.pop('v1')
+            document['upstreams']['small-1']['serves'] = {'small': ['v3']}
+            with concurrent.futures.ThreadPoolExecutor(1) as pool:
+                call = pool.submit(cluster.chat, 'entry-0', 'tag')
+                clusters.wait_until(lambda: cluster.served('small-1'))
+                cluster.apply(document)
+                cluster.wait_revision(2)
+                reply = call.result()
+            self.assertEqual(200, reply.status, reply.body)
+            self.assertEqual('100', reply.headers['x-radish-cost'])
