Count an upstream as down after two unanswered questions

Cause: one state question that timed out after 0.5 s marked an upstream as down for every node; on a busy machine tests saw no_upstream from healthy engines. Ruled out: a longer timeout (a dead engine would be noticed as late as with two questions, and each probe before use would wait that long). The paper's k of the last n observations (Wood et al., NSDI 2007) with k = n = 2 is this rule; its k = 3 of n = 5 with a prediction was not measured here. Change: health.DOWN_AFTER = 2.

--- a/packages/node/src/radishcourse_node/controllers/health.py
+++ b/packages/node/src/radishcourse_node/controllers/health.py
@@ -17,6 +17,10 @@
 # After a pause, answers that wait in socket buffers are as old as the pause;
 # reading them takes less than this.
 DISTRUST_S = 0.5
+# Unanswered questions in a row after which an upstream counts as down. One
+# is not enough: an engine that pauses for longer than a question's timeout
+# would make every node refuse its jobs.
+DOWN_AFTER = 2
 _State = states.UpstreamState
 
 
@@ -39,6 +43,7 @@
       reported_own: Requests of this node that it ran then.
       reported_at: When its report was true.
       refused_until: No permit is asked for before this.
+      misses: Questions in a row that it did not answer.
     """
 
     state: _State = _State.UNKNOWN
@@ -54,6 +59,7 @@
     reported_own: int = 0
     reported_at: float = float('-inf')
     refused_until: float = 0.0
+    misses: int = 0
 
 
 class Registry:
@@ -128,6 +134,7 @@
             told = _State.COLD if told is _State.WARM else told
         elif at < health.observed_at:
             return
+        health.misses = 0
         health.boot = boot or health.boot
         health.observed_at = max(at, health.observed_at)
         self._change(upstream, health, told, observer or self._node)
@@ -142,7 +149,10 @@
     def note_down(self, upstream: ids.UpstreamId, at: float) -> None:
         """Notes that an upstream did not answer a question asked at `at`."""
         health = self.get(upstream)
-        if at >= health.observed_at:
+        if at < health.observed_at:
+            return
+        health.misses += 1
+        if health.misses >= DOWN_AFTER:
             health.observed_at = at
             self._change(upstream, health, _State.DOWN, self._node)
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,8 @@
 """Attempts of model jobs: what they cost and how often they are repeated."""
 
 import concurrent.futures
+import signal
+import time
 
 import testtools
 
@@ -8,6 +10,7 @@
 
 JOBS = 60
 RESERVE = 3
+PAUSE_S = 0.8
 
 
 class RetryTest(testtools.TestCase):
@@ -26,6 +29,24 @@
             self.assertLessEqual(retries, RESERVE + JOBS // 10)
 
 
+class PauseTest(testtools.TestCase):
+    """Guards against refusals because an engine paused for a moment."""
+
+    def test_pause_longer_than_a_probe_refuses_nobody(self):
+        with clusters.running(1, ('small-1',), ()) as cluster:
+            engine = cluster.upstreams['small-1']
+            cluster.chat('entry-0', 'tag')
+            with concurrent.futures.ThreadPoolExecutor(16) as pool:
+                engine.signal(signal.SIGSTOP)
+                calls = []
+                for _ in range(8):
+                    calls.append(pool.submit(cluster.chat, 'entry-0', 'tag'))
+                    time.sleep(PAUSE_S / 8)
+                engine.signal(signal.SIGCONT)
+                replies = [call.result() for call in calls]
+            self.assertEqual([200] * 8, [reply.status for reply in replies])
+
+
 class PriceTest(testtools.TestCase):
     """Guards against whole answers that are lost for want of a price."""
 
