--- a/packages/standins/src/radishcourse_standins/measure/__main__.py
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -4,6 +4,7 @@
 
 from radishcourse_standins.measure import admission
 from radishcourse_standins.measure import cascade
+from radishcourse_standins.measure import overload
 from radishcourse_standins.measure import placement
 from radishcourse_standins.measure import report
 from radishcourse_standins.measure import rollout
@@ -13,6 +14,7 @@
     'rollout': rollout.main,
     'placement': placement.main,
     'admission': admission.main,
+    'overload': overload.main,
 }
 
 
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/measure/overload.py
@@ -0,0 +1,131 @@
+"""Compares ways to mark an upstream as overloaded by its reported load.
+
+One upstream with 8 slots gets Poisson arrivals, at 70% of its capacity and,
+in episodes, at 150%. Its load is observed every half second. A way is
+judged by the time to the first mark in an episode and by marks outside of
+episodes.
+
+The way with a prediction follows Wood et al., "Black-box and Gray-box
+Strategies for Virtual Machine Migration", NSDI 2007: at least k = 3 of the
+last n = 5 observations and the prediction of a first-order autoregression
+exceed the threshold.
+"""
+
+import collections
+import itertools
+import random
+import statistics
+import typing
+
+from radishcourse_standins.measure import report
+
+SLOTS = 8
+MEAN_SERVICE_S = 1.0
+STEP_S = 0.5
+THRESHOLDS = (1.25 * SLOTS, 1.75 * SLOTS, 2.25 * SLOTS)
+NORMAL, HIGH = 0.7, 1.5
+CALM_S, EPISODE_S = 120.0, 20.0
+# Marks while a backlog of an episode drains are not counted as false.
+DRAIN_S = 60.0
+EPISODES = 40
+WINDOW = 5
+HISTORY = 20
+SEEDS = (1, 2, 3, 4, 5)
+
+Way = typing.Callable[[list[float], float], bool]
+
+
+def plain(loads: list[float], threshold: float) -> bool:
+    """Marks on one observation above the threshold."""
+    return loads[-1] > threshold
+
+
+def make_k_of_n(k: int, n: int, predict: bool) -> Way:
+    """Returns a way that marks on k of n observations."""
+
+    def way(loads: list[float], threshold: float) -> bool:
+        above = sum(load > threshold for load in loads[-n:])
+        if above < k:
+            return False
+        return not predict or _predict(loads) > threshold
+
+    return way
+
+
+WAYS: dict[str, Way] = {
+    'plain threshold': plain,
+    '2 of 2': make_k_of_n(2, 2, predict=False),
+    '3 of 5': make_k_of_n(3, 5, predict=False),
+    '3 of 5 and prediction': make_k_of_n(3, 5, predict=True),
+}
+
+
+def _predict(loads: list[float]) -> float:
+    """Returns the next value by a first-order autoregression."""
+    mean = statistics.fmean(loads)
+    pairs = list(itertools.pairwise(loads))
+    spread = sum((load - mean) ** 2 for load in loads[:-1])
+    if not pairs or not spread:
+        return loads[-1]
+    slope = sum((a - mean) * (b - mean) for a, b in pairs) / spread
+    return mean + slope * (loads[-1] - mean)
+
+
+def simulate(seed: int) -> list[tuple[float, float]]:
+    """Returns pairs of the time in the cycle and the load observed."""
+    draw = random.Random(seed)
+    cycle = CALM_S + EPISODE_S
+    now, load, trace = 0.0, 0, []
+    next_look = STEP_S
+    while now < EPISODES * cycle:
+        high = now % cycle >= CALM_S
+        arriving = (HIGH if high else NORMAL) * SLOTS / MEAN_SERVICE_S
+        leaving = min(load, SLOTS) / MEAN_SERVICE_S
+        now += draw.expovariate(arriving + leaving)
+        while next_look < now:
+            trace.append((next_look % cycle, float(load)))
+            next_look += STEP_S
+        load += 1 if draw.random() * (arriving + leaving) < arriving else -1
+    return trace
+
+
+def judge(
+    trace: list[tuple[float, float]], way: Way, threshold: float
+) -> tuple[float, float]:
+    """Returns the median delay in seconds and false marks an hour."""
+    history: collections.deque[float] = collections.deque(maxlen=HISTORY)
+    delays, false_marks, calm_s = [], 0, 0.0
+    marked = False
+    for at, load in trace:
+        history.append(load)
+        mark = len(history) >= WINDOW and way(list(history), threshold)
+        if at >= CALM_S:
+            if mark and not marked:
+                delays.append(at - CALM_S)
+            marked = marked or mark
+            continue
+        if marked and at < STEP_S * 2:
+            marked = False
+        if at >= DRAIN_S:
+            calm_s += STEP_S
+            false_marks += mark
+    marks_an_hour = false_marks / calm_s * 3600
+    return statistics.median(delays), marks_an_hour
+
+
+def main(folder: str = report.FOLDER) -> None:
+    """Publishes delay and false marks of each way, over the seeds."""
+    lines, figures = [], []
+    traces = [simulate(seed) for seed in SEEDS]
+    for threshold in THRESHOLDS:
+        case = f'threshold {threshold:g}'
+        for name, way in WAYS.items():
+            found = [judge(trace, way, threshold) for trace in traces]
+            delays, marks = (list(part) for part in zip(*found, strict=True))
+            lines.append(report.Line(case, name, 'delay, s', delays))
+            lines.append(report.Line(case, name, 'false marks/h', marks))
+            figures.append(
+                f'{case}, {name}: {statistics.median(delays):.2f} s,'
+                f' {statistics.median(marks):.0f} false marks an hour'
+            )
+    report.publish('overload', lines, figures, folder)
