--- a/packages/node/src/radishcourse_node/controllers/bills.py
+++ b/packages/node/src/radishcourse_node/controllers/bills.py
@@ -26,7 +26,6 @@
 from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
-MAX_HELD_BYTES = 24 * 2**20
 # A row is written in one transaction. At one row each flush interval a node
 # drains about ten times what it bills at the peak, so that the end of an
 # outage brings no more writes a second than usual.
@@ -97,7 +96,7 @@
         self._rows = rows
         self._copies = copies
         self._membership = membership
-        self._buffer = billing.Buffer(MAX_HELD_BYTES)
+        self._buffer = billing.Buffer(settings.bills_bytes)
         self._flushed = intervals.EMPTY
         self._at_risk: set[int] = set()
         self._heard_at: dict[str, float] = {}
--- a/packages/node/src/radishcourse_node/replies.py
+++ b/packages/node/src/radishcourse_node/replies.py
@@ -54,13 +54,15 @@
 
 def start_headers(job: jobs.Job, facts: jobs.Facts) -> dict[str, str]:
     """Returns the headers that are known when a stream starts."""
-    return {
+    headers = {
         REQUEST_ID: job.request_id,
         'x-radish-model': facts.model,
-        'x-radish-version': facts.version,
         'x-radish-steps': str(facts.steps),
         'x-radish-revision': str(facts.revision),
     }
+    if facts.version:
+        headers['x-radish-version'] = facts.version
+    return headers
 
 
 def fact_headers(job: jobs.Job, facts: jobs.Facts) -> dict[str, str]:
--- a/packages/node/src/radishcourse_node/settings.py
+++ b/packages/node/src/radishcourse_node/settings.py
@@ -47,6 +47,8 @@
       body_limit_s: Longest time for the body of a request to arrive.
       max_body_bytes: Largest request body.
       held_bytes: Bytes held for slow readers of all organisations.
+      bills_bytes: Bytes of bills held, own and others', before new jobs are
+        refused.
     """
 
     node: ids.NodeId
@@ -70,6 +72,7 @@
     body_limit_s: Seconds = 30.0
     max_body_bytes: schema.Size = 4 * 2**20
     held_bytes: schema.Size = 64 * 2**20
+    bills_bytes: schema.Size = 24 * 2**20
 
 
 def read(path: pathlib.Path) -> Settings:
