--- a/Makefile
+++ b/Makefile
@@ -2,16 +2,16 @@
 
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = model policy wire platform node cli standins
+PACKAGES = model policy wire platform node gateway cli standins
 STAMP = $(VENV)/.installed
 
 all: lint test
 
-$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt setuptools wheel
 	$(BIN)/pip install --quiet --constraint constraints.txt --no-build-isolation \
-		--requirement requirements-dev.txt $(PACKAGES:%=--editable packages/%)
+		--requirement requirements-dev.txt $(PACKAGES:%=--editable packages/%) --editable platform
 	touch $(STAMP)
 
 install: $(STAMP)
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: forwards HTTP requests by a directory of routes."""
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/channels.py
@@ -0,0 +1,281 @@
+"""HTTP/1.1 connections to upstreams.
+
+The parser is h11, which httpcore uses as well. It is used directly because
+bytes that follow an answer must be seen: they belong to no request, and a
+connection that carried any is not used again.
+"""
+
+import contextlib
+import dataclasses
+import select
+import socket
+
+import anyio
+import h11
+
+from radishcourse_gateway import errors
+
+CONNECT_TIMEOUT_S = 0.4
+READ_BYTES = 32 * 1024
+# An upstream whose VM lost power neither answers nor closes; the kernel
+# gives a connection up after this time without an acknowledgement.
+USER_TIMEOUT_MS = 1500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_PROBES = 2
+MAX_HEAD_BYTES = 64 * 1024
+# A request of this size fits into the kernel's buffers, so that sending it
+# can't wait for the upstream.
+SMALL_REQUEST_BYTES = 8 * 1024
+# What an upstream's own silence on an idle connection is assumed to be when
+# it names no timeout.
+IDLE_TIMEOUT_S = 2.0
+
+_STREAM_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Status and headers of an answer; names are in lower case."""
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class Channel:
+    """One connection, for one request at a time."""
+
+    def __init__(self, stream: anyio.abc.SocketStream, now: float):
+        self._stream = stream
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._sending = False
+        self._closed = False
+        self._idle_timeout_s = IDLE_TIMEOUT_S
+        self.used_at = now
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the exchange ended so that another may follow."""
+        return (
+            not self._closed
+            and not self._sending
+            and self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+            and not self._parser.trailing_data[0]
+        )
+
+    def is_fresh(self, now: float) -> bool:
+        """Tells whether the upstream most likely keeps it open."""
+        if self._closed or now - self.used_at > self._idle_timeout_s / 2:
+            return False
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN)
+        # Bytes or an end that come between exchanges belong to no request.
+        return not poll.poll(0)
+
+    async def request(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> Head:
+        """Sends a request and returns the head of the answer.
+
+        An upstream may answer before it has read the whole body. What is
+        left of the body is then not sent, and the connection not reused.
+
+        Raises:
+          ChannelError: There is no answer.
+        """
+        if self._parser.our_state is h11.DONE:
+            self._parser.start_next_cycle()
+        request = h11.Request(method=method, target=target, headers=headers)
+        data = self._parser.send(request)
+        if body:
+            data += self._parser.send(h11.Data(body))
+        data += self._parser.send(h11.EndOfMessage())
+        self._sending = True
+        if len(data) <= SMALL_REQUEST_BYTES:
+            await self._send(data)
+            return await self.receive_head()
+        head, failure = None, None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send, data)
+            try:
+                head = await self.receive_head()
+            except errors.ChannelError as error:
+                # Raised here it would come out wrapped in a group.
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return head
+
+    async def _send(self, data: bytes) -> None:
+        # The answer, or the lack of one, tells what became of the request.
+        with contextlib.suppress(*_STREAM_ERRORS):
+            await self._stream.send(data)
+            self._sending = False
+
+    async def receive_head(self) -> Head:
+        """Returns the head of the final answer.
+
+        Raises:
+          ChannelError: There is none.
+        """
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                head = Head(event.status_code, list(event.headers))
+                self._note_timeout(head)
+                return head
+            if not isinstance(event, h11.InformationalResponse):
+                raise errors.ChannelError('closed without an answer', True)
+
+    async def receive(self) -> bytes | None:
+        """Returns the next part of the body, None at its end.
+
+        Raises:
+          ChannelError: The answer is cut short or malformed.
+        """
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+            if isinstance(event, h11.ConnectionClosed):
+                raise errors.ChannelError('closed within the answer', True)
+
+    async def _next(self):
+        try:
+            while True:
+                event = self._parser.next_event()
+                if event is h11.PAUSED:
+                    raise errors.ChannelError('bytes after an answer', True)
+                if event is not h11.NEED_DATA:
+                    return event
+                try:
+                    data = await self._stream.receive(READ_BYTES)
+                except anyio.EndOfStream:
+                    data = b''
+                self._parser.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            self._closed = True
+            raise errors.ChannelError(f'malformed: {error}', True) from error
+        except _STREAM_ERRORS as error:
+            self._closed = True
+            raise errors.ChannelError(f'receiving: {error!r}', True) from error
+
+    def _note_timeout(self, head: Head) -> None:
+        value = head.get(b'keep-alive') or b''
+        for item in value.lower().split(b','):
+            name, _, number = item.strip().partition(b'=')
+            if name == b'timeout' and number.isdigit():
+                self._idle_timeout_s = float(number)
+
+    async def aclose(self) -> None:
+        """Closes the connection at once, so that the upstream stops work."""
+        self._closed = True
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self._stream)
+
+
+async def connect(address: str, now: float) -> Channel:
+    """Opens a connection.
+
+    Raises:
+      ChannelError: The upstream can't be reached; nothing was sent.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await anyio.connect_tcp(host, int(port))
+    except (OSError, TimeoutError, ValueError) as error:
+        raise errors.ChannelError(f'connecting: {error!r}', False) from error
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    for level, option, value in (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        raw.setsockopt(level, option, value)
+    return Channel(stream, now)
+
+
+class Pool:
+    """Idle connections to upstreams by address.
+
+    An address may be given to another upstream later, so connections are
+    kept by upstream, and are closed when it is gone.
+    """
+
+    def __init__(self, clock, most_idle: int = 8):
+        self._clock = clock
+        self._most_idle = most_idle
+        self._idle: dict[tuple, list[Channel]] = {}
+
+    @contextlib.asynccontextmanager
+    async def open(self, key: tuple, address: str, reuse: bool):
+        """Yields a connection, and keeps it if the exchange ended well.
+
+        Args:
+          key: Names one life of an upstream.
+          address: Its IP address and port.
+          reuse: Whether an idle connection may serve. The upstream may close
+            one at any moment, so a request that must not run twice gets a
+            new one.
+
+        Raises:
+          ChannelError: No connection can be opened; nothing was sent.
+        """
+        channel = await self._take(key) if reuse else None
+        if channel is None:
+            channel = await connect(address, self._clock.now())
+        try:
+            yield channel
+        finally:
+            await self._put_back(key, channel)
+
+    async def _take(self, key: tuple) -> Channel | None:
+        idle = self._idle.get(key, [])
+        while idle:
+            channel = idle.pop()
+            if channel.is_fresh(self._clock.now()):
+                return channel
+            await channel.aclose()
+        return None
+
+    async def _put_back(self, key: tuple, channel: Channel) -> None:
+        idle = self._idle.setdefault(key, [])
+        if channel.reusable and len(idle) < self._most_idle:
+            channel.used_at = self._clock.now()
+            idle.append(channel)
+            return
+        await channel.aclose()
+
+    async def drop(self, keys: list[tuple]) -> None:
+        """Closes the idle connections of upstreams that are gone."""
+        for key in keys:
+            for channel in self._idle.pop(key, ()):
+                await channel.aclose()
+
+    @property
+    def keys(self) -> list[tuple]:
+        """Lives of upstreams to which there may be idle connections."""
+        return list(self._idle)
+
+    async def aclose(self) -> None:
+        """Closes all idle connections."""
+        await self.drop(self.keys)
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/eventstream.py
@@ -0,0 +1,44 @@
+"""Splits a stream of server-sent events where it may go on elsewhere."""
+
+MAX_EVENT_BYTES = 256 * 1024
+_ENDS = (b'\n\n', b'\r\n\r\n', b'\r\r')
+
+
+class Splitter:
+    """Holds back an event that is not complete.
+
+    Attributes:
+      last_id: Id of the last complete event, None before the first.
+    """
+
+    def __init__(self, last_id: bytes | None = None):
+        self._buffer = b''
+        self.last_id = last_id
+
+    @property
+    def partial(self) -> bytes:
+        """The start of an event that is not complete."""
+        return self._buffer
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the complete events, as they came."""
+        data = self._buffer + data
+        end = max(_end_of(data, mark) for mark in _ENDS)
+        self._buffer = data[end:]
+        complete = data[:end]
+        if complete:
+            self.last_id = _last_id(complete) or self.last_id
+        return complete
+
+
+def _end_of(data: bytes, mark: bytes) -> int:
+    place = data.rfind(mark)
+    return place + len(mark) if place >= 0 else 0
+
+
+def _last_id(events: bytes) -> bytes | None:
+    lines = events.replace(b'\r', b'\n').split(b'\n')
+    for line in reversed(lines):
+        if line.startswith(b'id:'):
+            return line[3:].strip()
+    return None
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -0,0 +1,432 @@
+"""Forwards one request: attempts, repeats, larger models, resumed streams."""
+
+import dataclasses
+import enum
+
+import anyio
+
+from radishcourse_gateway import channels
+from radishcourse_gateway import directory as directories
+from radishcourse_gateway import errors
+from radishcourse_gateway import eventstream
+from radishcourse_gateway import inbound
+from radishcourse_gateway import targets
+from radishcourse_gateway import view as views
+from radishcourse_node import events
+from radishcourse_policy import modelchoice
+from radishcourse_policy import retrybudget
+from radishcourse_policy import spread
+
+# Answers up to this size are read as a whole before the caller gets any of
+# it, so that one that is cut short can still be replaced.
+MAX_HELD_BYTES = 256 * 1024
+# An upstream that is silent for this multiple of the route's goal, or of
+# its longest pause within a stream, is given up if the work may be repeated.
+SILENCE_GOALS = 2.0
+LEAST_SILENCE_S = 1.0
+# Part of the permitted repeats that nodes use, since the share is counted
+# over windows that slide.
+REPEAT_SAFETY = 0.8
+UNKNOWN_FLEET = 32
+# An upstream that is full is free again after about one request.
+BUSY_RETRY_S = 0.5
+MISDIRECTED = 421
+
+
+class Step(enum.Enum):
+    """What follows an attempt."""
+
+    DONE = 'done'
+    AGAIN = 'again'
+
+
+@dataclasses.dataclass
+class Whole:
+    """An answer that was read as a whole."""
+
+    head: channels.Head
+    body: bytes
+
+
+class _Failed(Exception):
+    """An attempt failed.
+
+    Attributes:
+      not_run: The upstream states that it did not run the request.
+      answer: The upstream's own answer, if it gave one.
+    """
+
+    def __init__(self, reason, not_run=False, answer: Whole | None = None):
+        super().__init__(reason)
+        self.not_run = not_run
+        self.answer = answer
+
+
+class Exchanges:
+    """Forwards requests.
+
+    Args:
+      gateway: The gateway, for its controllers.
+    """
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self._clock = gateway.environment.clock
+        self._random = gateway.environment.random
+        self._dialect = gateway.dialect
+        self._settings = gateway.settings
+        self._view: views.View = gateway.view
+        self._load = gateway.load
+        self._rollouts = gateway.rollouts
+        self._targets = gateway.targets
+        self._pool: channels.Pool = gateway.pool
+        self._budgets: dict[str, retrybudget.RetryBudget] = {}
+
+    async def run(self, request: inbound.Inbound, out) -> targets.Plan:
+        """Sends a request to upstreams until one answers.
+
+        Args:
+          request: The request.
+          out: Takes the answer.
+
+        Raises:
+          Refusal: The gateway answers itself.
+          AnswerBroken: The answer began and can't be completed.
+        """
+        plan = targets.Plan()
+        out.plan = plan
+        if request.route.models:
+            plan.model = request.route.models[0]
+        last: _Failed | None = None
+        while True:
+            try:
+                listed = self._targets.choose(request, plan)
+            except errors.Refusal as refusal:
+                if last is None:
+                    raise
+                return await self._give_up(request, plan, out, last, refusal)
+            if not plan.attempts:
+                self._budget(plan.service).note_request()
+            try:
+                step = await self._attempt(request, plan, listed, out)
+            except _Failed as failure:
+                last = failure
+                plan.tried.add(listed.life)
+                if not self._may_repeat(request, plan, failure):
+                    return await self._give_up(request, plan, out, failure)
+                continue
+            if step is Step.DONE:
+                return plan
+
+    def _budget(self, service) -> retrybudget.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._settings.bounds
+            fleet = self._gateway.peers.fleet or UNKNOWN_FLEET
+            most = REPEAT_SAFETY * bounds.repeat_slack / fleet
+            budget = retrybudget.RetryBudget(
+                ratio=REPEAT_SAFETY * bounds.repeat_share,
+                reserve=most,
+                cap=most,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _may_repeat(self, request, plan, failure: _Failed) -> bool:
+        now = self._clock.now()
+        if plan.attempts >= request.route.max_attempts and plan.sent:
+            return False
+        if now >= request.deadline:
+            return False
+        if plan.begun and not request.route.resumable:
+            return False
+        if not failure.not_run and not request.route.repeatable:
+            return False
+        if not plan.attempts:
+            # Nothing was sent yet, so the next attempt repeats nothing.
+            return len(plan.tried) < 2 * max(2, request.route.max_attempts)
+        if plan.attempts >= request.route.max_attempts:
+            return False
+        return self._budget(plan.service).spend()
+
+    async def _give_up(
+        self, request, plan, out, failure: _Failed, refusal=None
+    ) -> targets.Plan:
+        """Answers after the last attempt."""
+        if plan.begun:
+            raise errors.AnswerBroken(str(failure))
+        answer = failure.answer
+        if answer is not None and not failure.not_run:
+            await self._send_whole(request, plan, answer, out)
+            return plan
+        if not plan.sent:
+            raise refusal or errors.Refusal(
+                errors.Reason.OVERLOADED,
+                str(failure),
+                BUSY_RETRY_S * (0.5 + self._random.random()),
+            )
+        raise errors.Refusal(errors.Reason.UPSTREAM_FAILED, str(failure))
+
+    async def _attempt(
+        self, request: inbound.Inbound, plan: targets.Plan, listed, out
+    ) -> Step:
+        entry = listed.upstream
+        size = request.size or modelchoice.Size(0, 0)
+        work = spread.work_of(size.prompt, size.output)
+        started_at = self._clock.now()
+        self._log_attempt(request, plan, listed)
+        with (
+            self._load.count(entry.upstream_id, work),
+            self._rollouts.count(entry.service, entry.version),
+        ):
+            try:
+                async with self._pool.open(
+                    listed.life, entry.address, request.route.repeatable
+                ) as channel:
+                    plan.attempts += 1
+                    was_sent, plan.sent = plan.sent, True
+                    try:
+                        return await self._exchange(
+                            request, plan, listed, channel, started_at, out
+                        )
+                    except _Failed as failure:
+                        if failure.not_run:
+                            plan.sent = was_sent
+                        raise
+            except errors.ChannelError as error:
+                self._load.note_broken(entry.upstream_id, str(error))
+                self._log_failure(request, plan, listed, str(error))
+                raise _Failed(str(error), not_run=not error.sent) from error
+
+    async def _exchange(
+        self, request, plan, listed, channel, started_at, out
+    ) -> Step:
+        headers = self._headers(request, plan, listed)
+        head = await self._receive_head(request, plan, channel, headers)
+        seconds = self._clock.now() - started_at
+        not_run = (
+            head.status == MISDIRECTED
+            or head.get(self._dialect.not_run) is not None
+        )
+        failed = head.status >= 500 and not not_run
+        model = plan.model or ''
+        if not not_run and head.get(self._dialect.stamp) is not None:
+            self._rollouts.note(
+                listed, request.route.name, model, seconds, failed
+            )
+        if not_run or head.status >= 500:
+            await self._fail(request, plan, listed, channel, head, not_run)
+        self._check(request, head)
+        self._load.note_answer(listed.upstream.upstream_id, failed=False)
+        if self._wants_larger(request, plan, head):
+            return Step.AGAIN
+        if request.route.kind is directories.RequestKind.STREAM:
+            return await self._pass_stream(
+                request, plan, listed, channel, head, out
+            )
+        return await self._pass_whole(request, plan, channel, head, out)
+
+    def _headers(self, request, plan, listed) -> inbound.Headers:
+        dialect = self._dialect
+        left_ms = max(1, int(1000 * (request.deadline - self._clock.now())))
+        entry = listed.upstream
+        own = [
+            (dialect.budget_ms, b'%d' % left_ms),
+            (dialect.expected_upstream, entry.upstream_id.encode()),
+            (dialect.priority, b'%d' % max(0, min(9, request.priority))),
+        ]
+        if request.organisation is not None:
+            own.append(
+                (dialect.organisation, request.organisation.name.encode())
+            )
+        if plan.model is not None:
+            own.append((dialect.model, plan.model.encode()))
+        if plan.last_event is not None:
+            own.append((dialect.last_event, plan.last_event))
+        return inbound.outbound_headers(request, dialect, own)
+
+    async def _receive_head(self, request, plan, channel, headers):
+        limit = None
+        if request.route.repeatable and self._has_more(request, plan):
+            limit = max(LEAST_SILENCE_S, SILENCE_GOALS * request.route.goal_s)
+        with anyio.move_on_after(limit):
+            return await channel.request(
+                request.method, request.target, headers, request.body
+            )
+        raise errors.ChannelError(f'silent for {limit:g} s', True)
+
+    def _has_more(self, request, plan) -> bool:
+        """Tells whether there is another attempt, and somewhere to send it."""
+        if plan.attempts >= request.route.max_attempts:
+            return False
+        if self._budget(plan.service).tokens < 1:
+            return False
+        return len(self._view.usable(plan.service)) > 1
+
+    async def _fail(self, request, plan, listed, channel, head, not_run):
+        upstream = listed.upstream.upstream_id
+        if not not_run:
+            self._load.note_answer(upstream, failed=True)
+        body = await self._read_whole(request, channel)
+        reason = f'status {head.status}'
+        self._log_failure(request, plan, listed, reason, not_run)
+        if not not_run:
+            self._check(request, head)
+        raise _Failed(reason, not_run, Whole(head, body))
+
+    def _check(self, request, head: channels.Head) -> None:
+        """Checks that an answer belongs to the request.
+
+        Raises:
+          ChannelError: It is another's, or nobody vouches for it.
+        """
+        answered = head.get(self._dialect.request_id)
+        if answered is not None and answered.decode() != request.request_id:
+            raise errors.ChannelError('the answer is to another request', True)
+        if head.get(self._dialect.stamp) is None:
+            raise errors.ChannelError('an answer without a stamp', True)
+        if head.get(b'content-encoding') is not None:
+            raise errors.ChannelError('an encoded answer', True)
+
+    def _wants_larger(self, request, plan, head) -> bool:
+        models = request.route.models
+        confidence = head.get(self._dialect.confidence)
+        if not models or plan.begun or request.size is None:
+            return False
+        if not self._has_more(request, plan) or confidence is None:
+            return False
+        service = self._view.directory.services.get(plan.service)
+        costs = service.engine.costs if service and service.engine else {}
+        larger = modelchoice.larger(
+            models,
+            plan.model,
+            float(confidence),
+            request.size,
+            costs,
+            self._settings.value_per_1k_tokens,
+        )
+        if larger is None or not self._budget(plan.service).spend():
+            return False
+        events.log(
+            events.Event.STEP_ESCALATED,
+            request=request.request_id,
+            model=plan.model,
+            larger=larger,
+            confidence=float(confidence),
+            prompt=request.size.prompt,
+            output=request.size.output,
+        )
+        plan.model = larger
+        return True
+
+    async def _pass_whole(self, request, plan, channel, head, out) -> Step:
+        bodiless = request.method == b'HEAD' or head.status in (204, 304)
+        if bodiless:
+            await self._send_whole(request, plan, Whole(head, b''), out)
+            return Step.DONE
+        parts, held = [], 0
+        while held <= MAX_HELD_BYTES:
+            part = await channel.receive()
+            if part is None:
+                whole = Whole(head, b''.join(parts))
+                await self._send_whole(request, plan, whole, out)
+                return Step.DONE
+            parts.append(part)
+            held += len(part)
+        plan.begun = True
+        await out.start(head.status, inbound.returned_headers(head.headers))
+        for part in parts:
+            await out.write(part)
+        while (part := await channel.receive()) is not None:
+            await out.write(part)
+        await out.end()
+        return Step.DONE
+
+    async def _read_whole(self, request, channel) -> bytes:
+        if request.method == b'HEAD':
+            return b''
+        parts = []
+        while (part := await channel.receive()) is not None:
+            parts.append(part)
+            if sum(map(len, parts)) > MAX_HELD_BYTES:
+                raise errors.ChannelError('a failure that is too long', True)
+        return b''.join(parts)
+
+    async def _send_whole(self, request, plan, answer: Whole, out) -> None:
+        headers = inbound.returned_headers(answer.head.headers)
+        if request.method != b'HEAD' and answer.head.status not in (204, 304):
+            headers = [
+                (name, value)
+                for name, value in headers
+                if name != b'content-length'
+            ]
+            headers.append((b'content-length', b'%d' % len(answer.body)))
+        plan.begun = True
+        await out.start(answer.head.status, headers)
+        if answer.body:
+            await out.write(answer.body)
+        await out.end()
+
+    async def _pass_stream(
+        self, request, plan, listed, channel, head, out
+    ) -> Step:
+        """Passes events on as they come; only whole ones."""
+        splitter = eventstream.Splitter(plan.last_event)
+        limit = None
+        if request.route.gap_s is not None:
+            limit = max(LEAST_SILENCE_S, SILENCE_GOALS * request.route.gap_s)
+        if not plan.begun:
+            plan.version = listed.upstream.version
+            headers = inbound.returned_headers(head.headers)
+        while True:
+            data = await self._receive_part(request, plan, channel, limit)
+            if data is None:
+                break
+            complete = splitter.feed(data)
+            if not complete:
+                continue
+            if not plan.begun:
+                plan.begun = True
+                await out.start(head.status, headers)
+            await out.write(complete)
+            plan.last_event = splitter.last_id
+        if not plan.begun:
+            plan.begun = True
+            await out.start(head.status, headers)
+        if splitter.partial:
+            await out.write(splitter.partial)
+        await out.end()
+        return Step.DONE
+
+    async def _receive_part(self, request, plan, channel, limit):
+        if not self._has_more(request, plan):
+            limit = None
+        with anyio.move_on_after(limit):
+            return await channel.receive()
+        raise errors.ChannelError(f'no event for {limit:g} s', True)
+
+    def _log_attempt(self, request, plan, listed) -> None:
+        entry = listed.upstream
+        events.log(
+            events.Event.ATTEMPT_STARTED,
+            request=request.request_id,
+            attempt=plan.attempts + 1,
+            upstream=entry.upstream_id,
+            version=entry.version,
+            model=plan.model,
+            last_event=plan.last_event.decode() if plan.last_event else None,
+            left_s=round(request.deadline - self._clock.now(), 3),
+        )
+
+    def _log_failure(
+        self, request, plan, listed, error: str, not_run: bool = False
+    ) -> None:
+        events.log(
+            events.Event.ATTEMPT_FAILED,
+            request=request.request_id,
+            attempt=plan.attempts,
+            upstream=listed.upstream.upstream_id,
+            error=error,
+            not_run=not_run,
+            begun=plan.begun,
+        )
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -0,0 +1,285 @@
+"""A gateway process: its controllers, its listeners, its stop."""
+
+import asyncio
+import contextlib
+import functools
+import signal
+
+import anyio
+import uvicorn
+
+from radishcourse_gateway import channels
+from radishcourse_gateway import dialect as dialects
+from radishcourse_gateway import edge
+from radishcourse_gateway import exchange
+from radishcourse_gateway import feed
+from radishcourse_gateway import load
+from radishcourse_gateway import pages
+from radishcourse_gateway import peers
+from radishcourse_gateway import ports
+from radishcourse_gateway import records
+from radishcourse_gateway import rollouts
+from radishcourse_gateway import settings as gateway_settings
+from radishcourse_gateway import targets
+from radishcourse_gateway import view
+from radishcourse_node import connections
+from radishcourse_node import environment as environments
+from radishcourse_node import errors as node_errors
+from radishcourse_node import events
+from radishcourse_node import metrics
+
+MAX_HEAD_BYTES = 64 * 1024
+RESTART_DELAY_S = 1.0
+SWEEP_S = 1.0
+# The balancer takes a node out after two misses, a second apart.
+DRAIN_DELAY_S = 2.5
+# Time at the end of a stop that is left for closing.
+CLOSING_S = 0.6
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Gateway:
+    """One gateway process.
+
+    Args:
+      environment: Clock and random source.
+      settings: Its settings.
+      dialect: Header names of the installation.
+      store: The platform's store.
+      decoder: Reads the store's rows.
+    """
+
+    def __init__(
+        self,
+        environment: environments.Environment,
+        settings: gateway_settings.Settings,
+        dialect: dialects.Dialect,
+        store: ports.Store,
+        decoder: ports.Decoder,
+    ):
+        self.environment = environment
+        self.settings = settings
+        self.dialect = dialect
+        self.store = store
+        clock = environment.clock
+        self.metrics = metrics.Metrics()
+        self.replica = records.Replica()
+        self.view = view.View(clock, decoder)
+        self.load = load.Load(clock)
+        self.peers = peers.Peers(
+            settings, clock, environment.random, self.replica, self.view
+        )
+        self.rollouts = rollouts.Rollouts(self)
+        self.peers.rollouts = self.rollouts
+        self.peers.load = self.load
+        self.pool = channels.Pool(clock)
+        self.targets = targets.Targets(self)
+        self.exchanges = exchange.Exchanges(self)
+        self._feeds = [
+            feed.Feed(
+                clock,
+                store,
+                self.replica,
+                self.view,
+                table,
+                self.peers.is_watcher,
+            )
+            for table in records.Table
+        ]
+        self._draining = False
+        self._requests = 0
+        self._log_dropped = lambda: 0
+
+    @property
+    def unready_reason(self) -> str:
+        """Why the node takes no new connections, or an empty text."""
+        if self._draining:
+            return 'draining'
+        if self.view.directory is None:
+            return 'no configuration'
+        if not self.replica.version(records.Table.UPSTREAMS):
+            return 'no list of upstreams'
+        return ''
+
+    @property
+    def draining(self) -> bool:
+        """Whether the node is on its way to a planned stop."""
+        return self._draining
+
+    @contextlib.contextmanager
+    def count_request(self):
+        """Counts a request while it is in progress."""
+        self._requests += 1
+        try:
+            yield
+        finally:
+            self._requests -= 1
+
+    def render_metrics(self) -> str:
+        """Returns the metrics in the Prometheus text format."""
+        directory = self.view.directory
+        gauges = {
+            'radishcourse_revision': directory.version if directory else 0,
+            'radishcourse_requests_in_progress': self._requests,
+            'radishcourse_ready': int(not self.unready_reason),
+            'radishcourse_peers_alive': len(self.peers.alive),
+            'radishcourse_upstreams_listed': len(self.view.upstreams),
+            'radishcourse_log_lines_dropped': self._log_dropped(),
+        }
+        for table in records.Table:
+            confirmed_at = self.replica.confirmed_at(table)
+            if confirmed_at is not None:
+                age = self.environment.clock.now() - confirmed_at
+                gauges[f'radishcourse_{table.value}_age_seconds'] = age
+        return self.metrics.render(gauges)
+
+    def count_dropped_by(self, sink) -> None:
+        """Names the log's sink, whose drops the metrics show."""
+        self._log_dropped = lambda: sink.dropped
+
+    async def serve(self) -> None:
+        """Serves callers until SIGTERM or SIGINT, then drains.
+
+        Raises:
+          AddressError: An address can't be listened on.
+        """
+        settings = self.settings
+        callers = await _listen(settings.listen)
+        probes = [await _listen(settings.probe_listen)]
+        if settings.metrics_listen:
+            probes.append(await _listen(settings.metrics_listen))
+        peer_listener = await _listen(settings.peer_listen)
+        server = self._make_server()
+        probe_server = self._make_probe_server()
+        events.log(
+            events.Event.NODE_STARTED,
+            node=settings.node,
+            zone=settings.zone,
+            incarnation=self.peers.incarnation,
+            listen=settings.listen,
+        )
+        async with anyio.create_task_group() as tasks:
+            for name, run in self._tasks(server):
+                tasks.start_soon(self._supervise, name, run)
+            tasks.start_soon(self.peers.server.serve_on, peer_listener)
+            tasks.start_soon(
+                probe_server.serve, [_raw_socket(item) for item in probes]
+            )
+            tasks.start_soon(self._drain_on_signal, server)
+            await server.serve([_raw_socket(callers)])
+            for number in _STOP_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
+            tasks.cancel_scope.cancel()
+        events.log(events.Event.NODE_STOPPED, node=settings.node)
+
+    def _tasks(self, server):
+        yield 'peers', self.peers.run
+        yield 'rollouts', self.rollouts.run
+        yield 'sweep', functools.partial(self._sweep, server)
+        for item in self._feeds:
+            yield 'feed', item.run
+
+    def _make_server(self) -> uvicorn.Server:
+        config = uvicorn.Config(
+            edge.Edge(self),
+            http=functools.partial(connections.Connection, header_limit_s=30.0),
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            h11_max_incomplete_event_size=MAX_HEAD_BYTES,
+            timeout_keep_alive=60,
+            timeout_graceful_shutdown=max(
+                1, int(self.settings.bounds.stop_s - DRAIN_DELAY_S - CLOSING_S)
+            ),
+        )
+        server = uvicorn.Server(config)
+        server.capture_signals = contextlib.nullcontext
+        return server
+
+    def _make_probe_server(self) -> uvicorn.Server:
+        config = uvicorn.Config(
+            pages.Pages(self),
+            http='h11',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            proxy_headers=False,
+        )
+        server = uvicorn.Server(config)
+        server.capture_signals = contextlib.nullcontext
+        return server
+
+    async def _sweep(self, server: uvicorn.Server) -> None:
+        """Forgets what belongs to upstreams that are gone."""
+        while True:
+            await anyio.sleep(SWEEP_S)
+            present = {
+                listed.life
+                for listed in self.view.upstreams.values()
+                if listed.gone_at is None
+            }
+            gone = [key for key in self.pool.keys if key not in present]
+            await self.pool.drop(gone)
+            self.load.forget(self.view.upstreams)
+            directory = self.view.directory
+            if directory is not None:
+                limit = directory.limits.idle_timeout_s
+                server.config.timeout_keep_alive = limit
+
+    async def _supervise(self, name: str, run) -> None:
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                events.log(
+                    events.Event.TASK_FAILED, task=name, error=repr(error)
+                )
+            await anyio.sleep(RESTART_DELAY_S)
+
+    async def _drain_on_signal(self, server: uvicorn.Server) -> None:
+        loop = asyncio.get_running_loop()
+        stopping = anyio.Event()
+        for number in _STOP_SIGNALS:
+            signal.signal(
+                number, lambda *_: loop.call_soon_threadsafe(stopping.set)
+            )
+        await stopping.wait()
+        self._draining = True
+        events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
+        await anyio.sleep(DRAIN_DELAY_S)
+        server.should_exit = True
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self.peers.aclose()
+        await self.pool.aclose()
+
+
+async def _listen(address: str) -> anyio.abc.SocketListener:
+    host, _, port = address.rpartition(':')
+    try:
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port), reuse_port=False
+        )
+    except OSError as error:
+        raise node_errors.AddressError(f'{address}: {error}') from error
+    return listener.listeners[0]
+
+
+def _raw_socket(listener: anyio.abc.SocketListener):
+    return listener.extra(anyio.abc.SocketAttribute.raw_socket)
+
+
+@contextlib.asynccontextmanager
+async def open_gateway(environment, settings, dialect, store, decoder):
+    """Yields a gateway and closes its connections at the end."""
+    gateway = Gateway(environment, settings, dialect, store, decoder)
+    try:
+        yield gateway
+    finally:
+        with anyio.CancelScope(shield=True):
+            await gateway.aclose()
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/load.py
@@ -0,0 +1,113 @@
+"""Work that this node has in progress at upstreams, and its doubts."""
+
+import contextlib
+import dataclasses
+
+from radishcourse_model import ids
+from radishcourse_node import events
+from radishcourse_policy import coldrate
+from radishcourse_wire.gen.peer import ttypes
+
+# How long an upstream that failed gets nothing while others can serve; the
+# time doubles with each failure in a row.
+DOUBT_S = 0.5
+MOST_DOUBT_S = 8.0
+# Weight of the newest answer in the running share of failed ones, and the
+# share at which an upstream is in doubt though it answers.
+FAILURE_WEIGHT = 0.15
+MOST_FAILURES = 0.4
+
+
+@dataclasses.dataclass
+class _Health:
+    requests: int = 0
+    work: int = 0
+    failures: int = 0
+    failed_share: float = 0.0
+    doubted_until: float = 0.0
+    cold: coldrate.ColdRate | None = None
+
+
+class Load:
+    """Counts work and failures by upstream."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._by_upstream: dict[ids.UpstreamId, _Health] = {}
+
+    def _get(self, upstream: ids.UpstreamId) -> _Health:
+        return self._by_upstream.setdefault(upstream, _Health())
+
+    @contextlib.contextmanager
+    def count(self, upstream: ids.UpstreamId, work: int):
+        """Counts a request while it is in progress."""
+        health = self._get(upstream)
+        health.requests += 1
+        health.work += work
+        try:
+            yield
+        finally:
+            health.requests -= 1
+            health.work -= work
+
+    def own(self, upstream: ids.UpstreamId) -> tuple[int, int]:
+        """Returns this node's requests and work at an upstream."""
+        health = self._by_upstream.get(upstream)
+        return (health.requests, health.work) if health else (0, 0)
+
+    def told(self) -> list[ttypes.UpstreamWork]:
+        """Returns what other nodes are told."""
+        return [
+            ttypes.UpstreamWork(upstream, health.requests, health.work)
+            for upstream, health in self._by_upstream.items()
+            if health.requests
+        ]
+
+    def is_doubted(self, upstream: ids.UpstreamId) -> bool:
+        """Tells whether others should be preferred."""
+        health = self._by_upstream.get(upstream)
+        return health is not None and self._clock.now() < health.doubted_until
+
+    def note_answer(self, upstream: ids.UpstreamId, failed: bool) -> None:
+        """Notes an answer, which may be a failure."""
+        health = self._get(upstream)
+        health.failures = 0
+        health.failed_share += FAILURE_WEIGHT * (failed - health.failed_share)
+        if health.failed_share > MOST_FAILURES:
+            self._doubt(upstream, health, 4 * DOUBT_S, 'failing answers')
+            health.failed_share = MOST_FAILURES / 2
+
+    def note_broken(self, upstream: ids.UpstreamId, reason: str) -> None:
+        """Notes a connection that failed or a silent upstream."""
+        health = self._get(upstream)
+        seconds = min(MOST_DOUBT_S, DOUBT_S * 2**health.failures)
+        health.failures += 1
+        self._doubt(upstream, health, seconds, reason)
+
+    def _doubt(self, upstream, health, seconds: float, reason: str) -> None:
+        health.doubted_until = self._clock.now() + seconds
+        events.log(
+            events.Event.UPSTREAM_DOUBTED,
+            upstream=upstream,
+            reason=reason,
+            seconds=seconds,
+            failures=health.failures,
+            failed_share=round(health.failed_share, 3),
+        )
+
+    def take_cold(
+        self, upstream: ids.UpstreamId, per_s: float, burst: float
+    ) -> bool:
+        """Takes a permission to send a request to a cold upstream."""
+        health = self._get(upstream)
+        now = self._clock.now()
+        if health.cold is None:
+            health.cold = coldrate.ColdRate(now)
+        return health.cold.take(now, per_s, burst)
+
+    def forget(self, present) -> None:
+        """Drops what is known of upstreams that are not present."""
+        for upstream in list(self._by_upstream):
+            idle = not self._by_upstream[upstream].requests
+            if upstream not in present and idle:
+                del self._by_upstream[upstream]
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/logsink.py
@@ -0,0 +1,82 @@
+"""Writes log lines without ever waiting for the reader of standard output."""
+
+import collections
+import json
+import os
+import typing
+
+# Lines that wait for a slow reader; beyond it the newest are dropped.
+MAX_WAITING_BYTES = 256 * 1024
+# Lines in a second, on the mean; bounds the volume under load.
+LINES_PER_S = 400.0
+BURST_LINES = 800.0
+# These are written whatever the volume is: process, configuration, members.
+_ALWAYS_BELOW = 500
+
+
+class LogSink:
+    """A destination for eliot that never blocks.
+
+    Args:
+      descriptor: File descriptor; it is made non-blocking.
+      clock: Source of time.
+
+    Attributes:
+      dropped: Lines that were dropped.
+    """
+
+    def __init__(self, descriptor: int, clock):
+        self._descriptor = descriptor
+        self._clock = clock
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._size = 0
+        self._tokens = BURST_LINES
+        self._at = clock.now()
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def __call__(self, message: dict[str, typing.Any]) -> None:
+        """Writes one message, or drops it."""
+        message.pop('task_uuid', None)
+        message.pop('task_level', None)
+        if not self._admits(message):
+            self.dropped += 1
+            return
+        line = json.dumps(message, default=str).encode() + b'\n'
+        if self._size + len(line) > MAX_WAITING_BYTES:
+            self.dropped += 1
+            return
+        self._waiting.append(line)
+        self._size += len(line)
+        self.flush()
+
+    def _admits(self, message) -> bool:
+        now = self._clock.now()
+        earned = (now - self._at) * LINES_PER_S
+        self._tokens = min(BURST_LINES, self._tokens + earned)
+        self._at = now
+        if message.get('event', 0) < _ALWAYS_BELOW:
+            return True
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def flush(self) -> None:
+        """Writes as much as the reader takes now."""
+        while self._waiting:
+            line = self._waiting[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is nowhere to say so.
+                self._waiting.clear()
+                self._size = 0
+                return
+            self._size -= written
+            if written < len(line):
+                self._waiting[0] = line[written:]
+                return
+            self._waiting.popleft()
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -0,0 +1,333 @@
+"""Nodes tell each other what they know.
+
+Each round a node asks a few others for rows that are newer than its own,
+for the nodes that they heard of, for work in progress at upstreams, and for
+what they saw of roll-outs.
+"""
+
+import dataclasses
+import itertools
+import secrets
+import zlib
+
+import anyio
+
+from radishcourse_gateway import records
+from radishcourse_gateway import settings as gateway_settings
+from radishcourse_gateway import view as views
+from radishcourse_model import ids
+from radishcourse_node import events
+from radishcourse_policy import spread
+from radishcourse_wire import client as peer_client
+from radishcourse_wire import credentials
+from radishcourse_wire import errors as wire_errors
+from radishcourse_wire import messages
+from radishcourse_wire import server as peer_server
+from radishcourse_wire.gen.peer import ttypes
+
+# Two rounds and a change at a watcher stay well below the shortest bound
+# (2 s) within which a change must be in force.
+ROUND_S = 0.4
+FANOUT = 2
+CALL_TIMEOUT_S = 0.6
+# A node that was not heard of for this long is taken as gone.
+ALIVE_S = 3.0
+# Nodes that follow the store; two may fail without a gap.
+WATCHERS = 3
+MAX_PEERS_TOLD = 64
+_KEY = ids.KeyId('installation')
+
+
+@dataclasses.dataclass
+class Peer:
+    """Another node.
+
+    Attributes:
+      node: Its id.
+      incarnation: One life of its process.
+      zone: Its availability zone.
+      address: Where it answers peers.
+      heard_at: When it was last known to live.
+      work: Requests and prompt tokens in progress, by upstream.
+    """
+
+    node: ids.NodeId
+    incarnation: ids.Incarnation
+    zone: ids.ZoneId
+    address: str
+    heard_at: float
+    work: dict[ids.UpstreamId, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Peers:
+    """The other nodes, and the exchange with them.
+
+    Args:
+      settings: This node's settings.
+      clock: Source of time.
+      random: Source of randomness.
+      replica: Rows to exchange.
+      view: Told of rows that are new.
+    """
+
+    def __init__(
+        self,
+        settings: gateway_settings.Settings,
+        clock,
+        random,
+        replica: records.Replica,
+        view: views.View,
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._random = random
+        self._replica = replica
+        self._view = view
+        self._peers: dict[str, Peer] = {}
+        self._turn = itertools.count()
+        self.incarnation = ids.Incarnation(secrets.token_hex(6))
+        own = credentials.Credentials(
+            settings.node,
+            self.incarnation,
+            {_KEY: settings.peer_key},
+            _KEY,
+        )
+        self._client = peer_client.Client(own)
+        self.server = peer_server.Server(own, _note_reject)
+        self.server.register(messages.Kind.SYNC, self._answer)
+        self.rollouts = None
+        self.load = None
+
+    @property
+    def alive(self) -> list[Peer]:
+        """Nodes that were heard of lately."""
+        limit = self._clock.now() - ALIVE_S
+        return [peer for peer in self._peers.values() if peer.heard_at > limit]
+
+    @property
+    def fleet(self) -> int | None:
+        """Number of nodes with this one, None while none was heard of."""
+        alive = len(self.alive)
+        return alive + 1 if alive else None
+
+    def is_watcher(self, table: records.Table) -> bool:
+        """Tells whether this node is one of those that follow the store."""
+        own = spread.rank(table.value, self._settings.node)
+        ahead = sum(
+            spread.rank(table.value, peer.node) > own for peer in self.alive
+        )
+        return ahead < WATCHERS
+
+    def work(self, upstream: ids.UpstreamId) -> tuple[int, int]:
+        """Returns requests and work of all other nodes at an upstream."""
+        requests = tokens = 0
+        for peer in self.alive:
+            count, size = peer.work.get(upstream, (0, 0))
+            requests += count
+            tokens += size
+        return requests, tokens
+
+    async def run(self) -> None:
+        """Asks peers in rounds until cancelled."""
+        while True:
+            async with anyio.create_task_group() as tasks:
+                for address in self._targets():
+                    tasks.start_soon(self._pull, address)
+            await anyio.sleep(ROUND_S)
+
+    def _targets(self) -> list[str]:
+        """Returns the peers of a round: one in turn, the others at random."""
+        known = sorted(peer.address for peer in self.alive)
+        own = self._settings.peer_listen
+        seeds = [seed for seed in self._settings.seeds if seed != own]
+        if len(known) < FANOUT:
+            known = sorted({*known, *seeds})
+        if not known:
+            return []
+        first = known[next(self._turn) % len(known)]
+        others = [address for address in known if address != first]
+        drawn = self._random.sample(others, min(FANOUT - 1, len(others)))
+        return [first, *drawn]
+
+    async def _pull(self, address: str) -> None:
+        asked_at = self._clock.now()
+        request = ttypes.Sync(self._describe(), self._topics())
+        try:
+            reply = await self._client.call(
+                address, messages.Kind.SYNC, request, CALL_TIMEOUT_S
+            )
+            self._take(reply, asked_at)
+        except wire_errors.Unreachable:
+            return
+        except wire_errors.WireError as error:
+            events.log(
+                events.Event.PEER_REJECTED, address=address, reason=str(error)
+            )
+
+    def _describe(self) -> ttypes.PeerRecord:
+        return ttypes.PeerRecord(
+            self._settings.node,
+            self.incarnation,
+            self._settings.zone,
+            self._settings.peer_listen,
+            0,
+        )
+
+    def _topics(self) -> list[ttypes.TopicState]:
+        now = self._clock.now()
+        states = []
+        for table in records.Table:
+            confirmed_at = self._replica.confirmed_at(table)
+            age_ms = None
+            if confirmed_at is not None:
+                age_ms = min(3_600_000, int(1000 * (now - confirmed_at)))
+            version = self._replica.version(table)
+            states.append(ttypes.TopicState(table.value, version, age_ms))
+        return states
+
+    async def _answer(self, sender, request: ttypes.Sync) -> ttypes.SyncReply:
+        del sender
+        now = self._clock.now()
+        self._hear(request.sender, now, direct=True)
+        rows = []
+        for topic in request.topics or ():
+            table = _table(topic.topic)
+            if table is None:
+                continue
+            changes = self._replica.changes_after(table, topic.version)
+            rows += [_encode(record) for record in changes.records]
+        return ttypes.SyncReply(
+            self._describe(),
+            self._topics(),
+            rows,
+            self._tell_peers(now),
+            self.rollouts.reports() if self.rollouts else [],
+            self.rollouts.statuses() if self.rollouts else [],
+            self.load.told() if self.load else [],
+        )
+
+    def _tell_peers(self, now: float) -> list[ttypes.PeerRecord]:
+        alive = self.alive
+        if len(alive) > MAX_PEERS_TOLD:
+            alive = self._random.sample(alive, MAX_PEERS_TOLD)
+        return [
+            ttypes.PeerRecord(
+                peer.node,
+                peer.incarnation,
+                peer.zone,
+                peer.address,
+                int(1000 * (now - peer.heard_at)),
+            )
+            for peer in alive
+        ]
+
+    def _hear(self, told, now: float, direct: bool) -> Peer | None:
+        if told is None or not told.node or not told.address:
+            raise wire_errors.Malformed('a peer without a name or address')
+        if told.node == self._settings.node:
+            return None
+        heard_at = now if direct else now - (told.age_ms or 0) / 1000
+        peer = self._peers.get(told.node)
+        if peer is None or peer.incarnation != told.incarnation:
+            if peer is not None and heard_at < peer.heard_at:
+                return None
+            peer = Peer(
+                ids.NodeId(told.node),
+                ids.Incarnation(told.incarnation or ''),
+                ids.ZoneId(told.zone or ''),
+                told.address,
+                heard_at,
+            )
+            self._peers[told.node] = peer
+            events.log(
+                events.Event.MEMBER_CHANGED,
+                node=peer.node,
+                incarnation=peer.incarnation,
+                address=peer.address,
+                direct=direct,
+            )
+        peer.heard_at = max(peer.heard_at, heard_at)
+        return peer
+
+    def _take(self, reply: ttypes.SyncReply, asked_at: float) -> None:
+        now = self._clock.now()
+        peer = self._hear(reply.sender, now, direct=True)
+        for told in reply.peers or ():
+            self._hear(told, now, direct=False)
+        self._take_rows(reply, asked_at)
+        if peer is not None:
+            peer.work = {
+                ids.UpstreamId(item.upstream): (item.requests, item.work)
+                for item in reply.work or ()
+            }
+        if self.rollouts is not None:
+            self.rollouts.merge(reply.reports or [], reply.statuses or [])
+        self._forget(now)
+
+    def _take_rows(self, reply: ttypes.SyncReply, asked_at: float) -> None:
+        by_table: dict[records.Table, list[records.Record]] = {}
+        for row in reply.rows or ():
+            table = _table(row.topic)
+            if table is not None:
+                by_table.setdefault(table, []).append(_decode(table, row))
+        for topic in reply.topics or ():
+            table = _table(topic.topic)
+            if table is None or not topic.version:
+                continue
+            changes = records.Changes(by_table.get(table, []), topic.version)
+            taken = self._replica.apply(table, changes)
+            self._view.take(taken, 'peer')
+            if topic.confirmed_age_ms is not None:
+                at = asked_at - topic.confirmed_age_ms / 1000
+                self._replica.confirm(table, topic.version, at)
+
+    def _forget(self, now: float) -> None:
+        gone = [
+            node
+            for node, peer in self._peers.items()
+            if now - peer.heard_at > 4 * ALIVE_S
+        ]
+        for node in gone:
+            peer = self._peers.pop(node)
+            events.log(
+                events.Event.MEMBER_CHANGED,
+                node=node,
+                incarnation=peer.incarnation,
+                gone=True,
+            )
+
+    async def aclose(self) -> None:
+        """Closes the connections to peers."""
+        await self._client.aclose()
+
+
+def _table(topic: str) -> records.Table | None:
+    try:
+        return records.Table(topic)
+    except ValueError:
+        # A newer version of the program follows more tables.
+        return None
+
+
+def _encode(record: records.Record) -> ttypes.RowRecord:
+    value = record.value
+    return ttypes.RowRecord(
+        record.table.value,
+        record.key,
+        record.version,
+        None if value is None else zlib.compress(value),
+    )
+
+
+def _decode(table: records.Table, row: ttypes.RowRecord) -> records.Record:
+    try:
+        value = None if row.value is None else zlib.decompress(row.value)
+    except zlib.error as error:
+        raise wire_errors.Malformed(f'row {row.key}: {error}') from error
+    return records.Record(table, row.key, row.version, value)
+
+
+def _note_reject(reason: str) -> None:
+    events.log(events.Event.PEER_REJECTED, reason=reason)
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -0,0 +1,411 @@
+"""Roll-outs of versions: assignment of sessions, evidence and decision.
+
+Every node counts the answers of both versions and tells its counts to the
+others. Any node may decide; the store's row, written under the version that
+was read, makes one decision final, and nodes that decided otherwise follow.
+"""
+
+import contextlib
+import dataclasses
+
+import anyio
+
+from radishcourse_gateway import ports
+from radishcourse_gateway import view as views
+from radishcourse_model import ids
+from radishcourse_node import events
+from radishcourse_platform import errors as platform_errors
+from radishcourse_policy import canary
+from radishcourse_policy import spread
+from radishcourse_wire.gen.peer import ttypes
+
+PERIOD_S = 0.2
+# Nodes try to publish one after the other, so that mostly one call is made.
+TURN_S = 0.4
+# A node that hears no peer looks for a published decision this often.
+LOOK_S = 1.0
+# An answer is slow at this multiple of the old version's mean time, and at
+# least this much longer.
+SLOW_FACTOR = 4.0
+SLOW_S = 0.25
+MEAN_WEIGHT = 0.1
+_TERMINAL = (canary.RolloutState.COMPLETED, canary.RolloutState.ROLLED_BACK)
+
+
+@dataclasses.dataclass
+class _Trial:
+    """A roll-out in progress or decided.
+
+    Attributes:
+      order: The order.
+      version: Version of the order's row.
+      seen_at: When this node saw it.
+      since_ms: Time of the order on the store's clock, 0 while unknown.
+      state: Published or decided state, None until it was looked up.
+      published: Whether the state is in the store.
+      looked_at: When the store was last asked.
+      due_at: When this node publishes the decision, if nobody else did.
+      tallies: This node's counts.
+      counter: Grows with each change of the counts.
+      reports: Other nodes' newest counts.
+      old_in_flight: Requests of this node on the old version.
+    """
+
+    order: ports.Order
+    version: int
+    seen_at: float
+    since_ms: int = 0
+    state: canary.RolloutState | None = None
+    published: bool = False
+    looked_at: float | None = None
+    due_at: float | None = None
+    tallies: canary.Tallies = dataclasses.field(default_factory=dict)
+    counter: int = 0
+    reports: dict[str, ttypes.RolloutReport] = dataclasses.field(
+        default_factory=dict
+    )
+    old_in_flight: int = 0
+
+
+class Rollouts:
+    """All roll-outs that this node knows.
+
+    Args:
+      gateway: The gateway, for its settings, view, peers and store.
+    """
+
+    def __init__(self, gateway):
+        self._clock = gateway.environment.clock
+        self._settings = gateway.settings
+        self._view: views.View = gateway.view
+        self._peers = gateway.peers
+        self._store: ports.Store = gateway.store
+        self._trials: dict[ids.ServiceId, _Trial] = {}
+        self._incumbents: dict[ids.ServiceId, ids.VersionId] = {}
+        self._means: dict[tuple, float] = {}
+
+    def _trial(self, service: ids.ServiceId) -> _Trial | None:
+        in_force = self._view.orders.get(service)
+        if in_force is None:
+            self._trials.pop(service, None)
+            return None
+        trial = self._trials.get(service)
+        if trial is None or trial.version != in_force.version:
+            trial = _Trial(in_force.order, in_force.version, self._clock.now())
+            self._trials[service] = trial
+        if not trial.since_ms:
+            trial.since_ms = self._store.now_ms(trial.seen_at) or 0
+        return trial
+
+    def _age_s(self, trial: _Trial) -> float:
+        now = self._clock.now()
+        now_ms = self._store.now_ms(now)
+        if now_ms is None or not trial.since_ms:
+            return now - trial.seen_at
+        return max(0.0, (now_ms - trial.since_ms) / 1000)
+
+    def version_for(
+        self, service: ids.ServiceId, session: str
+    ) -> ids.VersionId | None:
+        """Returns the version for a session; None when any will do."""
+        present = self._view.versions(service)
+        trial = self._trial(service)
+        if trial is None:
+            return self._incumbent(service, present)
+        new = trial.order.to_version
+        old = [version for version in present if version != new]
+        if new not in present or not old:
+            return next(iter(old), new if present else None)
+        if self._serves_new(trial, session):
+            return new
+        return max(old, key=lambda version: (present[version], version))
+
+    def _serves_new(self, trial: _Trial, session: str) -> bool:
+        if trial.state is canary.RolloutState.COMPLETED:
+            return True
+        if trial.state is not canary.RolloutState.RUNNING:
+            return False
+        part = canary.part(
+            self._age_s(trial),
+            trial.order.within_s,
+            self._settings.bounds.exposure_share,
+        )
+        place = canary.place(session, trial.order.service, trial.version)
+        return place < part
+
+    def _incumbent(self, service, present) -> ids.VersionId | None:
+        """Returns the version in service when nothing was ordered.
+
+        Upstreams of a new version may be listed before its order is seen.
+        """
+        if not present:
+            return None
+        if self._incumbents.get(service) not in present:
+            self._incumbents[service] = max(
+                present, key=lambda version: (present[version], version)
+            )
+        return self._incumbents[service]
+
+    @contextlib.contextmanager
+    def count(self, service: ids.ServiceId, version: ids.VersionId):
+        """Counts a request on the old version while it is in progress."""
+        trial = self._trial(service)
+        if trial is None or version == trial.order.to_version:
+            yield
+            return
+        trial.old_in_flight += 1
+        try:
+            yield
+        finally:
+            trial.old_in_flight -= 1
+
+    def note(
+        self,
+        listed: views.Listed,
+        route: str,
+        model: str,
+        seconds: float,
+        failed: bool,
+    ) -> None:
+        """Counts an answer.
+
+        Args:
+          listed: The upstream that gave it.
+          route: Name of the request's route.
+          model: Its model, or an empty text.
+          seconds: Time until the head of the answer.
+          failed: Whether it was a failure.
+        """
+        entry = listed.upstream
+        trial = self._trial(entry.service)
+        arm = canary.Arm.OLD
+        if trial is not None:
+            arm = views.arm_of(trial.order, entry.version)
+        key = (entry.service, route, model)
+        mean = self._means.get(key)
+        if arm is canary.Arm.OLD and not failed:
+            mean = seconds if mean is None else mean
+            self._means[key] = mean + MEAN_WEIGHT * (seconds - mean)
+        if trial is None or trial.state in _TERMINAL:
+            return
+        tally = trial.tallies.setdefault((arm, route), canary.Tally())
+        tally.total += 1
+        tally.bad += failed
+        warm = self._clock.now() > listed.cold_until
+        if mean is not None and warm and not failed:
+            tally.slow += seconds > max(SLOW_FACTOR * mean, mean + SLOW_S)
+        trial.counter += 1
+
+    async def run(self) -> None:
+        """Decides and publishes until cancelled."""
+        while True:
+            for service in list(self._view.orders):
+                trial = self._trial(service)
+                try:
+                    if trial is not None:
+                        await self._step(trial)
+                except platform_errors.PlatformError as error:
+                    trial.due_at = self._clock.now() + TURN_S
+                    events.log(
+                        events.Event.PLATFORM_FAILED,
+                        service=service,
+                        error=str(error),
+                    )
+            await anyio.sleep(PERIOD_S)
+
+    async def _step(self, trial: _Trial) -> None:
+        if trial.state in _TERMINAL and trial.published:
+            return
+        now = self._clock.now()
+        alone = not self._peers.alive
+        if trial.state is None or (
+            alone and now - (trial.looked_at or 0.0) > LOOK_S
+        ):
+            await self._look(trial)
+        if trial.state is canary.RolloutState.RUNNING:
+            self._decide(trial)
+        if trial.state is None or trial.published:
+            return
+        if trial.due_at is None:
+            trial.due_at = now + TURN_S * self._place()
+        if now >= trial.due_at:
+            await self._publish(trial)
+
+    def _place(self) -> int:
+        own = spread.rank('publish', self._settings.node)
+        return sum(
+            spread.rank('publish', peer.node) > own
+            for peer in self._peers.alive
+        )
+
+    async def _look(self, trial: _Trial) -> ports.StatusRow:
+        trial.looked_at = self._clock.now()
+        row = await self._store.read_status(trial.order.service)
+        if row.status is not None and row.status.order == trial.version:
+            self._adopt(trial, row.status)
+        elif trial.state is None:
+            trial.state = canary.RolloutState.RUNNING
+        return row
+
+    def _adopt(self, trial: _Trial, status: canary.Status) -> None:
+        """Takes over a published state; a final one is never replaced."""
+        if status.since_ms and trial.state is not status.state:
+            trial.since_ms = min(
+                trial.since_ms or status.since_ms, status.since_ms
+            )
+        if trial.published and trial.state in _TERMINAL:
+            return
+        if (
+            status.state is canary.RolloutState.RUNNING
+            and trial.state in _TERMINAL
+        ):
+            return
+        changed = trial.state is not status.state
+        trial.state, trial.published = status.state, True
+        if changed:
+            self._log(trial, 'published')
+
+    def _decide(self, trial: _Trial) -> None:
+        tallies, old_in_flight = self._merged(trial)
+        age = self._age_s(trial)
+        state = None
+        if canary.is_bad(tallies):
+            state = canary.RolloutState.ROLLED_BACK
+        elif trial.order.to_version in self._view.versions(
+            trial.order.service
+        ) and canary.may_complete(age, trial.order.within_s, old_in_flight):
+            state = canary.RolloutState.COMPLETED
+        if state is None:
+            return
+        trial.state, trial.published, trial.due_at = state, False, None
+        self._log(trial, 'decided', tallies, old_in_flight)
+
+    def _merged(self, trial: _Trial) -> tuple[canary.Tallies, int]:
+        merged: canary.Tallies = {}
+        for key, tally in trial.tallies.items():
+            merged.setdefault(key, canary.Tally()).add(tally)
+        old_in_flight = trial.old_in_flight
+        for report in trial.reports.values():
+            old_in_flight += report.old_in_flight
+            for item in report.tallies:
+                key = (canary.Arm(item.arm), item.route)
+                tally = canary.Tally(item.total, item.bad, item.slow)
+                merged.setdefault(key, canary.Tally()).add(tally)
+        return merged, old_in_flight
+
+    async def _publish(self, trial: _Trial) -> None:
+        row = await self._look(trial)
+        if trial.published:
+            return
+        status = canary.Status(
+            trial.order.service,
+            trial.order.to_version,
+            trial.state,
+            trial.version,
+            trial.since_ms,
+        )
+        await self._store.write_status(status, row.version)
+        if trial.state is status.state:
+            trial.published = True
+        events.log(
+            events.Event.ROLLOUT_PUBLISHED,
+            service=status.service,
+            state=status.state.value,
+            order=status.order,
+        )
+
+    def _log(self, trial, source: str, tallies=None, in_flight=None) -> None:
+        counts = {
+            f'{arm.value}/{route}': [tally.total, tally.bad, tally.slow]
+            for (arm, route), tally in (tallies or {}).items()
+        }
+        events.log(
+            events.Event.ROLLOUT_CHANGED,
+            service=trial.order.service,
+            version=trial.order.to_version,
+            state=trial.state.value,
+            order=trial.version,
+            age_s=round(self._age_s(trial), 3),
+            source=source,
+            counts=counts,
+            old_in_flight=in_flight,
+        )
+
+    def reports(self) -> list[ttypes.RolloutReport]:
+        """Returns the newest counts of all nodes for undecided roll-outs."""
+        reports = []
+        for service, trial in self._trials.items():
+            if trial.state in _TERMINAL and trial.published:
+                continue
+            reports.append(self._own_report(service, trial))
+            reports += trial.reports.values()
+        return reports
+
+    def _own_report(self, service, trial: _Trial) -> ttypes.RolloutReport:
+        tallies = [
+            ttypes.RouteTally(
+                arm.value, route, tally.total, tally.bad, tally.slow
+            )
+            for (arm, route), tally in trial.tallies.items()
+        ]
+        # The count in progress changes without the counter of answers.
+        counter = int(1000 * self._clock.now())
+        return ttypes.RolloutReport(
+            service,
+            trial.version,
+            self._peers.incarnation,
+            counter,
+            tallies,
+            trial.old_in_flight,
+        )
+
+    def statuses(self) -> list[ttypes.RolloutStatus]:
+        """Returns the states of roll-outs that others may not know."""
+        return [
+            ttypes.RolloutStatus(
+                service,
+                trial.order.to_version,
+                trial.state.value if trial.published else '',
+                trial.version,
+                trial.since_ms,
+            )
+            for service, trial in self._trials.items()
+            if trial.state is not None
+        ]
+
+    def merge(
+        self,
+        reports: list[ttypes.RolloutReport],
+        statuses: list[ttypes.RolloutStatus],
+    ) -> None:
+        """Takes over what a peer told."""
+        for report in reports:
+            trial = self._trials.get(report.service_id)
+            if trial is None or trial.version != report.order:
+                continue
+            if report.node == self._peers.incarnation:
+                continue
+            known = trial.reports.get(report.node)
+            if known is None or report.counter > known.counter:
+                trial.reports[report.node] = report
+        for told in statuses:
+            self._merge_status(told)
+
+    def _merge_status(self, told: ttypes.RolloutStatus) -> None:
+        trial = self._trial(ids.ServiceId(told.service_id))
+        if trial is None or trial.version != told.order:
+            return
+        if told.since_ms:
+            trial.since_ms = min(trial.since_ms or told.since_ms, told.since_ms)
+        if told.state:
+            state = canary.RolloutState(told.state)
+            self._adopt(
+                trial,
+                canary.Status(
+                    trial.order.service,
+                    trial.order.to_version,
+                    state,
+                    told.order,
+                    told.since_ms,
+                ),
+            )
--- /dev/null
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -0,0 +1,133 @@
+"""Finds the upstream for an attempt: version, zone, cold starts, load."""
+
+import dataclasses
+
+from radishcourse_gateway import errors
+from radishcourse_gateway import inbound
+from radishcourse_gateway import view as views
+from radishcourse_model import ids
+from radishcourse_policy import canary
+from radishcourse_policy import coldrate
+from radishcourse_policy import spread
+
+# When nothing can serve a request, an upstream may be listed again after
+# about a heartbeat; callers return spread over as much time again.
+RETRY_S = 1.0
+
+
+@dataclasses.dataclass
+class Plan:
+    """What happened to a request so far.
+
+    Attributes:
+      attempts: Upstreams to which it was sent.
+      sent: Whether an upstream may have run it.
+      tried: Upstreams that failed.
+      model: Model to ask, None when the request names its own.
+      service: The service that serves it, once chosen.
+      version: The version that answers a stream that has begun.
+      last_event: Last event that the caller has, once a stream has begun.
+      begun: Whether the caller has a part of the answer.
+    """
+
+    attempts: int = 0
+    sent: bool = False
+    tried: set = dataclasses.field(default_factory=set)
+    model: ids.ModelId | None = None
+    service: ids.ServiceId | None = None
+    version: ids.VersionId | None = None
+    last_event: bytes | None = None
+    begun: bool = False
+
+
+class Targets:
+    """Chooses upstreams.
+
+    Args:
+      gateway: The gateway, for its view, load, peers and roll-outs.
+    """
+
+    def __init__(self, gateway):
+        self._clock = gateway.environment.clock
+        self._random = gateway.environment.random
+        self._bounds = gateway.settings.bounds
+        self._view: views.View = gateway.view
+        self._load = gateway.load
+        self._peers = gateway.peers
+        self._rollouts = gateway.rollouts
+
+    def choose(self, request: inbound.Inbound, plan: Plan) -> views.Listed:
+        """Returns the upstream for the next attempt.
+
+        Raises:
+          Refusal: No upstream can take it.
+        """
+        if plan.service is None:
+            plan.service = self._choose_service(request)
+        version = plan.version or self._rollouts.version_for(
+            plan.service, request.session or request.request_id
+        )
+        usable = [
+            listed
+            for listed in self._view.usable(plan.service)
+            if version is None or listed.upstream.version == version
+        ]
+        fresh = [item for item in usable if item.life not in plan.tried]
+        by_id = {item.upstream.upstream_id: item for item in fresh or usable}
+        while by_id:
+            chosen = spread.choose(
+                [self._describe(item) for item in by_id.values()],
+                request.cached_key,
+                request.cached_tokens,
+                self._random,
+            )
+            listed = by_id.pop(chosen.upstream)
+            if self._may_send(listed):
+                return listed
+        raise errors.Refusal(
+            errors.Reason.NO_UPSTREAM,
+            f'{len(usable)} upstreams of {plan.service} are listed for '
+            f'version {version}, none can take a request',
+            retry_after_s=RETRY_S * (0.5 + self._random.random()),
+        )
+
+    def _choose_service(self, request: inbound.Inbound) -> ids.ServiceId:
+        shares = request.route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        total = sum(share.weight for share in shares)
+        # A session stays with its part of a split.
+        name = request.session or request.request_id
+        place = total * canary.place(name, request.route.name, 0)
+        for share in shares:
+            place -= share.weight
+            if place < 0:
+                return share.service
+        return shares[-1].service
+
+    def _describe(self, listed: views.Listed) -> spread.Candidate:
+        upstream = listed.upstream.upstream_id
+        requests, work = self._load.own(upstream)
+        others, others_work = self._peers.work(upstream)
+        return spread.Candidate(
+            upstream,
+            work + others_work,
+            requests + others,
+            listed.upstream.slots,
+            self._load.is_doubted(upstream),
+        )
+
+    def _may_send(self, listed: views.Listed) -> bool:
+        if self._clock.now() >= listed.cold_until:
+            return True
+        directory = self._view.directory
+        service = directory and directory.services.get(listed.upstream.service)
+        if service is None or not service.cold_per_s:
+            return True
+        per_s, burst = coldrate.parts(
+            service.cold_per_s,
+            self._bounds.cold_excess,
+            self._bounds.cold_slack,
+            self._peers.fleet or coldrate.UNKNOWN_FLEET,
+        )
+        return self._load.take_cold(listed.upstream.upstream_id, per_s, burst)
--- a/packages/node/src/radishcourse_node/main.py
+++ b/packages/node/src/radishcourse_node/main.py
@@ -1,7 +1,6 @@
 """The binary `radishcourse-node`."""
 
 import contextlib
-import enum
 import pathlib
 import sys
 
@@ -13,22 +12,14 @@
 from radishcourse_node import environment as environments
 from radishcourse_node import errors
 from radishcourse_node import events
+from radishcourse_node import exitstatus
 from radishcourse_node import node as nodes
 from radishcourse_node import settings as node_settings
 
 
-class ExitStatus(enum.IntEnum):
-    """Exit codes of the binary."""
-
-    SUCCESS = 0
-    ERROR = 1
-    INVALID = 2
-    ADDRESS_IN_USE = 3
-
-
 def main(
     settings_file: str, environment: environments.Environment | None = None
-) -> ExitStatus:
+) -> exitstatus.ExitStatus:
     """Runs a node with the settings in a JSON file.
 
     Args:
@@ -43,14 +34,14 @@
             anyio.run(_serve, environment, settings)
     except errors.SettingsError as error:
         environment.stderr.write(f'{error.code}: {error}\n')
-        return ExitStatus.INVALID
+        return exitstatus.ExitStatus.INVALID
     except errors.AddressError as error:
         environment.stderr.write(f'{error.code}: {error}\n')
-        return ExitStatus.ADDRESS_IN_USE
+        return exitstatus.ExitStatus.ADDRESS_IN_USE
     except model_errors.RadishcourseError as error:
         environment.stderr.write(f'{error.code}: {error}\n')
-        return ExitStatus.ERROR
-    return ExitStatus.SUCCESS
+        return exitstatus.ExitStatus.ERROR
+    return exitstatus.ExitStatus.SUCCESS
 
 
 async def _serve(environment, settings) -> None:
--- a/packages/platform/src/radishcourse_platform/errors.py
+++ b/packages/platform/src/radishcourse_platform/errors.py
@@ -45,3 +45,9 @@
     def __init__(self, rows: tuple):
         super().__init__(f'conflict on {", ".join(row.key for row in rows)}')
         self.rows = rows
+
+
+class HistoryGone(PlatformError):
+    """The changes that were asked for are no longer kept."""
+
+    code = 'platform_history_gone'
--- /dev/null
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -0,0 +1,150 @@
+"""Roll-out of a new version of a service, decided on the fleet's evidence.
+
+A fixed part of the sessions runs on the new version during the first half
+of the time limit, so that no session has to move between versions and a bad
+version reaches a bounded share of the requests. The part then grows in
+steps. Sessions are assigned by hash, so all nodes agree without messages,
+and a growing part only moves sessions from the old version to the new one.
+
+Load pattern: a version that fails or delays a part of its requests, at
+once, later, under load or on one route only.
+"""
+
+import dataclasses
+import enum
+import hashlib
+
+from radishcourse_model import ids
+
+# Part of the sessions on trial, relative to the permitted exposure: leaves
+# room for requests that arrive while the decision spreads.
+TRIAL_OF_EXPOSURE = 0.6
+# Steps of growth as (part of the time limit, part of the sessions).
+STEPS = ((0.5, 0.3), (0.58, 1.0))
+# A new version completes at the latest this long before its time limit: a
+# store call, its retry and the notice of the other nodes fit in.
+COMPLETE_EARLY_S = 2.5
+# Time after the last step for requests of the old version to end.
+SETTLE_S = 3.0
+# Fewer bad answers than this can be one upstream's own trouble.
+MIN_BAD = 4
+# Share of bad answers, above the old version's own, that condemns.
+BAD_EXCESS = 0.18
+
+
+class RolloutState(enum.Enum):
+    """Published state of a roll-out."""
+
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    ROLLED_BACK = 'rolled_back'
+
+
+class Arm(enum.Enum):
+    """The version that answered a request."""
+
+    OLD = 'old'
+    NEW = 'new'
+
+
+@dataclasses.dataclass(frozen=True)
+class Status:
+    """State of a service's roll-out.
+
+    Attributes:
+      service: The service.
+      to_version: The new version.
+      state: How far it is.
+      order: Version of the row of the order that it answers.
+      since_ms: Time of the order on the store's clock in milliseconds.
+    """
+
+    service: ids.ServiceId
+    to_version: ids.VersionId
+    state: RolloutState
+    order: int = 0
+    since_ms: int = 0
+
+
+@dataclasses.dataclass
+class Tally:
+    """Answers of one arm on one route.
+
+    Attributes:
+      total: Answers.
+      bad: Those that were failures.
+      slow: Those that took several times as long as the old version's.
+    """
+
+    total: int = 0
+    bad: int = 0
+    slow: int = 0
+
+    def add(self, other: 'Tally') -> None:
+        """Adds the counts of another tally."""
+        self.total += other.total
+        self.bad += other.bad
+        self.slow += other.slow
+
+
+Tallies = dict[tuple[Arm, str], Tally]
+
+
+def place(session: str, service: ids.ServiceId, order: int) -> float:
+    """Returns a session's place between 0 and 1 in the order of moving."""
+    text = f'{service}/{order}/{session}'.encode()
+    digest = hashlib.blake2b(text, digest_size=8).digest()
+    return int.from_bytes(digest, 'big') / 2**64
+
+
+def part(age_s: float, within_s: float, exposure: float) -> float:
+    """Returns the part of the sessions that the new version serves.
+
+    Args:
+      age_s: Time since the order.
+      within_s: Its time limit.
+      exposure: Permitted share of requests on a bad version.
+    """
+    current = TRIAL_OF_EXPOSURE * exposure
+    for begin, share in STEPS:
+        if age_s >= begin * within_s:
+            current = max(current, share)
+    return current
+
+
+def is_bad(tallies: Tallies) -> bool:
+    """Tells whether the new version is worse than the old one."""
+    routes = {route for arm, route in tallies if arm is Arm.NEW}
+    new, old = Tally(), Tally()
+    for route in routes:
+        of_new = tallies.get((Arm.NEW, route), Tally())
+        of_old = tallies.get((Arm.OLD, route), Tally())
+        if _is_worse(of_new, of_old):
+            return True
+        new.add(of_new)
+        old.add(of_old)
+    return _is_worse(new, old)
+
+
+def may_complete(age_s: float, within_s: float, old_in_flight: int) -> bool:
+    """Tells whether the old version's upstreams may be stopped.
+
+    Args:
+      age_s: Time since the order.
+      within_s: Its time limit.
+      old_in_flight: Requests in progress on the old version.
+    """
+    if age_s >= within_s - COMPLETE_EARLY_S:
+        return True
+    settled = age_s >= STEPS[-1][0] * within_s + SETTLE_S
+    return settled and old_in_flight == 0
+
+
+def _is_worse(new: Tally, old: Tally) -> bool:
+    for bad, bad_old in ((new.bad, old.bad), (new.slow, old.slow)):
+        if bad < MIN_BAD:
+            continue
+        usual = bad_old / old.total if old.total else 0.0
+        if bad / new.total > usual + BAD_EXCESS:
+            return True
+    return False
--- /dev/null
+++ b/packages/policy/src/radishcourse_policy/coldrate.py
@@ -0,0 +1,60 @@
+"""Requests that a node may send to a cold upstream.
+
+The bound holds over the whole fleet: each node has an equal part of it. A
+node that does not know the size of the fleet assumes a large one.
+
+Load pattern: an upstream that comes back cold while all nodes have work
+waiting for it.
+"""
+
+# Assumed nodes while no other node was heard of.
+UNKNOWN_FLEET = 32
+# Part of the bound that nodes use; the rest covers requests that arrive in
+# another second than they were sent in.
+SAFETY = 0.7
+
+
+class ColdRate:
+    """A token bucket for one cold upstream.
+
+    Args:
+      now: Current time in seconds.
+    """
+
+    def __init__(self, now: float):
+        self._tokens: float | None = None
+        self._at = now
+
+    def take(self, now: float, per_s: float, burst: float) -> bool:
+        """Takes a permission to send one request.
+
+        Args:
+          now: Current time in seconds.
+          per_s: This node's requests a second.
+          burst: Most permissions that are saved up.
+        """
+        if self._tokens is None:
+            self._tokens = burst
+        earned = (now - self._at) * per_s
+        self._tokens = min(burst, self._tokens + earned)
+        self._at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def parts(
+    per_s: float, excess: float, slack: float, nodes: int
+) -> tuple[float, float]:
+    """Returns a node's requests a second and its burst.
+
+    Args:
+      per_s: Requests a second that the upstream bears.
+      excess: Factor on that up to which a second may go.
+      slack: Requests on top of it.
+      nodes: Nodes in the fleet.
+    """
+    most = SAFETY * (per_s * excess + slack) / max(1, nodes)
+    rate = min(SAFETY * per_s / max(1, nodes), most / 2)
+    return rate, max(1.0, most - rate)
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -129,3 +129,75 @@
   7: binary mac
   8: optional string error
 }
+
+// The gateway's messages. `topic` names a table that nodes follow.
+struct TopicState {
+  1: string topic
+  2: i64 version
+  3: optional i32 confirmed_age_ms
+}
+
+// A row of the platform's store; without a value it was deleted. Values are
+// zlib-compressed.
+struct RowRecord {
+  1: string topic
+  2: string key
+  3: i64 version
+  4: optional binary value
+}
+
+struct PeerRecord {
+  1: string node
+  2: string incarnation
+  3: string zone
+  4: string address
+  5: i32 age_ms
+}
+
+// Answers of one node in a roll-out: `arm` is old or new.
+struct RouteTally {
+  1: string arm
+  2: string route
+  3: i32 total
+  4: i32 bad
+  5: i32 slow
+}
+
+struct RolloutReport {
+  1: string service_id
+  2: i64 order
+  3: string node
+  4: i64 counter
+  5: list<RouteTally> tallies
+  6: i32 old_in_flight
+}
+
+struct RolloutStatus {
+  1: string service_id
+  2: string version
+  3: string state
+  4: i64 order
+  5: i64 since_ms
+}
+
+// Work that a node has in progress at an upstream, in prompt tokens.
+struct UpstreamWork {
+  1: string upstream
+  2: i32 requests
+  3: i64 work
+}
+
+struct Sync {
+  1: PeerRecord sender
+  2: list<TopicState> topics
+}
+
+struct SyncReply {
+  1: PeerRecord sender
+  2: list<TopicState> topics
+  3: list<RowRecord> rows
+  4: list<PeerRecord> peers
+  5: list<RolloutReport> reports
+  6: list<RolloutStatus> statuses
+  7: list<UpstreamWork> work
+}
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -1905,6 +1905,1064 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class TopicState(object):
+    """
+    Attributes:
+     - topic
+     - version
+     - confirmed_age_ms
+
+    """
+
+    __slots__ = (
+        'topic',
+        'version',
+        'confirmed_age_ms',
+    )
+
+
+    def __init__(self, topic=None, version=None, confirmed_age_ms=None,):
+        self.topic = topic
+        self.version = version
+        self.confirmed_age_ms = confirmed_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.topic = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.confirmed_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TopicState')
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.STRING, 1)
+            oprot.writeString(self.topic.encode('utf-8') if sys.version_info[0] == 2 else self.topic)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.confirmed_age_ms is not None:
+            oprot.writeFieldBegin('confirmed_age_ms', TType.I32, 3)
+            oprot.writeI32(self.confirmed_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RowRecord(object):
+    """
+    Attributes:
+     - topic
+     - key
+     - version
+     - value
+
+    """
+
+    __slots__ = (
+        'topic',
+        'key',
+        'version',
+        'value',
+    )
+
+
+    def __init__(self, topic=None, key=None, version=None, value=None,):
+        self.topic = topic
+        self.key = key
+        self.version = version
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.topic = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RowRecord')
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.STRING, 1)
+            oprot.writeString(self.topic.encode('utf-8') if sys.version_info[0] == 2 else self.topic)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 4)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PeerRecord(object):
+    """
+    Attributes:
+     - node
+     - incarnation
+     - zone
+     - address
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'node',
+        'incarnation',
+        'zone',
+        'address',
+        'age_ms',
+    )
+
+
+    def __init__(self, node=None, incarnation=None, zone=None, address=None, age_ms=None,):
+        self.node = node
+        self.incarnation = incarnation
+        self.zone = zone
+        self.address = address
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PeerRecord')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 4)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RouteTally(object):
+    """
+    Attributes:
+     - arm
+     - route
+     - total
+     - bad
+     - slow
+
+    """
+
+    __slots__ = (
+        'arm',
+        'route',
+        'total',
+        'bad',
+        'slow',
+    )
+
+
+    def __init__(self, arm=None, route=None, total=None, bad=None, slow=None,):
+        self.arm = arm
+        self.route = route
+        self.total = total
+        self.bad = bad
+        self.slow = slow
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.arm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.bad = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slow = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteTally')
+        if self.arm is not None:
+            oprot.writeFieldBegin('arm', TType.STRING, 1)
+            oprot.writeString(self.arm.encode('utf-8') if sys.version_info[0] == 2 else self.arm)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 2)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I32, 3)
+            oprot.writeI32(self.total)
+            oprot.writeFieldEnd()
+        if self.bad is not None:
+            oprot.writeFieldBegin('bad', TType.I32, 4)
+            oprot.writeI32(self.bad)
+            oprot.writeFieldEnd()
+        if self.slow is not None:
+            oprot.writeFieldBegin('slow', TType.I32, 5)
+            oprot.writeI32(self.slow)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutReport(object):
+    """
+    Attributes:
+     - service_id
+     - order
+     - node
+     - counter
+     - tallies
+     - old_in_flight
+
+    """
+
+    __slots__ = (
+        'service_id',
+        'order',
+        'node',
+        'counter',
+        'tallies',
+        'old_in_flight',
+    )
+
+
+    def __init__(self, service_id=None, order=None, node=None, counter=None, tallies=None, old_in_flight=None,):
+        self.service_id = service_id
+        self.order = order
+        self.node = node
+        self.counter = counter
+        self.tallies = tallies
+        self.old_in_flight = old_in_flight
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.counter = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.tallies = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = RouteTally()
+                        _elem75.read(iprot)
+                        self.tallies.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.old_in_flight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutReport')
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 1)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 2)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 3)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.counter is not None:
+            oprot.writeFieldBegin('counter', TType.I64, 4)
+            oprot.writeI64(self.counter)
+            oprot.writeFieldEnd()
+        if self.tallies is not None:
+            oprot.writeFieldBegin('tallies', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.tallies))
+            for iter76 in self.tallies:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.old_in_flight is not None:
+            oprot.writeFieldBegin('old_in_flight', TType.I32, 6)
+            oprot.writeI32(self.old_in_flight)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutStatus(object):
+    """
+    Attributes:
+     - service_id
+     - version
+     - state
+     - order
+     - since_ms
+
+    """
+
+    __slots__ = (
+        'service_id',
+        'version',
+        'state',
+        'order',
+        'since_ms',
+    )
+
+
+    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None,):
+        self.service_id = service_id
+        self.version = version
+        self.state = state
+        self.order = order
+        self.since_ms = since_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.since_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutStatus')
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 1)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 3)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 4)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.since_ms is not None:
+            oprot.writeFieldBegin('since_ms', TType.I64, 5)
+            oprot.writeI64(self.since_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamWork(object):
+    """
+    Attributes:
+     - upstream
+     - requests
+     - work
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'requests',
+        'work',
+    )
+
+
+    def __init__(self, upstream=None, requests=None, work=None,):
+        self.upstream = upstream
+        self.requests = requests
+        self.work = work
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.work = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamWork')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 2)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.I64, 3)
+            oprot.writeI64(self.work)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Sync(object):
+    """
+    Attributes:
+     - sender
+     - topics
+
+    """
+
+    __slots__ = (
+        'sender',
+        'topics',
+    )
+
+
+    def __init__(self, sender=None, topics=None,):
+        self.sender = sender
+        self.topics = topics
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = PeerRecord()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.topics = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = TopicState()
+                        _elem82.read(iprot)
+                        self.topics.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Sync')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.topics is not None:
+            oprot.writeFieldBegin('topics', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.topics))
+            for iter83 in self.topics:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SyncReply(object):
+    """
+    Attributes:
+     - sender
+     - topics
+     - rows
+     - peers
+     - reports
+     - statuses
+     - work
+
+    """
+
+    __slots__ = (
+        'sender',
+        'topics',
+        'rows',
+        'peers',
+        'reports',
+        'statuses',
+        'work',
+    )
+
+
+    def __init__(self, sender=None, topics=None, rows=None, peers=None, reports=None, statuses=None, work=None,):
+        self.sender = sender
+        self.topics = topics
+        self.rows = rows
+        self.peers = peers
+        self.reports = reports
+        self.statuses = statuses
+        self.work = work
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = PeerRecord()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.topics = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = TopicState()
+                        _elem89.read(iprot)
+                        self.topics.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = RowRecord()
+                        _elem95.read(iprot)
+                        self.rows.append(_elem95)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = PeerRecord()
+                        _elem101.read(iprot)
+                        self.peers.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.reports = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = RolloutReport()
+                        _elem107.read(iprot)
+                        self.reports.append(_elem107)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.statuses = []
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = RolloutStatus()
+                        _elem113.read(iprot)
+                        self.statuses.append(_elem113)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = UpstreamWork()
+                        _elem119.read(iprot)
+                        self.work.append(_elem119)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SyncReply')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.topics is not None:
+            oprot.writeFieldBegin('topics', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.topics))
+            for iter120 in self.topics:
+                iter120.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter121 in self.rows:
+                iter121.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.peers))
+            for iter122 in self.peers:
+                iter122.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter123 in self.reports:
+                iter123.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.statuses is not None:
+            oprot.writeFieldBegin('statuses', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.statuses))
+            for iter124 in self.statuses:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter125 in self.work:
+                iter125.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -2043,5 +3101,81 @@
     (7, TType.STRING, 'mac', 'BINARY', None, ),  # 7
     (8, TType.STRING, 'error', 'UTF8', None, ),  # 8
 )
+all_structs.append(TopicState)
+TopicState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'topic', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I32, 'confirmed_age_ms', None, None, ),  # 3
+)
+all_structs.append(RowRecord)
+RowRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'topic', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+)
+all_structs.append(PeerRecord)
+PeerRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
+)
+all_structs.append(RouteTally)
+RouteTally.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'arm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'route', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'total', None, None, ),  # 3
+    (4, TType.I32, 'bad', None, None, ),  # 4
+    (5, TType.I32, 'slow', None, None, ),  # 5
+)
+all_structs.append(RolloutReport)
+RolloutReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'order', None, None, ),  # 2
+    (3, TType.STRING, 'node', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'counter', None, None, ),  # 4
+    (5, TType.LIST, 'tallies', (TType.STRUCT, [RouteTally, None], False), None, ),  # 5
+    (6, TType.I32, 'old_in_flight', None, None, ),  # 6
+)
+all_structs.append(RolloutStatus)
+RolloutStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'state', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'order', None, None, ),  # 4
+    (5, TType.I64, 'since_ms', None, None, ),  # 5
+)
+all_structs.append(UpstreamWork)
+UpstreamWork.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'requests', None, None, ),  # 2
+    (3, TType.I64, 'work', None, None, ),  # 3
+)
+all_structs.append(Sync)
+Sync.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [PeerRecord, None], None, ),  # 1
+    (2, TType.LIST, 'topics', (TType.STRUCT, [TopicState, None], False), None, ),  # 2
+)
+all_structs.append(SyncReply)
+SyncReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [PeerRecord, None], None, ),  # 1
+    (2, TType.LIST, 'topics', (TType.STRUCT, [TopicState, None], False), None, ),  # 2
+    (3, TType.LIST, 'rows', (TType.STRUCT, [RowRecord, None], False), None, ),  # 3
+    (4, TType.LIST, 'peers', (TType.STRUCT, [PeerRecord, None], False), None, ),  # 4
+    (5, TType.LIST, 'reports', (TType.STRUCT, [RolloutReport, None], False), None, ),  # 5
+    (6, TType.LIST, 'statuses', (TType.STRUCT, [RolloutStatus, None], False), None, ),  # 6
+    (7, TType.LIST, 'work', (TType.STRUCT, [UpstreamWork, None], False), None, ),  # 7
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/radishcourse_wire/messages.py
+++ b/packages/wire/src/radishcourse_wire/messages.py
@@ -12,6 +12,7 @@
     HOLD_BILLS = (2, ttypes.HoldBills, ttypes.HoldBillsReply)
     ACQUIRE_PERMIT = (3, ttypes.AcquirePermit, ttypes.AcquirePermitReply)
     RELEASE_PERMIT = (4, ttypes.ReleasePermit, ttypes.ReleasePermitReply)
+    SYNC = (5, ttypes.Sync, ttypes.SyncReply)
 
     @property
     def number(self) -> int:
