Drain to the end of the stop and refuse what comes after the listener closed

Ruled out: the upstream's own break (its run ends when we close). Change: a fractional limit, and a 503 with Retry-After for requests after the listener closed. Tests use the exit codes where they moved to.

--- a/packages/gateway/src/radishcourse_gateway/edge.py
+++ b/packages/gateway/src/radishcourse_gateway/edge.py
@@ -20,7 +20,8 @@
 DEFAULT_BUDGET_S = 60.0
 # Nodes learn the first configuration within about this time.
 STARTING_RETRY_S = 0.5
-_NEVER_RUN = (429, 503, 408, 421)
+# Another node serves a request that this one may not live to answer.
+CLOSING_RETRY_S = 0.05
 
 
 class CallerLeft(Exception):
@@ -188,6 +189,10 @@
         body = await self._read_body(
             receive, limits.body_bytes, limits.header_timeout_s
         )
+        if self._gateway.closing:
+            raise errors.Refusal(
+                errors.Reason.CLOSING, 'the node stops', CLOSING_RETRY_S
+            )
         target = scope['raw_path']
         if scope['query_string']:
             target += b'?' + scope['query_string']
--- a/packages/gateway/src/radishcourse_gateway/errors.py
+++ b/packages/gateway/src/radishcourse_gateway/errors.py
@@ -45,6 +45,7 @@
     """
 
     NO_CONFIGURATION = ('no_configuration', 503)
+    CLOSING = ('closing', 503)
     NO_ROUTE = ('no_route', 404)
     UNKNOWN_KEY = ('unknown_key', 401)
     BODY_TOO_LARGE = ('body_too_large', 413)
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -34,7 +34,7 @@
 # The balancer takes a node out after two misses, a second apart.
 DRAIN_DELAY_S = 2.5
 # Time at the end of a stop that is left for closing.
-CLOSING_S = 0.6
+CLOSING_S = 0.4
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -87,6 +87,7 @@
             for table in records.Table
         ]
         self._draining = False
+        self._closing = False
         self._requests = 0
         self._log_dropped = lambda: 0
 
@@ -106,6 +107,15 @@
         """Whether the node is on its way to a planned stop."""
         return self._draining
 
+    @property
+    def closing(self) -> bool:
+        """Whether the balancer had time to notice that the node drains.
+
+        A request that still comes, on a connection that was kept, may last
+        longer than the process does.
+        """
+        return self._closing
+
     @contextlib.contextmanager
     def count_request(self):
         """Counts a request while it is in progress."""
@@ -191,8 +201,9 @@
             proxy_headers=False,
             h11_max_incomplete_event_size=MAX_HEAD_BYTES,
             timeout_keep_alive=60,
+            # uvicorn passes it on to asyncio.wait_for, which takes fractions.
             timeout_graceful_shutdown=max(
-                1, int(self.settings.bounds.stop_s - DRAIN_DELAY_S - CLOSING_S)
+                1.0, self.settings.bounds.stop_s - DRAIN_DELAY_S - CLOSING_S
             ),
         )
         server = uvicorn.Server(config)
@@ -251,6 +262,7 @@
         self._draining = True
         events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
         await anyio.sleep(DRAIN_DELAY_S)
+        self._closing = True
         server.should_exit = True
 
     async def aclose(self) -> None:
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -9,6 +9,7 @@
 import testtools
 
 from radishcourse_node import environment as environments
+from radishcourse_node import exitstatus
 from radishcourse_node import main as binary
 from radishcourse_standins import processes
 
@@ -27,7 +28,7 @@
 
     def test_settings_that_do_not_fit(self):
         status, output = self._run({'node': 1})
-        self.assertEqual(binary.ExitStatus.INVALID, status)
+        self.assertEqual(exitstatus.ExitStatus.INVALID, status)
         self.assertThat(
             output, testtools.matchers.StartsWith('settings_invalid')
         )
@@ -45,5 +46,5 @@
                     'rating': 'http://127.0.0.1:1',
                 }
             )
-        self.assertEqual(binary.ExitStatus.ADDRESS_IN_USE, status, output)
+        self.assertEqual(exitstatus.ExitStatus.ADDRESS_IN_USE, status, output)
         self.assertIn(f'address_in_use: {address}', output)
