Balance upstreams by the time to read waiting prompts; follow the settings file

Ruled out: a lack of engines (in the mean 10 requests each). Change: work is counted as expected seconds of prompts not read yet, learned by model; a few upstreams drawn at random are compared with the one that has the prompt cached; nodes ask up to six peers each 0.3 s. SIGHUP and a changed file put new settings in force (SIGHUP ended the process before: test_reload_signal_does_not_end_the_process failed first). Stand-ins for the users' store and workers, tests on real gateways.

--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -15,7 +15,6 @@
 from radishcourse_node import events
 from radishcourse_policy import modelchoice
 from radishcourse_policy import retrybudget
-from radishcourse_policy import spread
 
 # Answers up to this size are read as a whole before the caller gets any of
 # it, so that one that is cut short can still be replaced.
@@ -74,7 +73,7 @@
         self._clock = gateway.environment.clock
         self._random = gateway.environment.random
         self._dialect = gateway.dialect
-        self._settings = gateway.settings
+        self._current = gateway.current
         self._view: views.View = gateway.view
         self._load = gateway.load
         self._rollouts = gateway.rollouts
@@ -121,7 +120,7 @@
     def _budget(self, service) -> retrybudget.RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self._settings.bounds
+            bounds = self._current.value.bounds
             fleet = self._gateway.peers.fleet or UNKNOWN_FLEET
             most = REPEAT_SAFETY * bounds.repeat_slack / fleet
             budget = retrybudget.RetryBudget(
@@ -171,12 +170,11 @@
         self, request: inbound.Inbound, plan: targets.Plan, listed, out
     ) -> Step:
         entry = listed.upstream
-        size = request.size or modelchoice.Size(0, 0)
-        work = spread.work_of(size.prompt, size.output)
+        reading_s = self._targets.reading_s(request, plan)
         started_at = self._clock.now()
         self._log_attempt(request, plan, listed)
         with (
-            self._load.count(entry.upstream_id, work),
+            self._load.count(entry.upstream_id, reading_s) as begin,
             self._rollouts.count(entry.service, entry.version),
         ):
             try:
@@ -186,8 +184,13 @@
                     plan.attempts += 1
                     was_sent, plan.sent = plan.sent, True
                     try:
-                        return await self._exchange(
-                            request, plan, listed, channel, started_at, out
+                        head = await self._receive_head(
+                            request, plan, listed, channel
+                        )
+                        begin()
+                        seconds = self._clock.now() - started_at
+                        return await self._take_head(
+                            request, plan, listed, channel, head, seconds, out
                         )
                     except _Failed as failure:
                         if failure.not_run:
@@ -198,12 +201,9 @@
                 self._log_failure(request, plan, listed, str(error))
                 raise _Failed(str(error), not_run=not error.sent) from error
 
-    async def _exchange(
-        self, request, plan, listed, channel, started_at, out
+    async def _take_head(
+        self, request, plan, listed, channel, head, seconds, out
     ) -> Step:
-        headers = self._headers(request, plan, listed)
-        head = await self._receive_head(request, plan, channel, headers)
-        seconds = self._clock.now() - started_at
         not_run = (
             head.status == MISDIRECTED
             or head.get(self._dialect.not_run) is not None
@@ -218,6 +218,7 @@
             await self._fail(request, plan, listed, channel, head, not_run)
         self._check(request, head)
         self._load.note_answer(listed.upstream.upstream_id, failed=False)
+        self._targets.note_head(request, plan, seconds)
         if self._wants_larger(request, plan, head):
             return Step.AGAIN
         if request.route.kind is directories.RequestKind.STREAM:
@@ -245,7 +246,8 @@
             own.append((dialect.last_event, plan.last_event))
         return inbound.outbound_headers(request, dialect, own)
 
-    async def _receive_head(self, request, plan, channel, headers):
+    async def _receive_head(self, request, plan, listed, channel):
+        headers = self._headers(request, plan, listed)
         limit = None
         if request.route.repeatable and self._has_more(request, plan):
             limit = max(LEAST_SILENCE_S, SILENCE_GOALS * request.route.goal_s)
@@ -303,7 +305,7 @@
             float(confidence),
             request.size,
             costs,
-            self._settings.value_per_1k_tokens,
+            self._current.value.value_per_1k_tokens,
         )
         if larger is None or not self._budget(plan.service).spend():
             return False
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import signal
+import typing
 
 import anyio
 import uvicorn
@@ -11,6 +12,7 @@
 from radishcourse_gateway import channels
 from radishcourse_gateway import dialect as dialects
 from radishcourse_gateway import edge
+from radishcourse_gateway import errors
 from radishcourse_gateway import exchange
 from radishcourse_gateway import feed
 from radishcourse_gateway import load
@@ -31,6 +33,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 RESTART_DELAY_S = 1.0
 SWEEP_S = 1.0
+# The settings file may change without a signal.
+REREAD_S = 2.0
 # The balancer takes a node out after two misses, a second apart.
 DRAIN_DELAY_S = 2.5
 # Time at the end of a stop that is left for closing.
@@ -47,6 +51,8 @@
       dialect: Header names of the installation.
       store: The platform's store.
       decoder: Reads the store's rows.
+      reread: Returns the settings as they stand in their file now; raises
+        `SettingsError`.
     """
 
     def __init__(
@@ -56,9 +62,12 @@
         dialect: dialects.Dialect,
         store: ports.Store,
         decoder: ports.Decoder,
+        reread: typing.Callable[[], gateway_settings.Settings],
     ):
         self.environment = environment
-        self.settings = settings
+        self.current = gateway_settings.Current(settings)
+        self._reread = reread
+        self._asked = anyio.Event()
         self.dialect = dialect
         self.store = store
         clock = environment.clock
@@ -67,7 +76,11 @@
         self.view = view.View(clock, decoder)
         self.load = load.Load(clock)
         self.peers = peers.Peers(
-            settings, clock, environment.random, self.replica, self.view
+            self.current,
+            clock,
+            environment.random,
+            self.replica,
+            self.view,
         )
         self.rollouts = rollouts.Rollouts(self)
         self.peers.rollouts = self.rollouts
@@ -90,6 +103,7 @@
         self._closing = False
         self._requests = 0
         self._log_dropped = lambda: 0
+        self._settings_error = ''
 
     @property
     def unready_reason(self) -> str:
@@ -153,7 +167,7 @@
         Raises:
           AddressError: An address can't be listened on.
         """
-        settings = self.settings
+        settings = self.current.value
         callers = await _listen(settings.listen)
         probes = [await _listen(settings.probe_listen)]
         if settings.metrics_listen:
@@ -185,6 +199,7 @@
     def _tasks(self, server):
         yield 'peers', self.peers.run
         yield 'rollouts', self.rollouts.run
+        yield 'settings', self._follow_settings
         yield 'sweep', functools.partial(self._sweep, server)
         for item in self._feeds:
             yield 'feed', item.run
@@ -203,7 +218,8 @@
             timeout_keep_alive=60,
             # uvicorn passes it on to asyncio.wait_for, which takes fractions.
             timeout_graceful_shutdown=max(
-                1.0, self.settings.bounds.stop_s - DRAIN_DELAY_S - CLOSING_S
+                1.0,
+                self.current.value.bounds.stop_s - DRAIN_DELAY_S - CLOSING_S,
             ),
         )
         server = uvicorn.Server(config)
@@ -241,6 +257,30 @@
                 limit = directory.limits.idle_timeout_s
                 server.config.timeout_keep_alive = limit
 
+    async def _follow_settings(self) -> None:
+        """Reads the settings again, on a signal and from time to time."""
+        while True:
+            with anyio.move_on_after(REREAD_S):
+                await self._asked.wait()
+            asked, self._asked = self._asked.is_set(), anyio.Event()
+            try:
+                changed = self.current.replace(self._reread())
+            except errors.SettingsError as error:
+                if str(error) != self._settings_error:
+                    self._settings_error = str(error)
+                    events.log(
+                        events.Event.SETTINGS_CHANGED,
+                        changed=[],
+                        asked=asked,
+                        error=str(error),
+                    )
+                continue
+            self._settings_error = ''
+            if changed or asked:
+                events.log(
+                    events.Event.SETTINGS_CHANGED, changed=changed, asked=asked
+                )
+
     async def _supervise(self, name: str, run) -> None:
         while True:
             try:
@@ -258,6 +298,10 @@
             signal.signal(
                 number, lambda *_: loop.call_soon_threadsafe(stopping.set)
             )
+        signal.signal(
+            signal.SIGHUP,
+            lambda *_: loop.call_soon_threadsafe(lambda: self._asked.set()),
+        )
         await stopping.wait()
         self._draining = True
         events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
@@ -287,9 +331,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_gateway(environment, settings, dialect, store, decoder):
+async def open_gateway(environment, settings, dialect, store, decoder, reread):
     """Yields a gateway and closes its connections at the end."""
-    gateway = Gateway(environment, settings, dialect, store, decoder)
+    gateway = Gateway(environment, settings, dialect, store, decoder, reread)
     try:
         yield gateway
     finally:
--- a/packages/gateway/src/radishcourse_gateway/load.py
+++ b/packages/gateway/src/radishcourse_gateway/load.py
@@ -21,7 +21,7 @@
 @dataclasses.dataclass
 class _Health:
     requests: int = 0
-    work: int = 0
+    waiting_s: float = 0.0
     failures: int = 0
     failed_share: float = 0.0
     doubted_until: float = 0.0
@@ -39,26 +39,46 @@
         return self._by_upstream.setdefault(upstream, _Health())
 
     @contextlib.contextmanager
-    def count(self, upstream: ids.UpstreamId, work: int):
-        """Counts a request while it is in progress."""
+    def count(self, upstream: ids.UpstreamId, reading_s: float):
+        """Counts a request while it is in progress.
+
+        Args:
+          upstream: The upstream that has it.
+          reading_s: Expected time to read its prompt.
+
+        Yields:
+          A function to call when the answer begins, as the prompt has been
+          read then.
+        """
         health = self._get(upstream)
         health.requests += 1
-        health.work += work
+        health.waiting_s += reading_s
+        waiting = [reading_s]
+
+        def begin() -> None:
+            if waiting:
+                health.waiting_s -= waiting.pop()
+
         try:
-            yield
+            yield begin
         finally:
+            begin()
             health.requests -= 1
-            health.work -= work
+            if not health.requests:
+                # Sums of floats drift.
+                health.waiting_s = 0.0
 
-    def own(self, upstream: ids.UpstreamId) -> tuple[int, int]:
-        """Returns this node's requests and work at an upstream."""
+    def own(self, upstream: ids.UpstreamId) -> tuple[int, float]:
+        """Returns this node's requests at an upstream and their wait."""
         health = self._by_upstream.get(upstream)
-        return (health.requests, health.work) if health else (0, 0)
+        return (health.requests, health.waiting_s) if health else (0, 0.0)
 
     def told(self) -> list[ttypes.UpstreamWork]:
         """Returns what other nodes are told."""
         return [
-            ttypes.UpstreamWork(upstream, health.requests, health.work)
+            ttypes.UpstreamWork(
+                upstream, health.requests, int(1000 * health.waiting_s)
+            )
             for upstream, health in self._by_upstream.items()
             if health.requests
         ]
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import itertools
 import secrets
 import zlib
 
@@ -27,8 +26,10 @@
 
 # Two rounds and a change at a watcher stay well below the shortest bound
 # (2 s) within which a change must be in force.
-ROUND_S = 0.4
-FANOUT = 2
+ROUND_S = 0.3
+# Loads at upstreams are told in the same round; in a small fleet each node
+# hears of nearly all others, in a large one of a sample.
+FANOUT = 6
 CALL_TIMEOUT_S = 0.6
 # A node that was not heard of for this long is taken as gone.
 ALIVE_S = 3.0
@@ -48,7 +49,9 @@
       zone: Its availability zone.
       address: Where it answers peers.
       heard_at: When it was last known to live.
-      work: Requests and prompt tokens in progress, by upstream.
+      work: Requests in progress and seconds of prompts that wait to be
+        read, by upstream.
+      told_at: When it told of its work.
     """
 
     node: ids.NodeId
@@ -56,16 +59,17 @@
     zone: ids.ZoneId
     address: str
     heard_at: float
-    work: dict[ids.UpstreamId, tuple[int, int]] = dataclasses.field(
+    work: dict[ids.UpstreamId, tuple[int, float]] = dataclasses.field(
         default_factory=dict
     )
+    told_at: float = 0.0
 
 
 class Peers:
     """The other nodes, and the exchange with them.
 
     Args:
-      settings: This node's settings.
+      current: This node's settings.
       clock: Source of time.
       random: Source of randomness.
       replica: Rows to exchange.
@@ -74,24 +78,23 @@
 
     def __init__(
         self,
-        settings: gateway_settings.Settings,
+        current: gateway_settings.Current,
         clock,
         random,
         replica: records.Replica,
         view: views.View,
     ):
-        self._settings = settings
+        self._current = current
         self._clock = clock
         self._random = random
         self._replica = replica
         self._view = view
         self._peers: dict[str, Peer] = {}
-        self._turn = itertools.count()
         self.incarnation = ids.Incarnation(secrets.token_hex(6))
         own = credentials.Credentials(
-            settings.node,
+            current.value.node,
             self.incarnation,
-            {_KEY: settings.peer_key},
+            {_KEY: current.value.peer_key},
             _KEY,
         )
         self._client = peer_client.Client(own)
@@ -100,6 +103,10 @@
         self.rollouts = None
         self.load = None
 
+    @property
+    def _settings(self) -> gateway_settings.Settings:
+        return self._current.value
+
     @property
     def alive(self) -> list[Peer]:
         """Nodes that were heard of lately."""
@@ -120,14 +127,20 @@
         )
         return ahead < WATCHERS
 
-    def work(self, upstream: ids.UpstreamId) -> tuple[int, int]:
-        """Returns requests and work of all other nodes at an upstream."""
-        requests = tokens = 0
+    def work(self, upstream: ids.UpstreamId) -> tuple[int, float]:
+        """Returns what all other nodes have at an upstream.
+
+        Returns:
+          Requests in progress, and seconds of prompts that wait. What was
+          told some time ago has been read in part since.
+        """
+        now = self._clock.now()
+        requests, waiting_s = 0, 0.0
         for peer in self.alive:
-            count, size = peer.work.get(upstream, (0, 0))
+            count, seconds = peer.work.get(upstream, (0, 0.0))
             requests += count
-            tokens += size
-        return requests, tokens
+            waiting_s += max(0.0, seconds - (now - peer.told_at))
+        return requests, waiting_s
 
     async def run(self) -> None:
         """Asks peers in rounds until cancelled."""
@@ -138,18 +151,12 @@
             await anyio.sleep(ROUND_S)
 
     def _targets(self) -> list[str]:
-        """Returns the peers of a round: one in turn, the others at random."""
+        """Returns the peers of a round; all of a small fleet."""
         known = sorted(peer.address for peer in self.alive)
-        own = self._settings.peer_listen
-        seeds = [seed for seed in self._settings.seeds if seed != own]
-        if len(known) < FANOUT:
-            known = sorted({*known, *seeds})
         if not known:
-            return []
-        first = known[next(self._turn) % len(known)]
-        others = [address for address in known if address != first]
-        drawn = self._random.sample(others, min(FANOUT - 1, len(others)))
-        return [first, *drawn]
+            own = self._settings.peer_listen
+            known = [seed for seed in self._settings.seeds if seed != own]
+        return self._random.sample(known, min(FANOUT, len(known)))
 
     async def _pull(self, address: str) -> None:
         asked_at = self._clock.now()
@@ -258,8 +265,12 @@
             self._hear(told, now, direct=False)
         self._take_rows(reply, asked_at)
         if peer is not None:
+            peer.told_at = now
             peer.work = {
-                ids.UpstreamId(item.upstream): (item.requests, item.work)
+                ids.UpstreamId(item.upstream): (
+                    item.requests,
+                    item.waiting_ms / 1000,
+                )
                 for item in reply.work or ()
             }
         if self.rollouts is not None:
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -76,7 +76,7 @@
 
     def __init__(self, gateway):
         self._clock = gateway.environment.clock
-        self._settings = gateway.settings
+        self._current = gateway.current
         self._view: views.View = gateway.view
         self._peers = gateway.peers
         self._store: ports.Store = gateway.store
@@ -128,7 +128,7 @@
         part = canary.part(
             self._age_s(trial),
             trial.order.within_s,
-            self._settings.bounds.exposure_share,
+            self._current.value.bounds.exposure_share,
         )
         place = canary.place(session, trial.order.service, trial.version)
         return place < part
@@ -232,7 +232,7 @@
             await self._publish(trial)
 
     def _place(self) -> int:
-        own = spread.rank('publish', self._settings.node)
+        own = spread.rank('publish', self._current.value.node)
         return sum(
             spread.rank('publish', peer.node) > own
             for peer in self._peers.alive
--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -67,3 +67,42 @@
     memory_bytes: schema.Size = 256 * 2**20
     value_per_1k_tokens: Number = 0.45
     bounds: Bounds = Bounds()
+
+
+class Current:
+    """The settings in force, which change while the process runs.
+
+    Attributes:
+      value: The newest settings.
+    """
+
+    def __init__(self, value: Settings):
+        self.value = value
+
+    def replace(self, value: Settings) -> list[str]:
+        """Puts new settings in force and returns the names that changed.
+
+        A process keeps its name and its addresses for its life.
+        """
+        before = self.value
+        self.value = msgspec.structs.replace(
+            value,
+            **{name: getattr(before, name) for name in _FIXED},
+        )
+        return [
+            name
+            for name in value.__struct_fields__
+            if getattr(before, name) != getattr(self.value, name)
+        ]
+
+
+_FIXED = (
+    'node',
+    'zone',
+    'listen',
+    'probe_listen',
+    'peer_listen',
+    'metrics_listen',
+    'platform',
+    'peer_key',
+)
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -8,6 +8,7 @@
 from radishcourse_model import ids
 from radishcourse_policy import canary
 from radishcourse_policy import coldrate
+from radishcourse_policy import prefill
 from radishcourse_policy import spread
 
 # When nothing can serve a request, an upstream may be listed again after
@@ -50,11 +51,12 @@
     def __init__(self, gateway):
         self._clock = gateway.environment.clock
         self._random = gateway.environment.random
-        self._bounds = gateway.settings.bounds
+        self._current = gateway.current
         self._view: views.View = gateway.view
         self._load = gateway.load
         self._peers = gateway.peers
         self._rollouts = gateway.rollouts
+        self._speeds = prefill.Speeds()
 
     def choose(self, request: inbound.Inbound, plan: Plan) -> views.Listed:
         """Returns the upstream for the next attempt.
@@ -77,8 +79,7 @@
         while by_id:
             chosen = spread.choose(
                 [self._describe(item) for item in by_id.values()],
-                request.cached_key,
-                request.cached_tokens,
+                self._prompt(request, plan),
                 self._random,
             )
             listed = by_id.pop(chosen.upstream)
@@ -107,16 +108,49 @@
 
     def _describe(self, listed: views.Listed) -> spread.Candidate:
         upstream = listed.upstream.upstream_id
-        requests, work = self._load.own(upstream)
-        others, others_work = self._peers.work(upstream)
+        requests, waiting_s = self._load.own(upstream)
+        others, others_s = self._peers.work(upstream)
         return spread.Candidate(
             upstream,
-            work + others_work,
+            waiting_s + others_s,
             requests + others,
             listed.upstream.slots,
             self._load.is_doubted(upstream),
         )
 
+    def reading_s(self, request: inbound.Inbound, plan: Plan) -> float:
+        """Returns the expected time to read a request's prompt."""
+        if request.size is None:
+            return 0.0
+        return self._speeds.seconds(
+            plan.service, plan.model or '', prefill.weight(request.size.prompt)
+        )
+
+    def _prompt(self, request: inbound.Inbound, plan: Plan) -> spread.Prompt:
+        if request.cached_key is None or request.size is None:
+            return spread.Prompt()
+        size = request.size
+        saved = prefill.weight(size.prompt) - prefill.weight(
+            size.prompt, request.cached_tokens
+        )
+        # Models do not share what they have cached.
+        return spread.Prompt(
+            f'{plan.model}/{request.cached_key}',
+            self._speeds.seconds(plan.service, plan.model or '', saved),
+        )
+
+    def note_head(
+        self, request: inbound.Inbound, plan: Plan, seconds: float
+    ) -> None:
+        """Learns from the time until an answer began."""
+        if request.size is not None:
+            self._speeds.note(
+                plan.service,
+                plan.model or '',
+                prefill.weight(request.size.prompt),
+                seconds,
+            )
+
     def _may_send(self, listed: views.Listed) -> bool:
         if self._clock.now() >= listed.cold_until:
             return True
@@ -124,10 +158,11 @@
         service = directory and directory.services.get(listed.upstream.service)
         if service is None or not service.cold_per_s:
             return True
+        bounds = self._current.value.bounds
         per_s, burst = coldrate.parts(
             service.cold_per_s,
-            self._bounds.cold_excess,
-            self._bounds.cold_slack,
+            bounds.cold_excess,
+            bounds.cold_slack,
             self._peers.fleet or coldrate.UNKNOWN_FLEET,
         )
         return self._load.take_cold(listed.upstream.upstream_id, per_s, burst)
--- a/packages/policy/src/radishcourse_policy/spread.py
+++ b/packages/policy/src/radishcourse_policy/spread.py
@@ -1,12 +1,14 @@
-"""Choice of the upstream for an attempt, from what all nodes have sent.
+"""Choice of the upstream for an attempt: the least expected wait.
 
-Upstreams are compared by the work that they hold. A prompt has a preferred
-upstream, found by rendezvous hashing of its shared part, that is likely to
-have it cached; it is taken unless it is clearly busier than the others, so
-that one popular prompt does not overload an upstream.
+All nodes know roughly what waits at each upstream, some tenths of a second
+late. If each took the upstream that looks best, all would take the same
+one; so each compares a few that are drawn at random. A prompt has a
+preferred upstream, found by rendezvous hashing of its shared part, that is
+likely to have that part cached; it is always among those compared.
 
-Load pattern: many prompts with shared parts, some very long, and bursts in
-which one part gets a quarter of a kind's requests.
+Load pattern: many prompts with shared parts, a few of them so long that
+they hold up an upstream for seconds, and bursts in which one part gets a
+quarter of a kind's requests.
 """
 
 import dataclasses
@@ -15,13 +17,11 @@
 
 from radishcourse_model import ids
 
-# A cached part saves its own tokens; the preferred upstream may hold more
-# work than the least busy one by this factor of that.
-CACHE_TRUST = 1.0
-# Work of a request for each output token, in prompt tokens: a step of a
-# batch takes 2 ms and more, in which 140 prompt tokens a ms are read.
-OUTPUT_WORK = 20
+# Upstreams compared besides the preferred one.
 DRAWN = 2
+# Each request in progress slows the steps of the others a little; this
+# spreads them while nothing waits.
+SECONDS_PER_REQUEST = 0.01
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,63 +30,64 @@
 
     Attributes:
       upstream: The upstream.
-      work: Work in progress there, of all nodes, in prompt tokens.
+      waiting_s: Expected time to read the prompts that wait there, of all
+        nodes.
       in_flight: Requests in progress there, of all nodes.
       slots: Requests that it runs at once.
       doubtful: Whether its latest requests failed.
     """
 
     upstream: ids.UpstreamId
-    work: float
+    waiting_s: float
     in_flight: int
     slots: int
     doubtful: bool = False
 
 
-def work_of(prompt: int, output: int) -> float:
-    """Returns the work of a request in prompt tokens."""
-    return prompt + OUTPUT_WORK * output
+@dataclasses.dataclass(frozen=True)
+class Prompt:
+    """What a request would save at its preferred upstream.
+
+    Attributes:
+      key: Names the shared part of its prompt; None without one.
+      saved_s: Time that a cached part saves.
+    """
+
+    key: str | None = None
+    saved_s: float = 0.0
 
 
 def choose(
-    candidates: list[Candidate],
-    cached_key: str | None,
-    cached_tokens: int,
-    source: random.Random,
+    candidates: list[Candidate], prompt: Prompt, source: random.Random
 ) -> Candidate | None:
     """Returns the upstream to send a request to.
 
     Args:
       candidates: Upstreams that may take it.
-      cached_key: Names the shared part of its prompt; None without one.
-      cached_tokens: Tokens of that part.
-      source: Breaks ties between equally busy upstreams.
+      prompt: The request's prompt.
+      source: Draws the upstreams that are compared.
     """
     sound = [item for item in candidates if not item.doubtful] or candidates
     free = [item for item in sound if item.in_flight < item.slots] or sound
     if not free:
         return None
-    if cached_key is None:
-        drawn = source.sample(free, len(free))
-        return min(drawn, key=_load)
-    ranked = sorted(
-        free,
-        key=lambda item: rank(cached_key, item.upstream),
-        reverse=True,
-    )
-    allowed = CACHE_TRUST * cached_tokens
-    costs = {
-        item.upstream: item.work + (0 if place == 0 else allowed)
-        for place, item in enumerate(ranked)
-    }
-    return min(ranked, key=lambda item: costs[item.upstream])
+    preferred = None
+    if prompt.key is not None:
+        preferred = max(free, key=lambda item: rank(prompt.key, item.upstream))
+    drawn = source.sample(free, min(DRAWN, len(free)))
+    if preferred is not None:
+        drawn.append(preferred)
+
+    def expected_s(item: Candidate) -> float:
+        saved_s = prompt.saved_s if item is preferred else 0.0
+        load_s = SECONDS_PER_REQUEST * item.in_flight
+        full_s = max(0, item.in_flight - item.slots)
+        return item.waiting_s + load_s + full_s - saved_s
+
+    return min(drawn, key=expected_s)
 
 
 def rank(key: str, upstream: ids.UpstreamId) -> int:
     """Returns an upstream's place for a key (rendezvous hashing)."""
     data = f'{key}/{upstream}'.encode()
     return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), 'big')
-
-
-def _load(item: Candidate) -> float:
-    return item.in_flight / max(1, item.slots)
--- a/packages/standins/src/radishcourse_standins/processes.py
+++ b/packages/standins/src/radishcourse_standins/processes.py
@@ -4,6 +4,7 @@
 import dataclasses
 import fcntl
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -31,17 +32,19 @@
       port: Port on 127.0.0.1 on which it answers HTTP.
       popen: The process.
       log: File with its standard error.
+      host: IP address on which it answers.
     """
 
     name: str
     port: int
     popen: subprocess.Popen
     log: pathlib.Path
+    host: str = '127.0.0.1'
 
     @property
     def address(self) -> str:
         """IP address and port."""
-        return f'127.0.0.1:{self.port}'
+        return f'{self.host}:{self.port}'
 
     @property
     def url(self) -> str:
@@ -107,7 +110,28 @@
         ]
         return self._start(settings['node'], port, arguments)
 
-    def _start(self, name: str, port: int, arguments) -> Process:
+    def adapter(
+        self, name: str, host: str, port: int, settings: str
+    ) -> Process:
+        """Starts a gateway with settings of the users' platform."""
+        path = self._folder / f'{name}.toml'
+        path.write_text(settings)
+        return self._start(
+            name,
+            port,
+            ['-m', 'radishcourse_adapter'],
+            host,
+            {'RADISHCOURSE_NODE_FILE': str(path)},
+        )
+
+    def _start(
+        self,
+        name: str,
+        port: int,
+        arguments: list[str],
+        host: str = '127.0.0.1',
+        variables: dict[str, str] | None = None,
+    ) -> Process:
         log = self._folder / f'{name}-{port}.log'
         with log.open('ab') as stderr:
             popen = subprocess.Popen(
@@ -115,8 +139,9 @@
                 stdin=subprocess.DEVNULL,
                 stdout=stderr,
                 stderr=stderr,
+                env={**os.environ, **(variables or {})},
             )
-        process = Process(name, port, popen, log)
+        process = Process(name, port, popen, log, host)
         self._started.append(process)
         return process
 
--- /dev/null
+++ b/packages/standins/src/radishcourse_standins/rowstore.py
@@ -0,0 +1,197 @@
+"""Stand-in for the store of the users' platform: rows and their feed."""
+
+import base64
+import enum
+
+import anyio
+import fire
+import msgspec
+
+from radishcourse_standins import asgi
+
+HANG_S = 60.0
+
+
+class Mode(enum.Enum):
+    """How the store answers.
+
+    BUSY refuses calls with 503, HANG never answers, LOSE performs writes
+    and closes the connection.
+    """
+
+    UP = 'up'
+    BUSY = 'busy'
+    HANG = 'hang'
+    LOSE = 'lose'
+
+
+class Row(msgspec.Struct, omit_defaults=True):
+    """A row as the calls carry it; `value` is base64."""
+
+    table: str
+    key: str
+    ver: int = 0
+    value: str | None = None
+    part: str = ''
+    deleted: bool = False
+
+
+class _Transaction(msgspec.Struct, rename='camel'):
+    expect_rev: list[Row] = []
+    writes: list[Row] = []
+    remove: list[Row] = []
+
+
+class _Put(msgspec.Struct):
+    table: str
+    key: str
+    value: object = None
+
+
+class Faults(msgspec.Struct):
+    """What `POST /control/faults` sets.
+
+    Attributes:
+      mode: How the store answers.
+      refused: Clients' addresses that get 503 whatever the mode.
+    """
+
+    mode: Mode = Mode.UP
+    refused: list[str] = []
+
+
+class Store:
+    """The HTTP interface of the stand-in."""
+
+    def __init__(self):
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._version = 0
+        self._kept_from = 0
+        self._changed = anyio.Event()
+        self._faults = Faults()
+        self._calls = 0
+        self.app = asgi.App()
+        for method, path, handler in (
+            ('GET', '/v1/rows-get', self._get),
+            ('GET', '/v1/rows-feed', self._feed),
+            ('POST', '/v1/rows-tx', self._transact),
+            ('POST', '/control/put', self._put),
+            ('POST', '/control/faults', self._set_faults),
+            ('POST', '/control/compact', self._compact),
+            ('GET', '/control/rows', self._list),
+        ):
+            self.app.route(method, path)(handler)
+
+    async def _gate(self, request: asgi.Request) -> asgi.Response | None:
+        self._calls += 1
+        refused = request.headers.get('x-forwarded-for') in self._faults.refused
+        if self._faults.mode is Mode.BUSY or refused:
+            return asgi.reply({'error': 'busy'}, 503)
+        if self._faults.mode is Mode.HANG:
+            await anyio.sleep(HANG_S)
+        return None
+
+    def _answer(self, rows: list[Row], status: int = 200) -> asgi.Response:
+        return asgi.reply(
+            {
+                'rows': rows,
+                'morePages': False,
+                'ver': self._version,
+                'nowMs': int(1000 * anyio.current_time()),
+            },
+            status,
+        )
+
+    async def _get(self, request: asgi.Request) -> asgi.Response:
+        if refusal := await self._gate(request):
+            return refusal
+        start = request.query.get('from', '')
+        limit = int(request.query.get('limit', '500'))
+        rows = [
+            row
+            for (table, key), row in sorted(self._rows.items())
+            if table == request.query['table']
+            and key >= start
+            and not row.deleted
+        ]
+        return self._answer(rows[:limit])
+
+    async def _feed(self, request: asgi.Request) -> asgi.Response:
+        if refusal := await self._gate(request):
+            return refusal
+        since = int(request.query['sinceRev'])
+        if since < self._kept_from:
+            return asgi.reply({'error': 'history is gone'}, 410)
+        with anyio.move_on_after(int(request.query['waitMs']) / 1000):
+            while not self._after(request.query['table'], since):
+                await self._changed.wait()
+        return self._answer(self._after(request.query['table'], since))
+
+    def _after(self, table: str, since: int) -> list[Row]:
+        rows = [
+            row
+            for row in self._rows.values()
+            if row.table == table and row.ver > since
+        ]
+        return sorted(rows, key=lambda row: row.ver)
+
+    async def _transact(self, request: asgi.Request) -> asgi.Response:
+        if refusal := await self._gate(request):
+            return refusal
+        transaction = request.json(_Transaction)
+        for row in transaction.expect_rev:
+            known = self._rows.get((row.table, row.key))
+            there = known.ver if known and not known.deleted else 0
+            if there != row.ver:
+                return self._answer([known] if known else [], 412)
+        self._version += 1
+        for row in transaction.writes:
+            self._write(row.table, row.key, row.value)
+        for row in transaction.remove:
+            self._write(row.table, row.key, None)
+        if self._faults.mode is Mode.LOSE:
+            raise asgi.DropConnection
+        return self._answer([])
+
+    def _write(self, table: str, key: str, value: str | None) -> None:
+        self._rows[(table, key)] = Row(
+            table, key, self._version, value, deleted=value is None
+        )
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _put(self, request: asgi.Request) -> asgi.Response:
+        put = request.json(_Put)
+        self._version += 1
+        value = None
+        if isinstance(put.value, str):
+            # Text is stored as it is, so that rows can be unreadable.
+            value = base64.b64encode(put.value.encode()).decode()
+        elif put.value is not None:
+            value = base64.b64encode(msgspec.json.encode(put.value)).decode()
+        self._write(put.table, put.key, value)
+        return self._answer([])
+
+    async def _set_faults(self, request: asgi.Request) -> asgi.Response:
+        self._faults = request.json(Faults)
+        return asgi.reply({})
+
+    async def _compact(self, request: asgi.Request) -> asgi.Response:
+        del request
+        self._kept_from = self._version
+        return asgi.reply({})
+
+    async def _list(self, request: asgi.Request) -> asgi.Response:
+        del request
+        return asgi.reply(
+            {'rows': list(self._rows.values()), 'calls': self._calls}
+        )
+
+
+def main(port: int, host: str = '127.0.0.1') -> None:
+    """Serves the stand-in."""
+    anyio.run(asgi.serve, Store().app, host, port)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -180,11 +180,12 @@
   5: i64 since_ms
 }
 
-// Work that a node has in progress at an upstream, in prompt tokens.
+// Requests that a node has in progress at an upstream, and the expected time
+// to read those of their prompts that wait.
 struct UpstreamWork {
   1: string upstream
   2: i32 requests
-  3: i64 work
+  3: i32 waiting_ms
 }
 
 struct Sync {
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2593,21 +2593,21 @@
     Attributes:
      - upstream
      - requests
-     - work
+     - waiting_ms
 
     """
 
     __slots__ = (
         'upstream',
         'requests',
-        'work',
+        'waiting_ms',
     )
 
 
-    def __init__(self, upstream=None, requests=None, work=None,):
+    def __init__(self, upstream=None, requests=None, waiting_ms=None,):
         self.upstream = upstream
         self.requests = requests
-        self.work = work
+        self.waiting_ms = waiting_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2629,8 +2629,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.work = iprot.readI64()
+                if ftype == TType.I32:
+                    self.waiting_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2651,9 +2651,9 @@
             oprot.writeFieldBegin('requests', TType.I32, 2)
             oprot.writeI32(self.requests)
             oprot.writeFieldEnd()
-        if self.work is not None:
-            oprot.writeFieldBegin('work', TType.I64, 3)
-            oprot.writeI64(self.work)
+        if self.waiting_ms is not None:
+            oprot.writeFieldBegin('waiting_ms', TType.I32, 3)
+            oprot.writeI32(self.waiting_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3158,7 +3158,7 @@
     None,  # 0
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.I32, 'requests', None, None, ),  # 2
-    (3, TType.I64, 'work', None, None, ),  # 3
+    (3, TType.I32, 'waiting_ms', None, None, ),  # 3
 )
 all_structs.append(Sync)
 Sync.thrift_spec = (
--- /dev/null
+++ b/tests/site.py
@@ -0,0 +1,351 @@
+"""A small site of the users' platform: store, workers and gateways.
+
+Each gateway reaches the store through a link of the fault-injecting proxy
+and has a loopback address of its own, as the metrics' port is the same on
+all of them.
+"""
+
+import contextlib
+import http.client
+import itertools
+import json
+import os
+import pathlib
+import socket
+import tempfile
+import time
+
+from radishcourse_standins import processes
+
+HOST = 'site.example'
+KEY = 'key-of-the-first-organisation'
+OTHER_KEY = 'key-of-the-second-organisation'
+ZONES = ('zone-a', 'zone-b')
+BUDGET_MS = 5000
+_octets = itertools.count(1)
+
+
+def route(name: str, prefix: str, kind: str, service: str, **fields) -> dict:
+    """Returns a route of a manifest."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'service': service,
+        'timeoutMs': 4000,
+        'goalMs': 400,
+        'priority': 1,
+        'maxAttempts': 3,
+        'anonymous': False,
+        **fields,
+    }
+
+
+def manifest(version: int = 1, **fields) -> dict:
+    """Returns a manifest with a service and an engine."""
+    stream = {'streamResume': True, 'gapTargetMs': 500, 'affinity': True}
+    return {
+        'version': version,
+        'routes': [
+            route('order', '/order/', 'non_idempotent', 'desk'),
+            route('stock', '/stock/', 'idempotent', 'desk'),
+            route('draft', '/draft/', 'stream', 'engine', **stream),
+            route(
+                'sized',
+                '/sized/',
+                'stream',
+                'engine',
+                sizes=['small', 'large'],
+                **stream,
+            ),
+        ],
+        'services': [
+            {'name': 'desk', 'healthPath': '/health', 'maxConns': 100},
+            {
+                'name': 'engine',
+                'maxConns': 100,
+                'coldStartS': 3.0,
+                'coldPerS': 5.0,
+                'engine': {
+                    'slots': 8,
+                    'kvCapacity': 100_000,
+                    'models': [
+                        {'name': 'small', 'cost': 0.02},
+                        {'name': 'large', 'cost': 0.2},
+                    ],
+                },
+            },
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 65536,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [
+            {'name': 'first', 'apiKeys': [KEY], 'priority': 2},
+            {'name': 'second', 'apiKeys': [OTHER_KEY]},
+        ],
+        **fields,
+    }
+
+
+class Site:
+    """Store, workers and gateways as processes.
+
+    Attributes:
+      gateways: Gateways by name.
+      workers: Workers by id.
+    """
+
+    def __init__(self, started: processes.Processes):
+        self._started = started
+        self.store = started.stand_in('rowstore')
+        self.proxy = started.stand_in('proxy')
+        self.gateways: dict[str, processes.Process] = {}
+        self.workers: dict[str, processes.Process] = {}
+        self._requests = itertools.count(1)
+        self._seeds: list[str] = []
+        for process in (self.store, self.proxy):
+            processes.wait_http(process, '/control/counts', None)
+
+    def control(self, process, path: str, body: object = None) -> dict:
+        """Calls a control page of a stand-in."""
+        connection = http.client.HTTPConnection(
+            process.host, process.port, timeout=10
+        )
+        with contextlib.closing(connection):
+            method = 'GET' if body is None else 'POST'
+            data = None if body is None else json.dumps(body)
+            connection.request(method, f'/control/{path}', data)
+            return json.loads(connection.getresponse().read() or b'{}')
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Writes a row as the operator or a worker does."""
+        row = {'table': table, 'key': key, 'value': value}
+        self.control(self.store, 'put', row)
+
+    def configure(self, **fields) -> None:
+        """Writes a manifest."""
+        self.put('op', 'config', manifest(**fields))
+
+    def worker(self, name: str, service: str, **fields) -> processes.Process:
+        """Starts a worker and writes its entry."""
+        process = self._started.stand_in(
+            'worker', name, worker=name, stream=service == 'engine'
+        )
+        self.workers[name] = process
+        self.enter(name, service, **fields)
+        return process
+
+    def enter(self, name: str, service: str, **fields) -> None:
+        """Writes a worker's entry."""
+        entry = {
+            'service': service,
+            'address': self.workers[name].address,
+            'zone': ZONES[0],
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'coldLeftMs': 0,
+            'born': 1,
+            **fields,
+        }
+        self.put('servers', name, entry)
+
+    def behave(self, name: str, **settings) -> None:
+        """Sets the behaviour of a worker."""
+        self.control(self.workers[name], 'settings', settings)
+
+    def runs(self, *names: str) -> list[dict]:
+        """Returns the requests that workers ran."""
+        return [
+            run
+            for name in names or self.workers
+            for run in self.control(self.workers[name], 'state')['runs']
+        ]
+
+    def gateway(self, name: str) -> processes.Process:
+        """Starts a gateway, reachable at an address of its own."""
+        host = f'127.{1 + os.getpid() % 200}.0.{next(_octets)}'
+        front, ready, peer = (processes.free_port() for _ in range(3))
+        link = processes.free_port()
+        self.control(
+            self.proxy,
+            'links',
+            [{'name': name, 'port': link, 'target': self.store.address}],
+        )
+        settings = f"""
+node = "{name}"
+ip = "{host}"
+zone = "{ZONES[len(self.gateways) % len(ZONES)]}"
+seeds = {json.dumps(self._seeds)}
+unknown = "fields that are new"
+[zones]
+zone-a = "region"
+zone-b = "region"
+[listen]
+front = "{host}:{front}"
+readiness = "{host}:{ready}"
+control = "{host}:{peer}"
+[limits]
+memoryMb = 200
+[bounds]
+graceS = 6
+budgetRatio = 0.9
+retrySlack = 56
+exposeShare = 0.15
+coldExcess = 1.5
+coldSlack = 5
+[platform]
+address = "127.0.0.1:{link}"
+"""
+        process = self._started.adapter(name, host, front, settings)
+        process.ready_port = ready
+        self.gateways[name] = process
+        self._seeds.append(f'{host}:{peer}')
+        return process
+
+    def store_fault(self, mode: str, *names: str) -> None:
+        """Sets the fault of gateways' links to the store."""
+        self.control(self.proxy, 'faults', {'links': list(names), 'mode': mode})
+
+    def wait_ready(self) -> None:
+        """Waits until all gateways are ready."""
+        for process in self.gateways.values():
+            probe = processes.Process(
+                process.name,
+                process.ready_port,
+                process.popen,
+                process.log,
+                process.host,
+            )
+            processes.wait_http(probe, '/ready')
+
+    def wait_listed(self, count: int) -> None:
+        """Waits until all gateways know a number of upstreams."""
+        wanted = f'radishcourse_upstreams_listed {count}'
+        for process in self.gateways.values():
+            page = processes.Process(
+                process.name, 9464, process.popen, process.log, process.host
+            )
+            await_true(lambda page=page: wanted in _read(page, '/metrics'))
+
+    def send(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        **headers: str | None,
+    ) -> 'Answer':
+        """Sends a request on a new connection.
+
+        Args:
+          name: The gateway.
+          method: HTTP method.
+          path: Path and query.
+          body: Its body.
+          headers: More headers; a dash stands as an underscore, None drops
+            one of the usual headers.
+        """
+        process = self.gateways[name]
+        fields = {
+            'Host': HOST,
+            'X-Request-Id': f'{name}-{next(self._requests)}',
+            'X-Time-Budget-Ms': str(BUDGET_MS),
+            'Api-Key': KEY,
+        }
+        for key, value in headers.items():
+            fields[key.replace('_', '-')] = value
+        fields = {k: v for k, v in fields.items() if v is not None}
+        connection = http.client.HTTPConnection(
+            process.host, process.port, timeout=10
+        )
+        with contextlib.closing(connection):
+            connection.request(method, path, body, fields)
+            return _answer(connection.getresponse(), fields['X-Request-Id'])
+
+    def send_and_leave(
+        self, name: str, method: str, path: str, seconds: float
+    ) -> None:
+        """Sends a request and closes the connection after some time."""
+        process = self.gateways[name]
+        head = (
+            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n'
+            f'X-Request-Id: {name}-{next(self._requests)}\r\n'
+            f'Content-Length: 0\r\n\r\n'
+        )
+        with socket.create_connection((process.host, process.port)) as raw:
+            raw.sendall(head.encode())
+            time.sleep(seconds)
+
+    def log(self, name: str) -> list[dict]:
+        """Returns the log lines of a gateway."""
+        lines = self.gateways[name].log.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
+
+class Answer:
+    """An answer; `whole` tells whether it is complete."""
+
+    def __init__(self, status, headers, body: bytes, whole: bool, request):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+        self.request = request
+
+
+def _answer(response: http.client.HTTPResponse, request: str) -> Answer:
+    try:
+        body, whole = response.read(), True
+    except http.client.IncompleteRead as error:
+        body, whole = error.partial, False
+    return Answer(response.status, response.headers, body, whole, request)
+
+
+def _read(process: processes.Process, path: str) -> str:
+    connection = http.client.HTTPConnection(
+        process.host, process.port, timeout=10
+    )
+    with contextlib.closing(connection):
+        connection.request('GET', path)
+        return connection.getresponse().read().decode()
+
+
+def await_true(condition, seconds: float = 10.0) -> float:
+    """Waits for a condition and returns the seconds that it took.
+
+    Raises:
+      TimeoutError: It did not hold in time.
+    """
+    started_at = time.monotonic()
+    while not condition():
+        if time.monotonic() - started_at > seconds:
+            raise TimeoutError
+        time.sleep(0.02)
+    return time.monotonic() - started_at
+
+
+@contextlib.contextmanager
+def running(gateways: int = 2, **fields):
+    """Yields a site with two desks, two engines and some gateways."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        processes.started(pathlib.Path(folder)) as started,
+    ):
+        site = Site(started)
+        site.configure(**fields)
+        for name in ('desk-1', 'desk-2'):
+            site.worker(name, 'desk')
+        for name in ('engine-1', 'engine-2'):
+            site.worker(name, 'engine')
+        for number in range(gateways):
+            site.gateway(f'gateway-{number + 1}')
+        for process in site.workers.values():
+            processes.wait_http(process, '/control/state')
+        site.wait_ready()
+        site.wait_listed(len(site.workers))
+        yield site
--- /dev/null
+++ b/tests/test_gateway_fleet.py
@@ -0,0 +1,243 @@
+"""What gateways believe together: configuration, keys, zones, upstreams."""
+
+import concurrent.futures
+import signal
+import time
+
+import testtools
+
+from tests import site as sites
+
+# The shortest bounds of the users' sites, in seconds.
+CONFIGURATION_S = 2.0
+DRAINING_S = 2.0
+EVACUATION_S = 5.0
+
+
+class FleetTest(testtools.TestCase):
+    """A test with a site of its own."""
+
+    def start(self, gateways: int = 2, **fields) -> sites.Site:
+        """Returns a running site that ends with the test."""
+        running = sites.running(gateways, **fields)
+        site = running.__enter__()
+        self.addCleanup(running.__exit__, None, None, None)
+        return site
+
+    def within(self, seconds: float, site, condition) -> None:
+        """Checks that a condition holds at all gateways in time."""
+        for name in site.gateways:
+            sites.await_true(lambda name=name: condition(name), seconds)
+
+
+class ConfigurationTest(FleetTest):
+    """Guards against nodes that serve by an old configuration."""
+
+    def test_new_route_and_withdrawn_key_are_in_force_everywhere(self):
+        site = self.start(3)
+        site.configure(
+            version=2,
+            routes=[sites.route('new', '/new/', 'idempotent', 'desk')],
+            tenants=[{'name': 'second', 'apiKeys': [sites.OTHER_KEY]}],
+        )
+        key = {'Api_Key': sites.OTHER_KEY}
+        self.within(
+            CONFIGURATION_S,
+            site,
+            lambda name: site.send(name, 'GET', '/new/1', **key).status == 200,
+        )
+        for name in site.gateways:
+            self.assertEqual(401, site.send(name, 'GET', '/new/1').status)
+            answer = site.send(name, 'GET', '/stock/1', **key)
+            self.assertEqual(404, answer.status)
+
+    def test_node_that_the_store_does_not_serve_learns_from_others(self):
+        for mode in ('refuse', 'blackhole'):
+            site = self.start(3)
+            site.store_fault(mode, 'gateway-2')
+            site.configure(version=2, routes=[])
+            self.within(
+                CONFIGURATION_S + 5.0,
+                site,
+                lambda name, site=site: (
+                    site.send(name, 'GET', '/stock/1').status == 404
+                ),
+            )
+
+    def test_older_version_never_replaces_a_newer_one(self):
+        site = self.start(1)
+        site.configure(version=5, routes=[])
+        self.within(
+            CONFIGURATION_S,
+            site,
+            lambda name: site.send(name, 'GET', '/stock/1').status == 404,
+        )
+        site.configure(version=4)
+        time.sleep(1.0)
+        answer = site.send('gateway-1', 'GET', '/stock/1')
+        self.assertEqual(404, answer.status)
+
+    def test_row_that_can_not_be_read_leaves_the_last_one_in_force(self):
+        site = self.start(1)
+        site.put('op', 'config', '{"version": 7, "routes": "none"}')
+        site.put('servers', 'odd', '\\xff not JSON')
+        sites.await_true(
+            lambda: (
+                len(
+                    [
+                        line
+                        for line in site.log('gateway-1')
+                        if line['message_type'] == 'record_unreadable'
+                    ]
+                )
+                == 2
+            )
+        )
+        answer = site.send('gateway-1', 'GET', '/stock/1')
+        self.assertEqual(200, answer.status)
+
+    def test_changes_whose_history_is_gone_are_read_as_a_whole(self):
+        site = self.start(1)
+        site.store_fault('blackhole', 'gateway-1')
+        time.sleep(0.2)
+        site.configure(version=2, routes=[])
+        site.put('servers', 'desk-1', None)
+        site.control(site.store, 'compact', {})
+        site.store_fault('pass', 'gateway-1')
+        self.within(
+            2 * CONFIGURATION_S,
+            site,
+            lambda name: site.send(name, 'GET', '/stock/1').status == 404,
+        )
+
+    def test_started_node_without_a_store_learns_from_others(self):
+        site = self.start(1)
+        site.gateway('late')
+        site.store_fault('refuse', 'late')
+        site.wait_ready()
+        self.assertEqual(200, site.send('late', 'GET', '/stock/1').status)
+
+
+class UpstreamTest(FleetTest):
+    """Guards against new work for upstreams that leave or are taken out."""
+
+    def _await_only(self, site, wanted: str, bound_s: float) -> None:
+        """Waits for the bound and checks who serves after it."""
+        time.sleep(bound_s)
+        for number in range(6):
+            for name in site.gateways:
+                answer = site.send(name, 'GET', f'/stock/{number}')
+                self.assertEqual(wanted, answer.headers['x-server-stamp'])
+
+    def test_draining_upstream_gets_no_new_work(self):
+        site = self.start(2)
+        site.enter('desk-1', 'desk', state='draining')
+        self._await_only(site, 'desk-2', DRAINING_S)
+
+    def test_upstream_whose_entry_is_removed_gets_no_new_work(self):
+        site = self.start(2)
+        site.put('servers', 'desk-1', None)
+        self._await_only(site, 'desk-2', DRAINING_S)
+
+    def test_evacuated_zone_gets_no_new_work_until_it_is_back(self):
+        site = self.start(2)
+        site.enter('desk-1', 'desk', zone=sites.ZONES[1])
+        site.put('op', f'evacuate/{sites.ZONES[1]}', {})
+        self._await_only(site, 'desk-2', EVACUATION_S / 2)
+        site.put('op', f'evacuate/{sites.ZONES[1]}', None)
+        sites.await_true(
+            lambda: (
+                site.send('gateway-1', 'GET', '/stock/1').headers[
+                    'x-server-stamp'
+                ]
+                == 'desk-1'
+            )
+        )
+
+    def test_address_that_another_upstream_took_over_runs_nothing(self):
+        site = self.start(1)
+        address = site.workers['desk-2'].address
+        site.enter('desk-1', 'desk', address=address)
+        time.sleep(0.5)
+        for number in range(6):
+            answer = site.send('gateway-1', 'POST', '/order/1', b'goods')
+            self.assertEqual(200, answer.status, number)
+            self.assertEqual('desk-2', answer.headers['x-server-stamp'])
+
+    def test_cold_upstream_gets_no_more_than_it_bears(self):
+        site = self.start(2)
+        site.put('servers', 'engine-2', None)
+        site.enter('engine-1', 'engine', coldLeftMs=10_000)
+        time.sleep(1.0)
+        before = len(site.runs('engine-1'))
+        started_at = time.monotonic()
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            answers = list(
+                pool.map(
+                    lambda number: site.send(
+                        f'gateway-{1 + number % 2}', 'POST', '/draft/1', b'p'
+                    ),
+                    range(60),
+                )
+            )
+        seconds = time.monotonic() - started_at
+        ran = len(site.runs('engine-1')) - before
+        # coldPerS x coldExcess + coldSlack for each second that began.
+        self.assertLessEqual(ran, 12.5 * (1 + int(seconds)))
+        self.assertGreater(ran, 0)
+        self.assertEqual({200, 503}, {answer.status for answer in answers})
+
+
+class DrainTest(FleetTest):
+    """Guards against planned stops that cut answers."""
+
+    def test_stop_finishes_streams_and_takes_no_new_ones(self):
+        site = self.start(2)
+        for name in ('engine-1', 'engine-2'):
+            site.behave(name, events=30, event_ms=100)
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            streams = [
+                pool.submit(
+                    site.send, 'gateway-1', 'POST', '/draft/1', b'prompt'
+                )
+                for _ in range(4)
+            ]
+            time.sleep(0.5)
+            site.gateways['gateway-1'].signal(signal.SIGTERM)
+            time.sleep(0.1)
+            late = site.send('gateway-1', 'GET', '/stock/1')
+            answers = [stream.result() for stream in streams]
+        self.assertEqual('close', late.headers['connection'])
+        for answer in answers:
+            self.assertTrue(answer.whole)
+            self.assertEqual(30, answer.body.count(b'\n\n'))
+        self.assertEqual(0, site.gateways['gateway-1'].popen.wait(6))
+
+    def test_reload_signal_does_not_end_the_process(self):
+        site = self.start(1)
+        site.gateways['gateway-1'].signal(signal.SIGHUP)
+        time.sleep(0.3)
+        answer = site.send('gateway-1', 'GET', '/stock/1')
+        self.assertEqual(200, answer.status)
+
+
+class LeavingTest(FleetTest):
+    """Guards against work for callers that are gone."""
+
+    def test_upstream_learns_that_the_caller_left(self):
+        site = self.start(1)
+        for name in ('engine-1', 'engine-2'):
+            site.behave(name, events=100, event_ms=50)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            stream = pool.submit(
+                site.send_and_leave, 'gateway-1', 'POST', '/draft/1', 0.5
+            )
+            stream.result()
+
+        def left() -> bool:
+            return any(
+                site.control(site.workers[name], 'state')['left']
+                for name in ('engine-1', 'engine-2')
+            )
+
+        self.assertLess(sites.await_true(left, 2.0), 0.5 + 0.5)
