--- a/packages/gateway/src/radishcourse_gateway/edge.py
+++ b/packages/gateway/src/radishcourse_gateway/edge.py
@@ -313,6 +313,7 @@
             attempts=plan.attempts if plan else 0,
             model=plan.model if plan else None,
             version=plan.version if plan else None,
+            confidence=plan.confidence if plan else None,
             size=out.size,
             seconds=round(seconds, 3),
             first_s=round(out.started_at - request.arrived_at, 3)
--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -293,6 +293,8 @@
     def _wants_larger(self, request, plan, head) -> bool:
         models = request.route.models
         confidence = head.get(self._dialect.confidence)
+        if confidence is not None:
+            plan.confidence = float(confidence)
         if not models or plan.begun or request.size is None:
             return False
         if not self._has_more(request, plan) or confidence is None:
--- a/packages/gateway/src/radishcourse_gateway/feed.py
+++ b/packages/gateway/src/radishcourse_gateway/feed.py
@@ -21,6 +21,7 @@
 # It covers a watcher's call and the round in which others hear of it.
 CONFIRMED_S = 2.2
 IDLE_S = 0.1
+PAUSE_S = 0.2
 RETRY_S = 0.25
 MOST_RETRY_S = 1.0
 
@@ -89,6 +90,9 @@
                 changes = await self._store.read(self._table)
         self._note_reached(True)
         self._take(changes, asked_at)
+        # Changes come in groups; a short pause takes the rest of one along.
+        # A store that has nothing yet is not asked without a pause.
+        await anyio.sleep(PAUSE_S)
 
     def _take(self, changes: records.Changes, asked_at: float) -> None:
         taken = self._replica.apply(self._table, changes)
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -30,6 +30,9 @@
 # Loads at upstreams are told in the same round; in a small fleet each node
 # hears of nearly all others, in a large one of a sample.
 FANOUT = 6
+# Other nodes are told of in each such round only; it is well below the time
+# after which a node counts as gone.
+FULL_ROUNDS = 4
 CALL_TIMEOUT_S = 0.6
 # A node that was not heard of for this long is taken as gone.
 ALIVE_S = 3.0
@@ -100,6 +103,7 @@
         self._client = peer_client.Client(own)
         self.server = peer_server.Server(own, _note_reject)
         self.server.register(messages.Kind.SYNC, self._answer)
+        self._rounds = 0
         self.rollouts = None
         self.load = None
 
@@ -148,6 +152,7 @@
             async with anyio.create_task_group() as tasks:
                 for address in self._targets():
                     tasks.start_soon(self._pull, address)
+            self._rounds += 1
             await anyio.sleep(ROUND_S)
 
     def _targets(self) -> list[str]:
@@ -160,7 +165,9 @@
 
     async def _pull(self, address: str) -> None:
         asked_at = self._clock.now()
-        request = ttypes.Sync(self._describe(), self._topics())
+        request = ttypes.Sync(
+            self._describe(), self._topics(), self._rounds % FULL_ROUNDS == 0
+        )
         try:
             reply = await self._client.call(
                 address, messages.Kind.SYNC, request, CALL_TIMEOUT_S
@@ -209,7 +216,7 @@
             self._describe(),
             self._topics(),
             rows,
-            self._tell_peers(now),
+            self._tell_peers(now) if request.full else None,
             self.rollouts.reports() if self.rollouts else [],
             self.rollouts.statuses() if self.rollouts else [],
             self.load.told() if self.load else [],
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -29,6 +29,7 @@
       version: The version that answers a stream that has begun.
       last_event: Last event that the caller has, once a stream has begun.
       begun: Whether the caller has a part of the answer.
+      confidence: The latest model's opinion of its answer, 0 to 100.
     """
 
     attempts: int = 0
@@ -39,6 +40,7 @@
     version: ids.VersionId | None = None
     last_event: bytes | None = None
     begun: bool = False
+    confidence: float | None = None
 
 
 class Targets:
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -188,16 +188,18 @@
   3: i32 waiting_ms
 }
 
+// `full` asks for the nodes that the peer knows.
 struct Sync {
   1: PeerRecord sender
   2: list<TopicState> topics
+  3: bool full
 }
 
 struct SyncReply {
   1: PeerRecord sender
   2: list<TopicState> topics
   3: list<RowRecord> rows
-  4: list<PeerRecord> peers
+  4: optional list<PeerRecord> peers
   5: list<RolloutReport> reports
   6: list<RolloutStatus> statuses
   7: list<UpstreamWork> work
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2685,18 +2685,21 @@
     Attributes:
      - sender
      - topics
+     - full
 
     """
 
     __slots__ = (
         'sender',
         'topics',
+        'full',
     )
 
 
-    def __init__(self, sender=None, topics=None,):
+    def __init__(self, sender=None, topics=None, full=None,):
         self.sender = sender
         self.topics = topics
+        self.full = full
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2724,6 +2727,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.full = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2745,6 +2753,10 @@
                 iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.full is not None:
+            oprot.writeFieldBegin('full', TType.BOOL, 3)
+            oprot.writeBool(self.full)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3165,6 +3177,7 @@
     None,  # 0
     (1, TType.STRUCT, 'sender', [PeerRecord, None], None, ),  # 1
     (2, TType.LIST, 'topics', (TType.STRUCT, [TopicState, None], False), None, ),  # 2
+    (3, TType.BOOL, 'full', None, None, ),  # 3
 )
 all_structs.append(SyncReply)
 SyncReply.thrift_spec = (
