Ask a larger model by a steeper reading of confidence and by what waits

Cause: the chance that an answer is poor was read from its confidence over a spread of 60; the engines' confidence is much sharper (of 1,200 answers of the smallest model half lie below 20 or above 80), and long prompts were repeated on the slow model while others waited behind them. Ruled out: a higher or lower even point (45, 40 and 55 all lower). Change: a logistic curve of scale 4 around 50; the wait of others is priced with 8 a second of reading once prompts wait for a second.

--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -308,6 +308,8 @@
             request.size,
             costs,
             self._current.value.value_per_1k_tokens,
+            self._targets.reading_s(request, plan, models[-1]),
+            self._targets.waiting_s(plan.service),
         )
         if larger is None or not self._budget(plan.service).spend():
             return False
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -1,6 +1,7 @@
 """Finds the upstream for an attempt: version, zone, cold starts, load."""
 
 import dataclasses
+import statistics
 
 from radishcourse_gateway import errors
 from radishcourse_gateway import inbound
@@ -120,12 +121,28 @@
             self._load.is_doubted(upstream),
         )
 
-    def reading_s(self, request: inbound.Inbound, plan: Plan) -> float:
+    def reading_s(
+        self,
+        request: inbound.Inbound,
+        plan: Plan,
+        model: ids.ModelId | None = None,
+    ) -> float:
         """Returns the expected time to read a request's prompt."""
         if request.size is None:
             return 0.0
         return self._speeds.seconds(
-            plan.service, plan.model or '', prefill.weight(request.size.prompt)
+            plan.service,
+            model or plan.model or '',
+            prefill.weight(request.size.prompt),
+        )
+
+    def waiting_s(self, service: ids.ServiceId) -> float:
+        """Returns the mean time that prompts wait at a service."""
+        usable = self._view.usable(service)
+        if not usable:
+            return 0.0
+        return statistics.fmean(
+            self._describe(listed).waiting_s for listed in usable
         )
 
     def _prompt(self, request: inbound.Inbound, plan: Plan) -> spread.Prompt:
--- a/packages/policy/src/radishcourse_policy/modelchoice.py
+++ b/packages/policy/src/radishcourse_policy/modelchoice.py
@@ -4,11 +4,13 @@
 first event, tells how likely the answer is too poor; a larger model is
 asked when what a good answer is worth outweighs the larger model's cost.
 
-Load pattern: a mix of requests of which most are easy, where a large model
-costs up to fifteen times as much and takes up to ten times as long.
+Load pattern: a mix of requests of which half are easy, where a large model
+costs up to fifteen times as much and takes up to ten times as long; and
+bursts in which long prompts on a large model hold up all others.
 """
 
 import dataclasses
+import math
 
 from radishcourse_model import ids
 
@@ -19,10 +21,15 @@
 # of a prompt token against an output token in a model's cost (the contract).
 OUTPUT_WEIGHT = 10.0
 PROMPT_COST = 0.25
-# Confidence at which an answer is as likely poor as good. Opinions are
-# rough: the chance falls linearly from certain to none over the spread.
+# Confidence at which an answer is as likely poor as good, and how fast the
+# chance falls around it (a logistic curve). Half of the answers of the
+# smallest model say less than 20 or more than 80.
 EVEN_CONFIDENCE = 50.0
-SPREAD = 60.0
+SCALE = 4.0
+# What a second of reading costs the requests that wait behind it, in the
+# unit of the models' costs, once the wait is as long as the second number.
+WAIT_COST_PER_S = 8.0
+FULL_WAIT_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,8 +55,17 @@
     Args:
       confidence: The model's opinion, 0 to 100.
     """
-    chance = 0.5 + (EVEN_CONFIDENCE - confidence) / SPREAD
-    return min(1.0, max(0.0, chance))
+    return 1 / (1 + math.exp((confidence - EVEN_CONFIDENCE) / SCALE))
+
+
+def wait_cost(reading_s: float, waiting_s: float) -> float:
+    """Returns what reading a prompt costs the requests behind it.
+
+    Args:
+      reading_s: Time to read the prompt.
+      waiting_s: Time that prompts wait already.
+    """
+    return WAIT_COST_PER_S * reading_s * min(1.0, waiting_s / FULL_WAIT_S)
 
 
 def larger(
@@ -59,6 +75,8 @@
     size: Size,
     costs: dict[ids.ModelId, float],
     value_per_1k: float = VALUE_PER_1K,
+    reading_s: float = 0.0,
+    waiting_s: float = 0.0,
 ) -> ids.ModelId | None:
     """Returns the model to ask instead, None to keep the answer.
 
@@ -72,11 +90,15 @@
       size: The request's size.
       costs: Cost of a thousand tokens by model.
       value_per_1k: Value of a thousand weighted tokens.
+      reading_s: Time that the largest model takes to read the prompt.
+      waiting_s: Time that prompts wait at the upstreams now, on the mean.
     """
     largest = models[-1]
     if used == largest or confidence is None:
         return None
     gain = chance_poor(confidence) * size.value * value_per_1k
-    if gain <= size.cost(costs.get(largest, 0.0)):
+    cost = size.cost(costs.get(largest, 0.0))
+    cost += wait_cost(reading_s, waiting_s)
+    if gain <= cost:
         return None
     return largest
