Keep the version in service until a new one is ordered

Cause: a new version's upstreams are listed before its order; a node that had served nothing yet took the version with the most upstreams, so sessions reached v2 without an order: test_new_version_gets_nothing_before_it_is_ordered failed first, and test_good_version... with sessions that returned. Ruled out: the hash of sessions (places agree on all nodes). Change: each node notes the version in service from the start; one that starts late takes the version whose upstreams are the oldest. Tests of roll-outs over three gateways: completion, roll-back, lost answers of the store, two nodes killed.

--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -136,16 +136,33 @@
     def _incumbent(self, service, present) -> ids.VersionId | None:
         """Returns the version in service when nothing was ordered.
 
-        Upstreams of a new version may be listed before its order is seen.
+        Upstreams of a new version are listed before its order is seen. The
+        version in service is the one that was there before; a node that has
+        just started takes the one whose upstreams are the oldest.
         """
         if not present:
             return None
         if self._incumbents.get(service) not in present:
-            self._incumbents[service] = max(
-                present, key=lambda version: (present[version], version)
+            self._incumbents[service] = min(
+                present, key=lambda version: self._age_key(service, version)
             )
         return self._incumbents[service]
 
+    def _age_key(self, service, version) -> tuple:
+        started = min(
+            listed.upstream.started_ms
+            for listed in self._view.usable(service)
+            if listed.upstream.version == version
+        )
+        return started, version
+
+    def _note_incumbents(self) -> None:
+        """Notes the versions in service before others are listed."""
+        directory = self._view.directory
+        for service in directory.services if directory else ():
+            if service not in self._view.orders:
+                self._incumbent(service, self._view.versions(service))
+
     @contextlib.contextmanager
     def count(self, service: ids.ServiceId, version: ids.VersionId):
         """Counts a request on the old version while it is in progress."""
@@ -199,6 +216,7 @@
     async def run(self) -> None:
         """Decides and publishes until cancelled."""
         while True:
+            self._note_incumbents()
             for service in list(self._view.orders):
                 trial = self._trial(service)
                 try:
