--- a/packages/gateway/src/radishcourse_gateway/channels.py
+++ b/packages/gateway/src/radishcourse_gateway/channels.py
@@ -15,7 +15,9 @@
 
 from radishcourse_gateway import errors
 
-CONNECT_TIMEOUT_S = 0.4
+# A connection is open after one round trip and about a millisecond; a longer
+# wait means that the upstream is gone or its packets are lost.
+CONNECT_TIMEOUT_S = 0.2
 READ_BYTES = 32 * 1024
 # An upstream whose VM lost power neither answers nor closes; the kernel
 # gives a connection up after this time without an acknowledgement.
--- a/packages/gateway/src/radishcourse_gateway/load.py
+++ b/packages/gateway/src/radishcourse_gateway/load.py
@@ -79,10 +79,13 @@
         """Returns what other nodes are told."""
         return [
             ttypes.UpstreamWork(
-                upstream, health.requests, int(1000 * health.waiting_s)
+                upstream,
+                health.requests,
+                int(1000 * health.waiting_s),
+                self.is_doubted(upstream),
             )
             for upstream, health in self._by_upstream.items()
-            if health.requests
+            if health.requests or self.is_doubted(upstream)
         ]
 
     def is_doubted(self, upstream: ids.UpstreamId) -> bool:
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import secrets
+import typing
 import zlib
 
 import anyio
@@ -42,6 +43,28 @@
 _KEY = ids.KeyId('installation')
 
 
+class Work(typing.NamedTuple):
+    """What a node has at an upstream.
+
+    Attributes:
+      requests: Requests in progress.
+      waiting_s: Seconds of prompts that wait to be read.
+      doubted: Whether its latest requests there failed.
+    """
+
+    requests: int = 0
+    waiting_s: float = 0.0
+    doubted: bool = False
+
+
+class Others(typing.NamedTuple):
+    """What all other nodes have at an upstream."""
+
+    requests: int
+    waiting_s: float
+    doubters: int
+
+
 @dataclasses.dataclass
 class Peer:
     """Another node.
@@ -52,8 +75,7 @@
       zone: Its availability zone.
       address: Where it answers peers.
       heard_at: When it was last known to live.
-      work: Requests in progress and seconds of prompts that wait to be
-        read, by upstream.
+      work: What it has at upstreams.
       told_at: When it told of its work.
     """
 
@@ -62,9 +84,7 @@
     zone: ids.ZoneId
     address: str
     heard_at: float
-    work: dict[ids.UpstreamId, tuple[int, float]] = dataclasses.field(
-        default_factory=dict
-    )
+    work: dict[ids.UpstreamId, Work] = dataclasses.field(default_factory=dict)
     told_at: float = 0.0
 
 
@@ -131,20 +151,22 @@
         )
         return ahead < WATCHERS
 
-    def work(self, upstream: ids.UpstreamId) -> tuple[int, float]:
+    def work(self, upstream: ids.UpstreamId) -> Others:
         """Returns what all other nodes have at an upstream.
 
-        Returns:
-          Requests in progress, and seconds of prompts that wait. What was
-          told some time ago has been read in part since.
+        Prompts that waited when a node told of them have been read in part
+        since.
         """
         now = self._clock.now()
-        requests, waiting_s = 0, 0.0
+        requests, waiting_s, doubters = 0, 0.0, 0
         for peer in self.alive:
-            count, seconds = peer.work.get(upstream, (0, 0.0))
-            requests += count
-            waiting_s += max(0.0, seconds - (now - peer.told_at))
-        return requests, waiting_s
+            told = peer.work.get(upstream)
+            if told is None:
+                continue
+            requests += told.requests
+            waiting_s += max(0.0, told.waiting_s - (now - peer.told_at))
+            doubters += told.doubted
+        return Others(requests, waiting_s, doubters)
 
     async def run(self) -> None:
         """Asks peers in rounds until cancelled."""
@@ -274,9 +296,10 @@
         if peer is not None:
             peer.told_at = now
             peer.work = {
-                ids.UpstreamId(item.upstream): (
+                ids.UpstreamId(item.upstream): Work(
                     item.requests,
                     item.waiting_ms / 1000,
+                    bool(item.doubted),
                 )
                 for item in reply.work or ()
             }
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -15,6 +15,9 @@
 # When nothing can serve a request, an upstream may be listed again after
 # about a heartbeat; callers return spread over as much time again.
 RETRY_S = 1.0
+# Doubts of so many other nodes count as this node's own; a single one may be
+# cut off itself.
+DOUBTERS = 2
 
 
 @dataclasses.dataclass
@@ -112,13 +115,14 @@
     def _describe(self, listed: views.Listed) -> spread.Candidate:
         upstream = listed.upstream.upstream_id
         requests, waiting_s = self._load.own(upstream)
-        others, others_s = self._peers.work(upstream)
+        others = self._peers.work(upstream)
+        doubted = self._load.is_doubted(upstream)
         return spread.Candidate(
             upstream,
-            waiting_s + others_s,
-            requests + others,
+            waiting_s + others.waiting_s,
+            requests + others.requests,
             listed.upstream.slots,
-            self._load.is_doubted(upstream),
+            doubted or others.doubters >= DOUBTERS,
         )
 
     def reading_s(
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -180,12 +180,14 @@
   5: i64 since_ms
 }
 
-// Requests that a node has in progress at an upstream, and the expected time
-// to read those of their prompts that wait.
+// Requests that a node has in progress at an upstream, the expected time to
+// read those of their prompts that wait, and whether its latest requests
+// there failed.
 struct UpstreamWork {
   1: string upstream
   2: i32 requests
   3: i32 waiting_ms
+  4: bool doubted
 }
 
 // `full` asks for the nodes that the peer knows.
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2594,6 +2594,7 @@
      - upstream
      - requests
      - waiting_ms
+     - doubted
 
     """
 
@@ -2601,13 +2602,15 @@
         'upstream',
         'requests',
         'waiting_ms',
+        'doubted',
     )
 
 
-    def __init__(self, upstream=None, requests=None, waiting_ms=None,):
+    def __init__(self, upstream=None, requests=None, waiting_ms=None, doubted=None,):
         self.upstream = upstream
         self.requests = requests
         self.waiting_ms = waiting_ms
+        self.doubted = doubted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2633,6 +2636,11 @@
                     self.waiting_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.doubted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2655,6 +2663,10 @@
             oprot.writeFieldBegin('waiting_ms', TType.I32, 3)
             oprot.writeI32(self.waiting_ms)
             oprot.writeFieldEnd()
+        if self.doubted is not None:
+            oprot.writeFieldBegin('doubted', TType.BOOL, 4)
+            oprot.writeBool(self.doubted)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3171,6 +3183,7 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.I32, 'requests', None, None, ),  # 2
     (3, TType.I32, 'waiting_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'doubted', None, None, ),  # 4
 )
 all_structs.append(Sync)
 Sync.thrift_spec = (
