Find slow versions by typical times; move sessions evenly; tell less in large fleets

Slow answers were counted at 4 x the mean, which long waits had raised: 20 of 112 answers counted where half were slow. Change: times relative to the time to read the prompt, geometric mean, 3 x, against a usual share; sessions move evenly between 0.50 and 0.62 of the time; a decision to roll back is told before it is published; counts are not relayed and larger fleets ask 3 peers and have sqrt(N) followers of the store.

--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -212,7 +212,12 @@
         model = plan.model or ''
         if not not_run and head.get(self._dialect.stamp) is not None:
             self._rollouts.note(
-                listed, request.route.name, model, seconds, failed
+                listed,
+                request.route.name,
+                model,
+                seconds,
+                self._targets.reading_s(request, plan),
+                failed,
             )
         if not_run or head.status >= 500:
             await self._fail(request, plan, listed, channel, head, not_run)
--- a/packages/gateway/src/radishcourse_gateway/feed.py
+++ b/packages/gateway/src/radishcourse_gateway/feed.py
@@ -18,8 +18,8 @@
 # counts as reached again after a partition.
 WAIT_S = 1.5
 # A state that was not confirmed for this long is asked for at the store.
-# It covers a watcher's call and the round in which others hear of it.
-CONFIRMED_S = 2.2
+# It covers a watcher's call and the rounds in which others hear of it.
+CONFIRMED_S = 2.8
 IDLE_S = 0.1
 PAUSE_S = 0.2
 RETRY_S = 0.25
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import secrets
 import typing
 import zlib
@@ -28,16 +29,19 @@
 # Two rounds and a change at a watcher stay well below the shortest bound
 # (2 s) within which a change must be in force.
 ROUND_S = 0.3
-# Loads at upstreams are told in the same round; in a small fleet each node
-# hears of nearly all others, in a large one of a sample.
-FANOUT = 6
+# Nodes that are asked in a round. In a small fleet each node hears of nearly
+# all others' loads; in a large one news reach all in a few rounds.
+SMALL_FLEET = 16
+SMALL_FANOUT = 6
+FANOUT = 3
 # Other nodes are told of in each such round only; it is well below the time
 # after which a node counts as gone.
 FULL_ROUNDS = 4
 CALL_TIMEOUT_S = 0.6
 # A node that was not heard of for this long is taken as gone.
 ALIVE_S = 3.0
-# Nodes that follow the store; two may fail without a gap.
+# Nodes that follow the store, at least; two may fail without a gap. Their
+# number grows with the square root of the fleet.
 WATCHERS = 3
 MAX_PEERS_TOLD = 64
 _KEY = ids.KeyId('installation')
@@ -149,7 +153,7 @@
         ahead = sum(
             spread.rank(table.value, peer.node) > own for peer in self.alive
         )
-        return ahead < WATCHERS
+        return ahead < max(WATCHERS, math.isqrt(len(self.alive) + 1))
 
     def work(self, upstream: ids.UpstreamId) -> Others:
         """Returns what all other nodes have at an upstream.
@@ -183,7 +187,8 @@
         if not known:
             own = self._settings.peer_listen
             known = [seed for seed in self._settings.seeds if seed != own]
-        return self._random.sample(known, min(FANOUT, len(known)))
+        fanout = SMALL_FANOUT if len(known) < SMALL_FLEET else FANOUT
+        return self._random.sample(known, min(fanout, len(known)))
 
     async def _pull(self, address: str) -> None:
         asked_at = self._clock.now()
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -24,11 +24,6 @@
 TURN_S = 0.4
 # A node that hears no peer looks for a published decision this often.
 LOOK_S = 1.0
-# An answer is slow at this multiple of the old version's mean time, and at
-# least this much longer.
-SLOW_FACTOR = 4.0
-SLOW_S = 0.25
-MEAN_WEIGHT = 0.1
 _TERMINAL = (canary.RolloutState.COMPLETED, canary.RolloutState.ROLLED_BACK)
 
 
@@ -46,7 +41,6 @@
       looked_at: When the store was last asked.
       due_at: When this node publishes the decision, if nobody else did.
       tallies: This node's counts.
-      counter: Grows with each change of the counts.
       reports: Other nodes' newest counts.
       old_in_flight: Requests of this node on the old version.
     """
@@ -60,7 +54,6 @@
     looked_at: float | None = None
     due_at: float | None = None
     tallies: canary.Tallies = dataclasses.field(default_factory=dict)
-    counter: int = 0
     reports: dict[str, ttypes.RolloutReport] = dataclasses.field(
         default_factory=dict
     )
@@ -82,7 +75,7 @@
         self._store: ports.Store = gateway.store
         self._trials: dict[ids.ServiceId, _Trial] = {}
         self._incumbents: dict[ids.ServiceId, ids.VersionId] = {}
-        self._means: dict[tuple, float] = {}
+        self._durations = canary.Durations()
 
     def _trial(self, service: ids.ServiceId) -> _Trial | None:
         in_force = self._view.orders.get(service)
@@ -182,6 +175,7 @@
         route: str,
         model: str,
         seconds: float,
+        reading_s: float,
         failed: bool,
     ) -> None:
         """Counts an answer.
@@ -191,6 +185,7 @@
           route: Name of the request's route.
           model: Its model, or an empty text.
           seconds: Time until the head of the answer.
+          reading_s: Expected time to read its prompt.
           failed: Whether it was a failure.
         """
         entry = listed.upstream
@@ -198,20 +193,18 @@
         arm = canary.Arm.OLD
         if trial is not None:
             arm = views.arm_of(trial.order, entry.version)
-        key = (entry.service, route, model)
-        mean = self._means.get(key)
-        if arm is canary.Arm.OLD and not failed:
-            mean = seconds if mean is None else mean
-            self._means[key] = mean + MEAN_WEIGHT * (seconds - mean)
+        warm = self._clock.now() > listed.cold_until
+        slow = False
+        if not failed and warm:
+            kind = (entry.service, route, model)
+            learn = arm is canary.Arm.OLD
+            slow = self._durations.note(kind, seconds, reading_s, learn)
         if trial is None or trial.state in _TERMINAL:
             return
         tally = trial.tallies.setdefault((arm, route), canary.Tally())
         tally.total += 1
         tally.bad += failed
-        warm = self._clock.now() > listed.cold_until
-        if mean is not None and warm and not failed:
-            tally.slow += seconds > max(SLOW_FACTOR * mean, mean + SLOW_S)
-        trial.counter += 1
+        tally.slow += slow
 
     async def run(self) -> None:
         """Decides and publishes until cancelled."""
@@ -295,9 +288,13 @@
             state = canary.RolloutState.COMPLETED
         if state is None:
             return
-        trial.state, trial.published, trial.due_at = state, False, None
+        self._set_decided(trial, state)
         self._log(trial, 'decided', tallies, old_in_flight)
 
+    @staticmethod
+    def _set_decided(trial: _Trial, state: canary.RolloutState) -> None:
+        trial.state, trial.published, trial.due_at = state, False, None
+
     def _merged(self, trial: _Trial) -> tuple[canary.Tallies, int]:
         merged: canary.Tallies = {}
         for key, tally in trial.tallies.items():
@@ -350,14 +347,16 @@
         )
 
     def reports(self) -> list[ttypes.RolloutReport]:
-        """Returns the newest counts of all nodes for undecided roll-outs."""
-        reports = []
-        for service, trial in self._trials.items():
-            if trial.state in _TERMINAL and trial.published:
-                continue
-            reports.append(self._own_report(service, trial))
-            reports += trial.reports.values()
-        return reports
+        """Returns this node's counts for undecided roll-outs.
+
+        Those of others are not passed on: the size of an answer would grow
+        with the fleet, and a few nodes' counts show a bad version.
+        """
+        return [
+            self._own_report(service, trial)
+            for service, trial in self._trials.items()
+            if not (trial.state in _TERMINAL and trial.published)
+        ]
 
     def _own_report(self, service, trial: _Trial) -> ttypes.RolloutReport:
         tallies = [
@@ -383,9 +382,10 @@
             ttypes.RolloutStatus(
                 service,
                 trial.order.to_version,
-                trial.state.value if trial.published else '',
+                trial.state.value,
                 trial.version,
                 trial.since_ms,
+                trial.published,
             )
             for service, trial in self._trials.items()
             if trial.state is not None
@@ -415,8 +415,8 @@
             return
         if told.since_ms:
             trial.since_ms = min(trial.since_ms or told.since_ms, told.since_ms)
-        if told.state:
-            state = canary.RolloutState(told.state)
+        state = canary.RolloutState(told.state)
+        if told.published:
             self._adopt(
                 trial,
                 canary.Status(
@@ -427,3 +427,10 @@
                     told.since_ms,
                 ),
             )
+        elif (
+            state is canary.RolloutState.ROLLED_BACK
+            and trial.state is canary.RolloutState.RUNNING
+        ):
+            # To stop is safe before the decision is published.
+            self._set_decided(trial, state)
+            self._log(trial, 'told')
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -2,8 +2,8 @@
 
 A fixed part of the sessions runs on the new version during the first half
 of the time limit, so that no session has to move between versions and a bad
-version reaches a bounded share of the requests. The part then grows in
-steps. Sessions are assigned by hash, so all nodes agree without messages,
+version reaches a bounded share of the requests. Then the others follow
+evenly. Sessions are assigned by hash, so all nodes agree without messages,
 and a growing part only moves sessions from the old version to the new one.
 
 Load pattern: a version that fails or delays a part of its requests, at
@@ -13,23 +13,39 @@
 import dataclasses
 import enum
 import hashlib
+import math
 
 from radishcourse_model import ids
 
 # Part of the sessions on trial, relative to the permitted exposure: leaves
 # room for requests that arrive while the decision spreads.
 TRIAL_OF_EXPOSURE = 0.6
-# Steps of growth as (part of the time limit, part of the sessions).
-STEPS = ((0.5, 0.3), (0.58, 1.0))
+# Parts of the time limit between which all other sessions move, evenly: at no
+# moment do many of them depend on how well the nodes' clocks agree.
+MOVE_BEGIN = 0.5
+MOVE_END = 0.62
 # A new version completes at the latest this long before its time limit: a
 # store call, its retry and the notice of the other nodes fit in.
 COMPLETE_EARLY_S = 2.5
-# Time after the last step for requests of the old version to end.
+# Time after the last session moved for requests of the old version to end.
 SETTLE_S = 3.0
 # Fewer bad answers than this can be one upstream's own trouble.
 MIN_BAD = 4
-# Share of bad answers, above the old version's own, that condemns.
+# Share of failures, above the old version's own, that condemns.
 BAD_EXCESS = 0.18
+# The same for slow answers. Any version has some, behind long prompts, so a
+# share of them is taken as usual, and one more is needed.
+MIN_SLOW = 5
+SLOW_EXCESS = 0.2
+USUAL_SLOW = 0.08
+# An answer is slow at this multiple of what such answers take. The users'
+# slow versions take eight times as long; half of that is also reached behind
+# a long prompt.
+SLOW_FACTOR = 3.0
+# Weight of the newest answer in the running mean, and the shortest time that
+# is told apart.
+MEAN_WEIGHT = 0.05
+LEAST_S = 0.05
 
 
 class RolloutState(enum.Enum):
@@ -105,11 +121,9 @@
       within_s: Its time limit.
       exposure: Permitted share of requests on a bad version.
     """
-    current = TRIAL_OF_EXPOSURE * exposure
-    for begin, share in STEPS:
-        if age_s >= begin * within_s:
-            current = max(current, share)
-    return current
+    trial = TRIAL_OF_EXPOSURE * exposure
+    moved = (age_s / within_s - MOVE_BEGIN) / (MOVE_END - MOVE_BEGIN)
+    return trial + (1 - trial) * min(1.0, max(0.0, moved))
 
 
 def is_bad(tallies: Tallies) -> bool:
@@ -136,15 +150,59 @@
     """
     if age_s >= within_s - COMPLETE_EARLY_S:
         return True
-    settled = age_s >= STEPS[-1][0] * within_s + SETTLE_S
+    settled = age_s >= MOVE_END * within_s + SETTLE_S
     return settled and old_in_flight == 0
 
 
+class Durations:
+    """What answers of the version in service take, by kind of request.
+
+    Times are compared as multiples of the time to read the prompt, and their
+    mean is geometric, so that a few long waits do not move it.
+    """
+
+    def __init__(self):
+        self._means: dict[tuple, float] = {}
+
+    def note(
+        self, kind: tuple, seconds: float, reading_s: float, learn: bool
+    ) -> bool:
+        """Notes an answer and tells whether it was slow.
+
+        Args:
+          kind: Names the service, route and model.
+          seconds: Time to its head.
+          reading_s: Expected time to read its prompt.
+          learn: Whether it is of the version in service.
+        """
+        value = math.log(max(seconds, LEAST_S) / (LEAST_S + reading_s))
+        mean = self._means.get(kind)
+        if learn:
+            known = value if mean is None else mean
+            self._means[kind] = known + MEAN_WEIGHT * (value - known)
+        return mean is not None and value > mean + math.log(SLOW_FACTOR)
+
+
 def _is_worse(new: Tally, old: Tally) -> bool:
-    for bad, bad_old in ((new.bad, old.bad), (new.slow, old.slow)):
-        if bad < MIN_BAD:
-            continue
-        usual = bad_old / old.total if old.total else 0.0
-        if bad / new.total > usual + BAD_EXCESS:
-            return True
-    return False
+    if _exceeds(new.bad, new.total, old.bad, old.total, MIN_BAD, BAD_EXCESS):
+        return True
+    usual = max(old.slow, USUAL_SLOW * old.total)
+    if not old.total:
+        usual, old = USUAL_SLOW, Tally(1)
+    return _exceeds(
+        new.slow, new.total, usual, old.total, MIN_SLOW, SLOW_EXCESS
+    )
+
+
+def _exceeds(
+    count: int,
+    total: int,
+    usual: float,
+    usual_total: int,
+    least: int,
+    excess: float,
+) -> bool:
+    if count < least:
+        return False
+    share = usual / usual_total if usual_total else 0.0
+    return count / total > share + excess
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -178,6 +178,7 @@
   3: string state
   4: i64 order
   5: i64 since_ms
+  6: bool published
 }
 
 // Requests that a node has in progress at an upstream, the expected time to
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2480,6 +2480,7 @@
      - state
      - order
      - since_ms
+     - published
 
     """
 
@@ -2489,15 +2490,17 @@
         'state',
         'order',
         'since_ms',
+        'published',
     )
 
 
-    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None,):
+    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None, published=None,):
         self.service_id = service_id
         self.version = version
         self.state = state
         self.order = order
         self.since_ms = since_ms
+        self.published = published
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2533,6 +2536,11 @@
                     self.since_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.published = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2563,6 +2571,10 @@
             oprot.writeFieldBegin('since_ms', TType.I64, 5)
             oprot.writeI64(self.since_ms)
             oprot.writeFieldEnd()
+        if self.published is not None:
+            oprot.writeFieldBegin('published', TType.BOOL, 6)
+            oprot.writeBool(self.published)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3176,6 +3188,7 @@
     (3, TType.STRING, 'state', 'UTF8', None, ),  # 3
     (4, TType.I64, 'order', None, None, ),  # 4
     (5, TType.I64, 'since_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'published', None, None, ),  # 6
 )
 all_structs.append(UpstreamWork)
 UpstreamWork.thrift_spec = (
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -83,7 +83,7 @@
     def test_version_that_fails_under_load_only(self):
         self._check(
             lambda age, source: (
-                age > canary.STEPS[0][0] * WITHIN_S and source.random() < 0.45
+                age > canary.MOVE_BEGIN * WITHIN_S and source.random() < 0.45
             )
         )
 
@@ -117,6 +117,46 @@
         self.assertTrue(canary.is_bad(tallies))
 
 
+class DurationTest(testtools.TestCase):
+    """Guards against a slow version that hides among long prompts."""
+
+    def _replay(self, seed: int, slow_share: float) -> bool:
+        """Plays answers as on the users' engines; tells the verdict."""
+        source = random.Random(seed)
+        durations = canary.Durations()
+        tallies = {
+            (arm, 'route'): canary.Tally()
+            for arm in (canary.Arm.OLD, canary.Arm.NEW)
+        }
+        for _ in range(700):
+            arm = canary.Arm.OLD
+            if source.random() < canary.part(0, WITHIN_S, EXPOSURE):
+                arm = canary.Arm.NEW
+            reading_s = source.lognormvariate(-3.5, 1.0)
+            seconds = (0.05 + reading_s) * source.lognormvariate(0.2, 0.3)
+            if source.random() < 0.08:
+                seconds += source.uniform(0.3, 1.5)
+            if arm is canary.Arm.NEW and source.random() < slow_share:
+                seconds *= 8
+            slow = durations.note(
+                ('route',), seconds, reading_s, arm is canary.Arm.OLD
+            )
+            tally = tallies[(arm, 'route')]
+            tally.total += 1
+            tally.slow += slow
+            if canary.is_bad(tallies):
+                return True
+        return False
+
+    def test_slow_version_is_condemned_on_trial(self):
+        for seed in range(10):
+            self.assertTrue(self._replay(seed, 0.5), seed)
+
+    def test_waits_of_a_good_version_do_not_condemn_it(self):
+        verdicts = [self._replay(seed, 0.0) for seed in range(40)]
+        self.assertLessEqual(sum(verdicts), 2)
+
+
 class SessionTest(testtools.TestCase):
     """Guards against sessions that move back to the old version."""
 
