Find versions that go on slowly; do not complete on few bad answers

And test_decision_survives_the_death_of_two_nodes failed in 2 of 35 runs: the test's callers ended with a KeyError when a gateway was removed, the surviving node had 3 answers of the new version, all bad, and completed it, as 4 are needed to condemn. Ruled out: the store's row and the turn of writers (the log shows one decision, published 4 ms later). Change: the time between events is counted by route; no completion while more of the new version's answers fail than would condemn it, however few; the test's callers go on.

--- a/packages/gateway/src/radishcourse_gateway/eventstream.py
+++ b/packages/gateway/src/radishcourse_gateway/eventstream.py
@@ -9,11 +9,13 @@
 
     Attributes:
       last_id: Id of the last complete event, None before the first.
+      count: Complete events.
     """
 
     def __init__(self, last_id: bytes | None = None):
         self._buffer = b''
         self.last_id = last_id
+        self.count = 0
 
     @property
     def partial(self) -> bytes:
@@ -28,6 +30,7 @@
         complete = data[:end]
         if complete:
             self.last_id = _last_id(complete) or self.last_id
+            self.count += max(complete.count(mark) for mark in _ENDS)
         return complete
 
 
--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -388,6 +388,7 @@
     ) -> Step:
         """Passes events on as they come; only whole ones."""
         splitter = eventstream.Splitter(plan.last_event)
+        began_at = self._clock.now()
         limit = None
         if request.route.gap_s is not None:
             limit = max(LEAST_SILENCE_S, SILENCE_GOALS * request.route.gap_s)
@@ -412,6 +413,13 @@
         if splitter.partial:
             await out.write(splitter.partial)
         await out.end()
+        self._rollouts.note_pace(
+            listed,
+            request.route.name,
+            plan.model or '',
+            self._clock.now() - began_at,
+            splitter.count - 1,
+        )
         return Step.DONE
 
     async def _receive_part(self, request, plan, channel, limit):
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -206,6 +206,35 @@
         tally.bad += failed
         tally.slow += slow
 
+    def note_pace(
+        self, listed: views.Listed, route: str, model: str, seconds, events
+    ) -> None:
+        """Counts the end of a stream.
+
+        Args:
+          listed: The upstream that made it.
+          route: Name of the request's route.
+          model: Its model, or an empty text.
+          seconds: Time from its head to its end.
+          events: Events in that time.
+        """
+        entry = listed.upstream
+        trial = self._trial(entry.service)
+        arm = canary.Arm.OLD
+        if trial is not None:
+            arm = views.arm_of(trial.order, entry.version)
+        if self._clock.now() <= listed.cold_until:
+            return
+        slow = self._durations.note_pace(
+            (entry.service, model), seconds, events, arm is canary.Arm.OLD
+        )
+        if slow is None or trial is None or trial.state in _TERMINAL:
+            return
+        key = (arm, canary.pace_route(route))
+        tally = trial.tallies.setdefault(key, canary.Tally())
+        tally.total += 1
+        tally.slow += slow
+
     async def run(self) -> None:
         """Decides and publishes until cancelled."""
         while True:
@@ -284,7 +313,9 @@
             state = canary.RolloutState.ROLLED_BACK
         elif trial.order.to_version in self._view.versions(
             trial.order.service
-        ) and canary.may_complete(age, trial.order.within_s, old_in_flight):
+        ) and canary.may_complete(
+            age, trial.order.within_s, old_in_flight, tallies
+        ):
             state = canary.RolloutState.COMPLETED
         if state is None:
             return
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -42,10 +42,15 @@
 # slow versions take eight times as long; half of that is also reached behind
 # a long prompt.
 SLOW_FACTOR = 3.0
-# Weight of the newest answer in the running mean, and the shortest time that
-# is told apart.
+# The same for the time between events, which all streams of an upstream share:
+# it varies less (nine in ten below 1.6 times the median on the users' engines).
+PACE_FACTOR = 2.2
+MIN_EVENTS = 4
+# Weight of the newest answer in the running mean, and the shortest times that
+# are told apart.
 MEAN_WEIGHT = 0.05
 LEAST_S = 0.05
+LEAST_PACE_S = 0.002
 
 
 class RolloutState(enum.Enum):
@@ -140,30 +145,66 @@
     return _is_worse(new, old)
 
 
-def may_complete(age_s: float, within_s: float, old_in_flight: int) -> bool:
+def may_complete(
+    age_s: float, within_s: float, old_in_flight: int, tallies: Tallies
+) -> bool:
     """Tells whether the old version's upstreams may be stopped.
 
     Args:
       age_s: Time since the order.
       within_s: Its time limit.
       old_in_flight: Requests in progress on the old version.
+      tallies: Counts of answers; failures that are too few to condemn the
+        new version still keep the old one.
     """
+    new = Tally()
+    for (arm, _), tally in tallies.items():
+        if arm is Arm.NEW:
+            new.add(tally)
+    if new.bad > BAD_EXCESS * new.total:
+        return False
     if age_s >= within_s - COMPLETE_EARLY_S:
         return True
     settled = age_s >= MOVE_END * within_s + SETTLE_S
     return settled and old_in_flight == 0
 
 
+def pace_route(route: str) -> str:
+    """Returns the name under which a route's times between events count."""
+    return f'{route} (pace)'
+
+
 class Durations:
     """What answers of the version in service take, by kind of request.
 
     Times are compared as multiples of the time to read the prompt, and their
-    mean is geometric, so that a few long waits do not move it.
+    mean is geometric, so that a few long waits do not move it. The time
+    between the events of a stream is counted apart: a version may begin in
+    time and then go on slowly.
     """
 
     def __init__(self):
         self._means: dict[tuple, float] = {}
 
+    def note_pace(
+        self, kind: tuple, seconds: float, events: int, learn: bool
+    ) -> bool | None:
+        """Notes the end of a stream and tells whether it was slow.
+
+        Args:
+          kind: Names the service and model.
+          seconds: Time from its head to its end.
+          events: Events in that time.
+          learn: Whether it is of the version in service.
+
+        Returns:
+          None for a stream that is too short to tell.
+        """
+        if events < MIN_EVENTS:
+            return None
+        value = math.log(max(seconds / events, LEAST_PACE_S))
+        return self._compare(kind, value, learn, PACE_FACTOR)
+
     def note(
         self, kind: tuple, seconds: float, reading_s: float, learn: bool
     ) -> bool:
@@ -176,11 +217,16 @@
           learn: Whether it is of the version in service.
         """
         value = math.log(max(seconds, LEAST_S) / (LEAST_S + reading_s))
+        return self._compare(kind, value, learn, SLOW_FACTOR)
+
+    def _compare(
+        self, kind: tuple, value: float, learn: bool, factor: float
+    ) -> bool:
         mean = self._means.get(kind)
         if learn:
             known = value if mean is None else mean
             self._means[kind] = known + MEAN_WEIGHT * (value - known)
-        return mean is not None and value > mean + math.log(SLOW_FACTOR)
+        return mean is not None and value > mean + math.log(factor)
 
 
 def _is_worse(new: Tally, old: Tally) -> bool:
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -152,6 +152,32 @@
         for seed in range(10):
             self.assertTrue(self._replay(seed, 0.5), seed)
 
+    def _pace(self, seed: int, factor: float) -> bool:
+        source = random.Random(seed)
+        durations = canary.Durations()
+        route = canary.pace_route('route')
+        tallies = {
+            (arm, route): canary.Tally()
+            for arm in (canary.Arm.OLD, canary.Arm.NEW)
+        }
+        for _ in range(500):
+            new = source.random() < canary.part(0, WITHIN_S, EXPOSURE)
+            arm = canary.Arm.NEW if new else canary.Arm.OLD
+            pace = 0.034 * source.lognormvariate(0, 0.35)
+            slow = durations.note_pace(
+                ('route',), 30 * pace * (factor if new else 1), 30, not new
+            )
+            tallies[(arm, route)].total += 1
+            tallies[(arm, route)].slow += slow
+            if canary.is_bad(tallies):
+                return True
+        return False
+
+    def test_version_that_begins_in_time_and_goes_on_slowly(self):
+        for seed in range(10):
+            self.assertTrue(self._pace(seed, 3.5), seed)
+            self.assertFalse(self._pace(seed, 1.0), seed)
+
     def test_waits_of_a_good_version_do_not_condemn_it(self):
         verdicts = [self._replay(seed, 0.0) for seed in range(40)]
         self.assertLessEqual(sum(verdicts), 2)
@@ -190,12 +216,19 @@
 class CompletionTest(testtools.TestCase):
     """Guards against stopped upstreams that still have requests."""
 
+    def _may(self, age_s: float, in_flight: int, bad: int = 0) -> bool:
+        tallies = {(canary.Arm.NEW, 'route'): canary.Tally(3, bad)}
+        return canary.may_complete(age_s, WITHIN_S, in_flight, tallies)
+
     def test_waits_for_requests_on_the_old_version(self):
-        self.assertFalse(canary.may_complete(20.0, WITHIN_S, 1))
-        self.assertTrue(canary.may_complete(20.0, WITHIN_S, 0))
+        self.assertFalse(self._may(20.0, 1))
+        self.assertTrue(self._may(20.0, 0))
 
     def test_completes_before_the_time_limit(self):
-        self.assertTrue(canary.may_complete(WITHIN_S - 2.0, WITHIN_S, 9))
+        self.assertTrue(self._may(WITHIN_S - 2.0, 9))
 
     def test_does_not_complete_while_sessions_are_on_the_old_version(self):
-        self.assertFalse(canary.may_complete(WITHIN_S / 2, WITHIN_S, 0))
+        self.assertFalse(self._may(WITHIN_S / 2, 0))
+
+    def test_few_failures_keep_the_old_version(self):
+        self.assertFalse(self._may(WITHIN_S - 2.0, 0, bad=3))
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -129,6 +129,8 @@
         self._order(site)
         self._await(site, 'rolled_back', WITHIN_S)
         site.control(site.store, 'faults', {'mode': 'up'})
+        # The others learn of it in a round; the users' bound is 5 s.
+        time.sleep(1.0)
         exposed = len(site.runs('new-1', 'new-2'))
         time.sleep(1.0)
         self.assertEqual(exposed, len(site.runs('new-1', 'new-2')))
@@ -138,7 +140,8 @@
         self._order(site)
         for name in ('gateway-1', 'gateway-2'):
             time.sleep(0.3)
-            site.gateways.pop(name).signal(signal.SIGKILL)
+            # It stays listed: its callers go on to the next gateway.
+            site.gateways[name].signal(signal.SIGKILL)
         self._await(site, 'rolled_back', WITHIN_S)
 
     def test_new_version_gets_nothing_before_it_is_ordered(self):
