Wait for busy upstreams; ask no larger model where slots are taken

Ruled out: placement (the engines left were evenly busy). Change: silence ends an attempt only where a repeat can be paid at that moment, and later where prompts are known to wait; a second run costs more the more slots are taken. A test replays the crowding.

--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -1,5 +1,7 @@
 """Forwards one request: attempts, repeats, larger models, resumed streams."""
 
+import asyncio
+import contextlib
 import dataclasses
 import enum
 
@@ -23,6 +25,10 @@
 # its longest pause within a stream, is given up if the work may be repeated.
 SILENCE_GOALS = 2.0
 LEAST_SILENCE_S = 1.0
+# An upstream that is busy is given this multiple of its expected wait.
+SILENCE_WAITS = 3.0
+# Longest pause within streams of routes that name none.
+DEFAULT_GAP_S = 5.0
 # Part of the permitted repeats that nodes use, since the share is counted
 # over windows that slide.
 REPEAT_SAFETY = 0.8
@@ -146,7 +152,8 @@
             return len(plan.tried) < 2 * max(2, request.route.max_attempts)
         if plan.attempts >= request.route.max_attempts:
             return False
-        return self._budget(plan.service).spend()
+        paid, plan.repeat_paid = plan.repeat_paid, False
+        return paid or self._budget(plan.service).spend()
 
     async def _give_up(
         self, request, plan, out, failure: _Failed, refusal=None
@@ -253,14 +260,47 @@
 
     async def _receive_head(self, request, plan, listed, channel):
         headers = self._headers(request, plan, listed)
-        limit = None
-        if request.route.repeatable and self._has_more(request, plan):
-            limit = max(LEAST_SILENCE_S, SILENCE_GOALS * request.route.goal_s)
-        with anyio.move_on_after(limit):
+        limit_s = self._silence_s(request, listed)
+        with self._unless_silent(request, plan, limit_s):
             return await channel.request(
                 request.method, request.target, headers, request.body
             )
-        raise errors.ChannelError(f'silent for {limit:g} s', True)
+
+    def _silence_s(self, request, listed) -> float:
+        """Returns how long an upstream may be silent before the head."""
+        goal_s = SILENCE_GOALS * request.route.goal_s
+        expected_s = self._targets.expected_s(listed)
+        return max(LEAST_SILENCE_S, goal_s, SILENCE_WAITS * expected_s)
+
+    @contextlib.contextmanager
+    def _unless_silent(self, request, plan, limit_s: float):
+        """Ends the block when the time is over and a repeat is possible.
+
+        Without one, waiting on is all that is left. The timer is asyncio's,
+        as one is needed for each event of a stream.
+
+        Raises:
+          ChannelError: The upstream was silent for too long.
+        """
+        if not request.route.repeatable:
+            yield
+            return
+        with anyio.CancelScope() as scope:
+            timer = asyncio.get_running_loop().call_later(
+                limit_s, self._end_silence, request, plan, scope
+            )
+            try:
+                yield
+            finally:
+                timer.cancel()
+        if scope.cancelled_caught:
+            raise errors.ChannelError(f'silent for {limit_s:g} s', True)
+
+    def _end_silence(self, request, plan, scope: anyio.CancelScope) -> None:
+        if self._has_more(request, plan):
+            plan.repeat_paid = self._budget(plan.service).spend()
+        if plan.repeat_paid:
+            scope.cancel()
 
     def _has_more(self, request, plan) -> bool:
         """Tells whether there is another attempt, and somewhere to send it."""
@@ -319,7 +359,7 @@
             costs,
             self._current.value.value_per_1k_tokens,
             self._targets.reading_s(request, plan, models[-1]),
-            self._targets.waiting_s(plan.service),
+            *self._targets.pressure(plan.service),
         )
         if larger is None or not self._budget(plan.service).spend():
             return False
@@ -389,14 +429,14 @@
         """Passes events on as they come; only whole ones."""
         splitter = eventstream.Splitter(plan.last_event)
         began_at = self._clock.now()
-        limit = None
-        if request.route.gap_s is not None:
-            limit = max(LEAST_SILENCE_S, SILENCE_GOALS * request.route.gap_s)
+        gap_s = request.route.gap_s or DEFAULT_GAP_S
+        limit_s = max(LEAST_SILENCE_S, SILENCE_GOALS * gap_s)
         if not plan.begun:
             plan.version = listed.upstream.version
             headers = inbound.returned_headers(head.headers)
         while True:
-            data = await self._receive_part(request, plan, channel, limit)
+            with self._unless_silent(request, plan, limit_s):
+                data = await channel.receive()
             if data is None:
                 break
             complete = splitter.feed(data)
@@ -422,13 +462,6 @@
         )
         return Step.DONE
 
-    async def _receive_part(self, request, plan, channel, limit):
-        if not self._has_more(request, plan):
-            limit = None
-        with anyio.move_on_after(limit):
-            return await channel.receive()
-        raise errors.ChannelError(f'no event for {limit:g} s', True)
-
     def _log_attempt(self, request, plan, listed) -> None:
         entry = listed.upstream
         events.log(
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import statistics
+import typing
 
 from radishcourse_gateway import errors
 from radishcourse_gateway import inbound
@@ -34,6 +35,7 @@
       last_event: Last event that the caller has, once a stream has begun.
       begun: Whether the caller has a part of the answer.
       confidence: The latest model's opinion of its answer, 0 to 100.
+      repeat_paid: Whether the budget has paid for the next attempt.
     """
 
     attempts: int = 0
@@ -45,6 +47,19 @@
     last_event: bytes | None = None
     begun: bool = False
     confidence: float | None = None
+    repeat_paid: bool = False
+
+
+class Pressure(typing.NamedTuple):
+    """How busy the upstreams of a service are.
+
+    Attributes:
+      waiting_s: Time that prompts wait.
+      occupied: Share of the slots that are taken.
+    """
+
+    waiting_s: float
+    occupied: float
 
 
 class Targets:
@@ -140,15 +155,21 @@
             prefill.weight(request.size.prompt),
         )
 
-    def waiting_s(self, service: ids.ServiceId) -> float:
-        """Returns the mean time that prompts wait at a service."""
+    def pressure(self, service: ids.ServiceId) -> Pressure:
+        """Returns how busy the upstreams of a service are, on the mean."""
         usable = self._view.usable(service)
         if not usable:
-            return 0.0
-        return statistics.fmean(
-            self._describe(listed).waiting_s for listed in usable
+            return Pressure(0.0, 0.0)
+        described = [self._describe(listed) for listed in usable]
+        return Pressure(
+            statistics.fmean(item.waiting_s for item in described),
+            statistics.fmean(item.in_flight / item.slots for item in described),
         )
 
+    def expected_s(self, listed: views.Listed) -> float:
+        """Returns how long prompts wait at an upstream."""
+        return self._describe(listed).waiting_s
+
     def _prompt(self, request: inbound.Inbound, plan: Plan) -> spread.Prompt:
         if request.cached_key is None or request.size is None:
             return spread.Prompt()
--- a/packages/policy/src/radishcourse_policy/modelchoice.py
+++ b/packages/policy/src/radishcourse_policy/modelchoice.py
@@ -6,7 +6,7 @@
 
 Load pattern: a mix of requests of which half are easy, where a large model
 costs up to fifteen times as much and takes up to ten times as long; and
-bursts in which long prompts on a large model hold up all others.
+bursts, or a loss of upstreams, in which large models hold up all others.
 """
 
 import dataclasses
@@ -30,6 +30,10 @@
 # unit of the models' costs, once the wait is as long as the second number.
 WAIT_COST_PER_S = 8.0
 FULL_WAIT_S = 1.0
+# Shares of the slots at which a second run begins to cost the others, and at
+# which it costs them as much as it can gain.
+FREE_SLOTS = 0.3
+FULL_SLOTS = 0.8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,6 +62,19 @@
     return 1 / (1 + math.exp((confidence - EVEN_CONFIDENCE) / SCALE))
 
 
+def crowding(occupied: float) -> float:
+    """Returns the part of a request's value that a second run costs others.
+
+    All requests of an upstream share its steps, so a large model's run
+    delays the others by more, the more of them there are.
+
+    Args:
+      occupied: Share of the upstreams' slots that are taken.
+    """
+    part = (occupied - FREE_SLOTS) / (FULL_SLOTS - FREE_SLOTS)
+    return min(1.0, max(0.0, part))
+
+
 def wait_cost(reading_s: float, waiting_s: float) -> float:
     """Returns what reading a prompt costs the requests behind it.
 
@@ -77,6 +94,7 @@
     value_per_1k: float = VALUE_PER_1K,
     reading_s: float = 0.0,
     waiting_s: float = 0.0,
+    occupied: float = 0.0,
 ) -> ids.ModelId | None:
     """Returns the model to ask instead, None to keep the answer.
 
@@ -92,6 +110,7 @@
       value_per_1k: Value of a thousand weighted tokens.
       reading_s: Time that the largest model takes to read the prompt.
       waiting_s: Time that prompts wait at the upstreams now, on the mean.
+      occupied: Share of the upstreams' slots that are taken.
     """
     largest = models[-1]
     if used == largest or confidence is None:
@@ -99,6 +118,7 @@
     gain = chance_poor(confidence) * size.value * value_per_1k
     cost = size.cost(costs.get(largest, 0.0))
     cost += wait_cost(reading_s, waiting_s)
+    cost += crowding(occupied) * size.value * value_per_1k
     if gain <= cost:
         return None
     return largest
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -49,6 +49,11 @@
     def test_short_prompt_is_repeated_also_in_a_burst(self):
         self.assertEqual(LARGE, self._larger(10, reading_s=0.02, waiting_s=2.0))
 
+    def test_crowded_upstreams_keep_answers_that_are_likely_poor(self):
+        self.assertEqual(LARGE, self._larger(20, occupied=0.2))
+        self.assertEqual(LARGE, self._larger(5, occupied=0.5))
+        self.assertIsNone(self._larger(20, occupied=0.9))
+
     @hypothesis.given(
         strategies.floats(0, 100),
         strategies.floats(0, 100),
