--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -95,7 +95,10 @@
             for listed in self._view.usable(plan.service)
             if version is None or listed.upstream.version == version
         ]
-        fresh = [item for item in usable if item.life not in plan.tried]
+        narrow = self._rollouts.narrow(plan.service, usable)
+        fresh = [item for item in narrow if item.life not in plan.tried]
+        if not fresh:
+            fresh = [item for item in usable if item.life not in plan.tried]
         by_id = {item.upstream.upstream_id: item for item in fresh or usable}
         while by_id:
             chosen = spread.choose(
