--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -118,37 +118,13 @@
             return True
         if trial.state is not canary.RolloutState.RUNNING:
             return False
-        place = canary.place(session, trial.order.service, trial.version)
-        return place < self._part(trial)
-
-    def _part(self, trial: _Trial) -> float:
-        return canary.part(
+        part = canary.part(
             self._age_s(trial),
             trial.order.within_s,
             self._current.value.bounds.exposure_share,
         )
-
-    def narrow(
-        self, service: ids.ServiceId, usable: list[views.Listed]
-    ) -> list[views.Listed]:
-        """Returns the upstreams that may be used while sessions move.
-
-        Those of the new version are used one after the other, the same on
-        all nodes, so that each is loaded as it will be later.
-        """
-        trial = self._trial(service)
-        if trial is None or trial.state is not canary.RolloutState.RUNNING:
-            return usable
-        new = [
-            listed
-            for listed in usable
-            if listed.upstream.version == trial.order.to_version
-        ]
-        if len(new) < len(usable) or not new:
-            return usable
-        key = f'{service}/{trial.version}'
-        new.sort(key=lambda item: spread.rank(key, item.upstream.upstream_id))
-        return new[: canary.width(self._part(trial), len(new))]
+        place = canary.place(session, trial.order.service, trial.version)
+        return place < part
 
     def _incumbent(self, service, present) -> ids.VersionId | None:
         """Returns the version in service when nothing was ordered.
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -95,10 +95,7 @@
             for listed in self._view.usable(plan.service)
             if version is None or listed.upstream.version == version
         ]
-        narrow = self._rollouts.narrow(plan.service, usable)
-        fresh = [item for item in narrow if item.life not in plan.tried]
-        if not fresh:
-            fresh = [item for item in usable if item.life not in plan.tried]
+        fresh = [item for item in usable if item.life not in plan.tried]
         by_id = {item.upstream.upstream_id: item for item in fresh or usable}
         while by_id:
             chosen = spread.choose(
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -23,11 +23,7 @@
 # Parts of the time limit between which all other sessions move, evenly: at no
 # moment do many of them depend on how well the nodes' clocks agree.
 MOVE_BEGIN = 0.5
-MOVE_END = 0.7
-# Load of an upstream of the new version while sessions move, relative to its
-# load afterwards: a version that fails under load shows it while it has few
-# sessions.
-TRIAL_LOAD = 1.5
+MOVE_END = 0.62
 # A new version completes at the latest this long before its time limit: a
 # store call, its retry and the notice of the other nodes fit in.
 COMPLETE_EARLY_S = 2.5
@@ -135,16 +131,6 @@
     return trial + (1 - trial) * min(1.0, max(0.0, moved))
 
 
-def width(share: float, upstreams: int) -> int:
-    """Returns how many upstreams of the new version are used.
-
-    Args:
-      share: Part of the sessions that it serves.
-      upstreams: Upstreams that it has.
-    """
-    return max(1, min(upstreams, math.ceil(share * upstreams / TRIAL_LOAD)))
-
-
 def is_bad(tallies: Tallies) -> bool:
     """Tells whether the new version is worse than the old one."""
     routes = {route for arm, route in tallies if arm is Arm.NEW}
