Escape every shown value in one place

Cause: a cascade whose steps repeat a name with a line break and an escape sequence printed that name raw, which forges a line of check and reaches the terminal; other messages escaped by hand. Ruled out: escaping in each rule, which new rules forget. Change: texts.escape in the text of a fault, in tables, differences and the commands' errors; logs are JSON, which escapes.

--- a/packages/cli/src/radishcourse_cli/changes.py
+++ b/packages/cli/src/radishcourse_cli/changes.py
@@ -6,6 +6,7 @@
 
 from radishcourse_model import merge
 from radishcourse_model import paths
+from radishcourse_model import texts
 
 # Values under these keys are not shown.
 HIDDEN_KEYS = frozenset({'secret', 'keys'})
@@ -61,4 +62,5 @@
 
 
 def _show(path: paths.Path, value: object) -> str:
-    return msgspec.json.encode(hide_secrets(value, path)).decode()
+    shown = msgspec.json.encode(hide_secrets(value, path)).decode()
+    return texts.escape(shown)
--- a/packages/cli/src/radishcourse_cli/main.py
+++ b/packages/cli/src/radishcourse_cli/main.py
@@ -11,6 +11,7 @@
 from radishcourse_cli import environment as environments
 from radishcourse_cli import errors
 from radishcourse_cli import status
+from radishcourse_model import texts
 from radishcourse_platform import errors as platform_errors
 from radishcourse_platform import revisions
 
@@ -58,12 +59,15 @@
     except errors.CommandError as error:
         return _fail(environment, str(error), error.exit_status)
     except revisions.Superseded as error:
-        message = f'{error}; see `radishcourse diff`, then use --base'
+        text = texts.escape(str(error))
+        message = f'{text}; see `radishcourse diff`, then use --base'
         return _fail(environment, message, status.ExitStatus.CONFLICT)
     except platform_errors.AnswerLost as error:
-        return _fail(environment, str(error), status.ExitStatus.UNKNOWN)
+        text = texts.escape(str(error))
+        return _fail(environment, text, status.ExitStatus.UNKNOWN)
     except platform_errors.PlatformError as error:
-        return _fail(environment, str(error), status.ExitStatus.UNAVAILABLE)
+        text = texts.escape(str(error))
+        return _fail(environment, text, status.ExitStatus.UNAVAILABLE)
     return status.ExitStatus.SUCCESS
 
 
--- a/packages/cli/src/radishcourse_cli/tables.py
+++ b/packages/cli/src/radishcourse_cli/tables.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from radishcourse_model import texts
+
 GAP = '  '
 
 
@@ -9,7 +11,8 @@
     header: typing.Sequence[str], rows: typing.Iterable[typing.Sequence]
 ) -> str:
     """Returns a table with columns as wide as their widest cell."""
-    lines = [header, *([str(cell) for cell in row] for row in rows)]
+    shown = ([texts.escape(str(cell)) for cell in row] for row in rows)
+    lines = [header, *shown]
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
     return ''.join(
         GAP.join(
--- a/packages/model/src/radishcourse_model/faults.py
+++ b/packages/model/src/radishcourse_model/faults.py
@@ -4,6 +4,7 @@
 import enum
 
 from radishcourse_model import paths
+from radishcourse_model import texts
 
 
 class FaultCode(enum.Enum):
@@ -56,4 +57,5 @@
     message: str
 
     def __str__(self) -> str:
-        return f'{self.code.value} {self.file}:{self.path}: {self.message}'
+        text = f'{self.code.value} {self.file}:{self.path}: {self.message}'
+        return texts.escape(text)
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -184,3 +184,61 @@
                 folders.decode(checked.document)
             else:
                 self.assertTrue(all(str(fault) for fault in checked.faults))
+
+
+class ShownTextTest(testtools.TestCase):
+    """Guards against values that forge lines or reach the terminal raw."""
+
+    nasty = strategies.sampled_from(
+        ['a\nCFG999 f.json:$: forged', '\x1b[31mred', '\x9b1m', '\u202eright']
+    )
+
+    def _check(self, document) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            path = write(name, document=document)
+            found = check.check(path).faults
+            status, output = operators.run(['check', name])
+        lines = output.splitlines()
+        self.assertEqual(len(found), len(lines))
+        self.assertEqual(2 if found else 0, status)
+        for line in lines:
+            self.assertTrue(line.isascii() and line.isprintable(), line)
+            self.assertThat(
+                line,
+                testtools.matchers.MatchesRegex(r'CFG\d{3} document.json:\$'),
+            )
+
+    def test_step_that_repeats_a_name_with_a_line_break(self):
+        step = 'small\nCFG999 f.json:$: forged\x1b[2J'
+        self._check({'cascades': {'c': {'steps': [step, step]}}})
+
+    @hypothesis.given(
+        nasty,
+        nasty,
+        strategies.sampled_from(
+            [
+                lambda a, b: {a: b},
+                lambda a, b: {'zones': {a: {'state': b}}},
+                lambda a, b: {'models': {a: {'versions': {b: {}}}}},
+                lambda a, b: {'cascades': {a: {'steps': [b, b]}}},
+                lambda a, b: {'organisations': {a: {'keys': [b, b]}}},
+                lambda a, b: {'organisations': {'o': {'keys': [], a: b}}},
+                lambda a, b: {
+                    'organisations': {
+                        a: {'keys': [], 'kinds': {b: {'cascade': a}}},
+                        b: {'keys': [], 'allowed': {a: [b]}},
+                    }
+                },
+                lambda a, b: {'upstreams': {a: {'address': b, 'zone': a}}},
+                lambda a, b: {'services': {a: {'upstreams': [b, a]}}},
+                lambda a, b: {
+                    'rollouts': {
+                        a: {'model': b, 'from_version': a, 'to_version': a}
+                    }
+                },
+                lambda a, b: {'session_keys': {a: {'secret': b}}},
+            ]
+        ),
+    )
+    def test_names_and_values_of_all_sections(self, name, value, make):
+        self._check(make(name, value))
