--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,223 @@
+"""Translation of the users' platform: settings, manifest, entries."""
+
+import io
+import json
+import os
+import pathlib
+import tempfile
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from radishcourse_adapter import __main__ as program
+from radishcourse_adapter import manifest
+from radishcourse_adapter import settings
+from radishcourse_gateway import directory
+from radishcourse_gateway import errors
+from radishcourse_gateway import records
+from radishcourse_gateway import settings as gateway_settings
+from radishcourse_gateway import upstreams
+from radishcourse_node import environment as environments
+from radishcourse_node import exitstatus
+from radishcourse_policy import canary
+from tests import site as sites
+
+SETTINGS = """
+node = "front-1"
+ip = "127.0.0.1"
+zone = "zone-a"
+seeds = ["127.0.0.1:1"]
+[zones]
+zone-a = "region"
+[listen]
+front = "127.0.0.1:8227"
+readiness = "127.0.0.1:8220"
+control = "127.0.0.1:8229"
+[limits]
+memoryMb = 150
+[bounds]
+graceS = 8
+budgetRatio = 0.9
+retrySlack = 56
+coldExcess = 1.5
+[platform]
+address = "127.0.0.1:8223"
+"""
+
+
+def _record(key: str, value: object, table=records.Table.CONFIGURATION):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return records.Record(table, key, 1, data)
+
+
+def _write(folder: str, text: str) -> pathlib.Path:
+    path = pathlib.Path(folder) / 'settings.toml'
+    path.write_text(text)
+    return path
+
+
+class SettingsTest(testtools.TestCase):
+    """Guards against bounds of an installation that are lost on the way."""
+
+    def test_fields_reach_our_settings(self):
+        with tempfile.TemporaryDirectory() as folder:
+            read = settings.read(_write(folder, SETTINGS))
+        self.assertEqual('127.0.0.1:8227', read.listen)
+        self.assertEqual('http://127.0.0.1:8223', read.platform)
+        self.assertEqual(150 * 2**20, read.memory_bytes)
+        bounds = read.bounds
+        self.assertEqual(8, bounds.stop_s)
+        self.assertEqual(0.9, bounds.repeat_share)
+        self.assertEqual(56, bounds.repeat_slack)
+
+    def test_nodes_of_an_installation_share_a_key(self):
+        with tempfile.TemporaryDirectory() as folder:
+            first = settings.read(_write(folder, SETTINGS))
+            other = SETTINGS.replace('front-1', 'front-2')
+            second = settings.read(_write(folder, other))
+        self.assertEqual(first.peer_key, second.peer_key)
+
+    def test_file_that_can_not_be_read_is_one_line_and_an_exit_code(self):
+        for text in ('node = ', 'node = "x"', SETTINGS.replace(':8227', '')):
+            stderr = io.StringIO()
+            environment = environments.Environment(stderr=stderr)
+            with tempfile.TemporaryDirectory() as folder:
+                path = _write(folder, text)
+                os.environ[program.SETTINGS_VARIABLE] = str(path)
+                self.addCleanup(os.environ.pop, program.SETTINGS_VARIABLE, None)
+                status = program.main(environment)
+            self.assertEqual(exitstatus.ExitStatus.INVALID, status)
+            self.assertEqual(1, stderr.getvalue().count('\n'))
+
+    def test_changed_settings_keep_name_and_addresses(self):
+        with tempfile.TemporaryDirectory() as folder:
+            first = settings.read(_write(folder, SETTINGS))
+            changed = SETTINGS.replace('8227', '9999').replace('56', '20')
+            second = settings.read(_write(folder, changed))
+        current = gateway_settings.Current(first)
+        self.assertEqual(['bounds'], current.replace(second))
+        self.assertEqual('127.0.0.1:8227', current.value.listen)
+        self.assertEqual(20, current.value.bounds.repeat_slack)
+
+
+class ManifestTest(testtools.TestCase):
+    """Guards against a configuration that is taken for another one."""
+
+    decoder = manifest.Decoder()
+
+    def _decode(self, value) -> directory.Directory:
+        return self.decoder.decode(_record('config', value))
+
+    def test_routes_services_and_keys(self):
+        found = self._decode(sites.manifest(7))
+        self.assertEqual(7, found.version)
+        route = found.match(sites.HOST.upper(), '/sized/1')
+        self.assertEqual(('small', 'large'), route.models)
+        self.assertTrue(route.repeatable)
+        self.assertFalse(found.match(sites.HOST, '/order/1').repeatable)
+        self.assertEqual('first', found.organisation(sites.KEY).name)
+        self.assertIsNone(found.organisation('other'))
+        engine = found.services['engine'].engine
+        self.assertEqual({'small': 0.02, 'large': 0.2}, engine.costs)
+
+    def test_longest_prefix_wins(self):
+        routes = [
+            sites.route('short', '/a/', 'idempotent', 'desk'),
+            sites.route('long', '/a/b/', 'idempotent', 'desk'),
+        ]
+        found = self._decode(sites.manifest(1, routes=routes))
+        self.assertEqual('long', found.match(sites.HOST, '/a/b/c').name)
+        self.assertEqual('short', found.match(sites.HOST, '/a/bc').name)
+        self.assertIsNone(found.match(sites.HOST, '/a'))
+        self.assertIsNone(found.match('other.example', '/a/b/c'))
+
+    def test_fields_that_are_new_are_ignored(self):
+        found = self._decode({**sites.manifest(1), 'news': [1, 2]})
+        self.assertEqual(1, found.version)
+
+    def test_order_and_status(self):
+        order = {'service': 'engine', 'to': 'v2', 'withinS': 12}
+        found = self.decoder.decode(_record('rollout/engine', order))
+        self.assertEqual(('v2', 12), (found.to_version, found.within_s))
+        status = canary.Status(
+            found.service,
+            found.to_version,
+            canary.RolloutState.COMPLETED,
+            4,
+            99,
+        )
+        self.assertEqual(
+            status,
+            manifest.decode_status(
+                found.service, manifest.encode_status(status)
+            ),
+        )
+
+    @hypothesis.given(
+        strategies.one_of(
+            strategies.binary(max_size=40),
+            strategies.recursive(
+                strategies.none()
+                | strategies.integers()
+                | strategies.text(max_size=4),
+                lambda inner: (
+                    strategies.lists(inner, max_size=3)
+                    | strategies.dictionaries(
+                        strategies.sampled_from(
+                            ['version', 'routes', 'services', 'tenants']
+                        ),
+                        inner,
+                        max_size=4,
+                    )
+                ),
+                max_leaves=6,
+            ).map(lambda value: json.dumps(value).encode()),
+        ),
+        strategies.sampled_from(['config', 'rollout/x', 'servers']),
+    )
+    def test_any_row_is_read_or_unreadable(self, data, key):
+        table = records.Table.CONFIGURATION
+        if key == 'servers':
+            table = records.Table.UPSTREAMS
+        try:
+            self.decoder.decode(_record(key, data, table))
+        except errors.Unreadable:
+            return
+
+
+class EntryTest(testtools.TestCase):
+    """Guards against entries of another writer that name an upstream."""
+
+    _ENTRY = {
+        'service': 'engine',
+        'address': '10.0.0.1:80',
+        'zone': 'zone-a',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'draining',
+        'coldLeftMs': 1500,
+        'callSeq': 4,
+        'born': 12,
+    }
+
+    def _decode(self, **fields):
+        entry = {**self._ENTRY, **fields}
+        record = _record('i-1', entry, records.Table.UPSTREAMS)
+        return manifest.Decoder().decode(record)
+
+    def test_fields(self):
+        found = self._decode()
+        self.assertEqual('i-1', found.upstream_id)
+        self.assertIs(upstreams.ListedState.DRAINING, found.state)
+        self.assertEqual((1.5, 12), (found.cold_s, found.started_ms))
+
+    def test_what_does_not_fit_is_unreadable(self):
+        for fields in (
+            {'state': 'odd'},
+            {'slots': 'many'},
+            {'address': 'nowhere'},
+            {'address': 7},
+            {'zone': None},
+        ):
+            self.assertRaises(errors.Unreadable, self._decode, **fields)
