Split the long modules; share listeners, bodies and exit codes; size repeats by the fleet

Ruled out: a fixed number of nodes. Change: repeats.py, answers.py, trials.py; serving.py, bodies.py and exitstatus.of_error used by both programs; the budget follows the fleet as it is known.

--- a/packages/gateway/src/radishcourse_gateway/edge.py
+++ b/packages/gateway/src/radishcourse_gateway/edge.py
@@ -6,9 +6,11 @@
 import anyio
 
 from radishcourse_gateway import dialect as dialects
+from radishcourse_gateway import directory as directories
 from radishcourse_gateway import errors
 from radishcourse_gateway import inbound
 from radishcourse_model import ids
+from radishcourse_node import bodies
 from radishcourse_node import connections
 from radishcourse_node import events
 from radishcourse_node import metrics
@@ -20,14 +22,12 @@
 DEFAULT_BUDGET_S = 60.0
 # Nodes learn the first configuration within about this time.
 STARTING_RETRY_S = 0.5
+# A caller that sends slowly has trouble of its own for a while.
+SLOW_RETRY_S = 1.0
 # Another node serves a request that this one may not live to answer.
 CLOSING_RETRY_S = 0.05
 
 
-class CallerLeft(Exception):
-    """The caller closed its connection."""
-
-
 class Out:
     """Writes one answer.
 
@@ -122,7 +122,7 @@
                 error=str(error),
             )
             connection.abort()
-        except CallerLeft:
+        except bodies.CallerLeft:
             outcome = 'left'
         except Exception:
             outcome = 'internal'
@@ -169,7 +169,10 @@
         headers = scope['headers']
         directory = self._view.directory
         if directory is None:
-            await self._read_body(receive, 2**20, 10.0)
+            limits = directories.Limits()
+            await self._read_body(
+                receive, limits.body_bytes, limits.header_timeout_s
+            )
             raise errors.Refusal(
                 errors.Reason.NO_CONFIGURATION,
                 'the node has no configuration yet',
@@ -234,24 +237,16 @@
         return organisation
 
     async def _read_body(self, receive, limit: int, limit_s: float) -> bytes:
-        parts, size = [], 0
-        with anyio.move_on_after(limit_s):
-            while True:
-                message = await receive()
-                if message['type'] == 'http.disconnect':
-                    raise CallerLeft
-                part = message.get('body', b'')
-                size += len(part)
-                if size > limit:
-                    raise errors.Refusal(
-                        errors.Reason.BODY_TOO_LARGE, f'at most {limit} bytes'
-                    )
-                parts.append(part)
-                if not message.get('more_body'):
-                    return b''.join(parts)
-        raise errors.Refusal(
-            errors.Reason.BODY_TOO_SLOW, f'no whole body in {limit_s:g} s', 1.0
-        )
+        try:
+            return await bodies.read(receive, limit, limit_s)
+        except bodies.TooLarge as error:
+            raise errors.Refusal(
+                errors.Reason.BODY_TOO_LARGE, str(error)
+            ) from error
+        except bodies.TooSlow as error:
+            raise errors.Refusal(
+                errors.Reason.BODY_TOO_SLOW, str(error), SLOW_RETRY_S
+            ) from error
 
     def _spread(self, seconds: float) -> float:
         return seconds * (0.5 + self._random.random())
--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -2,25 +2,22 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import enum
 
 import anyio
 
+from radishcourse_gateway import answers
 from radishcourse_gateway import channels
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import errors
 from radishcourse_gateway import eventstream
 from radishcourse_gateway import inbound
+from radishcourse_gateway import repeats
 from radishcourse_gateway import targets
 from radishcourse_gateway import view as views
 from radishcourse_node import events
 from radishcourse_policy import modelchoice
-from radishcourse_policy import retrybudget
 
-# Answers up to this size are read as a whole before the caller gets any of
-# it, so that one that is cut short can still be replaced.
-MAX_HELD_BYTES = 256 * 1024
 # An upstream that is silent for this multiple of the route's goal, or of
 # its longest pause within a stream, is given up if the work may be repeated.
 SILENCE_GOALS = 2.0
@@ -29,10 +26,6 @@
 SILENCE_WAITS = 3.0
 # Longest pause within streams of routes that name none.
 DEFAULT_GAP_S = 5.0
-# Part of the permitted repeats that nodes use, since the share is counted
-# over windows that slide.
-REPEAT_SAFETY = 0.8
-UNKNOWN_FLEET = 32
 # An upstream that is full is free again after about one request.
 BUSY_RETRY_S = 0.5
 MISDIRECTED = 421
@@ -45,14 +38,6 @@
     AGAIN = 'again'
 
 
-@dataclasses.dataclass
-class Whole:
-    """An answer that was read as a whole."""
-
-    head: channels.Head
-    body: bytes
-
-
 class _Failed(Exception):
     """An attempt failed.
 
@@ -61,7 +46,9 @@
       answer: The upstream's own answer, if it gave one.
     """
 
-    def __init__(self, reason, not_run=False, answer: Whole | None = None):
+    def __init__(
+        self, reason, not_run=False, answer: answers.Whole | None = None
+    ):
         super().__init__(reason)
         self.not_run = not_run
         self.answer = answer
@@ -85,7 +72,7 @@
         self._rollouts = gateway.rollouts
         self._targets = gateway.targets
         self._pool: channels.Pool = gateway.pool
-        self._budgets: dict[str, retrybudget.RetryBudget] = {}
+        self._repeats = repeats.Repeats(gateway)
 
     async def run(self, request: inbound.Inbound, out) -> targets.Plan:
         """Sends a request to upstreams until one answers.
@@ -111,7 +98,7 @@
                     raise
                 return await self._give_up(request, plan, out, last, refusal)
             if not plan.attempts:
-                self._budget(plan.service).note_request()
+                self._repeats.note_request(plan.service)
             try:
                 step = await self._attempt(request, plan, listed, out)
             except _Failed as failure:
@@ -123,20 +110,6 @@
             if step is Step.DONE:
                 return plan
 
-    def _budget(self, service) -> retrybudget.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self._current.value.bounds
-            fleet = self._gateway.peers.fleet or UNKNOWN_FLEET
-            most = REPEAT_SAFETY * bounds.repeat_slack / fleet
-            budget = retrybudget.RetryBudget(
-                ratio=REPEAT_SAFETY * bounds.repeat_share,
-                reserve=most,
-                cap=most,
-            )
-            self._budgets[service] = budget
-        return budget
-
     def _may_repeat(self, request, plan, failure: _Failed) -> bool:
         now = self._clock.now()
         if plan.attempts >= request.route.max_attempts and plan.sent:
@@ -153,7 +126,7 @@
         if plan.attempts >= request.route.max_attempts:
             return False
         paid, plan.repeat_paid = plan.repeat_paid, False
-        return paid or self._budget(plan.service).spend()
+        return paid or self._repeats.pay(plan.service)
 
     async def _give_up(
         self, request, plan, out, failure: _Failed, refusal=None
@@ -163,7 +136,7 @@
             raise errors.AnswerBroken(str(failure))
         answer = failure.answer
         if answer is not None and not failure.not_run:
-            await self._send_whole(request, plan, answer, out)
+            await answers.send(request, plan, answer, out)
             return plan
         if not plan.sent:
             raise refusal or errors.Refusal(
@@ -237,7 +210,8 @@
             return await self._pass_stream(
                 request, plan, listed, channel, head, out
             )
-        return await self._pass_whole(request, plan, channel, head, out)
+        await answers.pass_on(request, plan, channel, head, out)
+        return Step.DONE
 
     def _headers(self, request, plan, listed) -> inbound.Headers:
         dialect = self._dialect
@@ -298,7 +272,7 @@
 
     def _end_silence(self, request, plan, scope: anyio.CancelScope) -> None:
         if self._has_more(request, plan):
-            plan.repeat_paid = self._budget(plan.service).spend()
+            plan.repeat_paid = self._repeats.pay(plan.service)
         if plan.repeat_paid:
             scope.cancel()
 
@@ -306,7 +280,7 @@
         """Tells whether there is another attempt, and somewhere to send it."""
         if plan.attempts >= request.route.max_attempts:
             return False
-        if self._budget(plan.service).tokens < 1:
+        if not self._repeats.can_pay(plan.service):
             return False
         return len(self._view.usable(plan.service)) > 1
 
@@ -319,12 +293,12 @@
             self._load.note_full(upstream)
         else:
             self._load.note_answer(upstream, failed=True)
-        body = await self._read_whole(request, channel)
+        answer = await answers.read_failure(request.method, channel, head)
         reason = f'status {head.status}'
         self._log_failure(request, plan, listed, reason, not_run)
         if not not_run:
             self._check(request, head)
-        raise _Failed(reason, not_run, Whole(head, body))
+        raise _Failed(reason, not_run, answer)
 
     def _check(self, request, head: channels.Head) -> None:
         """Checks that an answer belongs to the request.
@@ -361,7 +335,7 @@
             self._targets.reading_s(request, plan, models[-1]),
             *self._targets.pressure(plan.service),
         )
-        if larger is None or not self._budget(plan.service).spend():
+        if larger is None or not self._repeats.pay(plan.service):
             return False
         events.log(
             events.Event.STEP_ESCALATED,
@@ -375,54 +349,6 @@
         plan.model = larger
         return True
 
-    async def _pass_whole(self, request, plan, channel, head, out) -> Step:
-        bodiless = request.method == b'HEAD' or head.status in (204, 304)
-        if bodiless:
-            await self._send_whole(request, plan, Whole(head, b''), out)
-            return Step.DONE
-        parts, held = [], 0
-        while held <= MAX_HELD_BYTES:
-            part = await channel.receive()
-            if part is None:
-                whole = Whole(head, b''.join(parts))
-                await self._send_whole(request, plan, whole, out)
-                return Step.DONE
-            parts.append(part)
-            held += len(part)
-        plan.begun = True
-        await out.start(head.status, inbound.returned_headers(head.headers))
-        for part in parts:
-            await out.write(part)
-        while (part := await channel.receive()) is not None:
-            await out.write(part)
-        await out.end()
-        return Step.DONE
-
-    async def _read_whole(self, request, channel) -> bytes:
-        if request.method == b'HEAD':
-            return b''
-        parts = []
-        while (part := await channel.receive()) is not None:
-            parts.append(part)
-            if sum(map(len, parts)) > MAX_HELD_BYTES:
-                raise errors.ChannelError('a failure that is too long', True)
-        return b''.join(parts)
-
-    async def _send_whole(self, request, plan, answer: Whole, out) -> None:
-        headers = inbound.returned_headers(answer.head.headers)
-        if request.method != b'HEAD' and answer.head.status not in (204, 304):
-            headers = [
-                (name, value)
-                for name, value in headers
-                if name != b'content-length'
-            ]
-            headers.append((b'content-length', b'%d' % len(answer.body)))
-        plan.begun = True
-        await out.start(answer.head.status, headers)
-        if answer.body:
-            await out.write(answer.body)
-        await out.end()
-
     async def _pass_stream(
         self, request, plan, listed, channel, head, out
     ) -> Step:
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -26,12 +26,11 @@
 from radishcourse_gateway import view
 from radishcourse_node import connections
 from radishcourse_node import environment as environments
-from radishcourse_node import errors as node_errors
 from radishcourse_node import events
 from radishcourse_node import metrics
+from radishcourse_node import serving
 
 MAX_HEAD_BYTES = 64 * 1024
-RESTART_DELAY_S = 1.0
 SWEEP_S = 1.0
 # The settings file may change without a signal.
 REREAD_S = 2.0
@@ -168,11 +167,11 @@
           AddressError: An address can't be listened on.
         """
         settings = self.current.value
-        callers = await _listen(settings.listen)
-        probes = [await _listen(settings.probe_listen)]
+        callers = await serving.listen(settings.listen)
+        probes = [await serving.listen(settings.probe_listen)]
         if settings.metrics_listen:
-            probes.append(await _listen(settings.metrics_listen))
-        peer_listener = await _listen(settings.peer_listen)
+            probes.append(await serving.listen(settings.metrics_listen))
+        peer_listener = await serving.listen(settings.peer_listen)
         server = self._make_server()
         probe_server = self._make_probe_server()
         events.log(
@@ -184,13 +183,14 @@
         )
         async with anyio.create_task_group() as tasks:
             for name, run in self._tasks(server):
-                tasks.start_soon(self._supervise, name, run)
+                tasks.start_soon(serving.supervise, name, run)
             tasks.start_soon(self.peers.server.serve_on, peer_listener)
             tasks.start_soon(
-                probe_server.serve, [_raw_socket(item) for item in probes]
+                probe_server.serve,
+                [serving.raw_socket(item) for item in probes],
             )
             tasks.start_soon(self._drain_on_signal, server)
-            await server.serve([_raw_socket(callers)])
+            await server.serve([serving.raw_socket(callers)])
             for number in _STOP_SIGNALS:
                 signal.signal(number, signal.SIG_IGN)
             tasks.cancel_scope.cancel()
@@ -281,16 +281,6 @@
                     events.Event.SETTINGS_CHANGED, changed=changed, asked=asked
                 )
 
-    async def _supervise(self, name: str, run) -> None:
-        while True:
-            try:
-                await run()
-            except Exception as error:
-                events.log(
-                    events.Event.TASK_FAILED, task=name, error=repr(error)
-                )
-            await anyio.sleep(RESTART_DELAY_S)
-
     async def _drain_on_signal(self, server: uvicorn.Server) -> None:
         loop = asyncio.get_running_loop()
         stopping = anyio.Event()
@@ -315,21 +305,6 @@
         await self.pool.aclose()
 
 
-async def _listen(address: str) -> anyio.abc.SocketListener:
-    host, _, port = address.rpartition(':')
-    try:
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port), reuse_port=False
-        )
-    except OSError as error:
-        raise node_errors.AddressError(f'{address}: {error}') from error
-    return listener.listeners[0]
-
-
-def _raw_socket(listener: anyio.abc.SocketListener):
-    return listener.extra(anyio.abc.SocketAttribute.raw_socket)
-
-
 @contextlib.asynccontextmanager
 async def open_gateway(environment, settings, dialect, store, decoder, reread):
     """Yields a gateway and closes its connections at the end."""
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -6,11 +6,11 @@
 """
 
 import contextlib
-import dataclasses
 
 import anyio
 
 from radishcourse_gateway import ports
+from radishcourse_gateway import trials
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
 from radishcourse_node import events
@@ -24,40 +24,6 @@
 TURN_S = 0.4
 # A node that hears no peer looks for a published decision this often.
 LOOK_S = 1.0
-_TERMINAL = (canary.RolloutState.COMPLETED, canary.RolloutState.ROLLED_BACK)
-
-
-@dataclasses.dataclass
-class _Trial:
-    """A roll-out in progress or decided.
-
-    Attributes:
-      order: The order.
-      version: Version of the order's row.
-      seen_at: When this node saw it.
-      since_ms: Time of the order on the store's clock, 0 while unknown.
-      state: Published or decided state, None until it was looked up.
-      published: Whether the state is in the store.
-      looked_at: When the store was last asked.
-      due_at: When this node publishes the decision, if nobody else did.
-      tallies: This node's counts.
-      reports: Other nodes' newest counts.
-      old_in_flight: Requests of this node on the old version.
-    """
-
-    order: ports.Order
-    version: int
-    seen_at: float
-    since_ms: int = 0
-    state: canary.RolloutState | None = None
-    published: bool = False
-    looked_at: float | None = None
-    due_at: float | None = None
-    tallies: canary.Tallies = dataclasses.field(default_factory=dict)
-    reports: dict[str, ttypes.RolloutReport] = dataclasses.field(
-        default_factory=dict
-    )
-    old_in_flight: int = 0
 
 
 class Rollouts:
@@ -73,24 +39,26 @@
         self._view: views.View = gateway.view
         self._peers = gateway.peers
         self._store: ports.Store = gateway.store
-        self._trials: dict[ids.ServiceId, _Trial] = {}
+        self._trials: dict[ids.ServiceId, trials.Trial] = {}
         self._incumbents: dict[ids.ServiceId, ids.VersionId] = {}
         self._durations = canary.Durations()
 
-    def _trial(self, service: ids.ServiceId) -> _Trial | None:
+    def _trial(self, service: ids.ServiceId) -> trials.Trial | None:
         in_force = self._view.orders.get(service)
         if in_force is None:
             self._trials.pop(service, None)
             return None
         trial = self._trials.get(service)
         if trial is None or trial.version != in_force.version:
-            trial = _Trial(in_force.order, in_force.version, self._clock.now())
+            trial = trials.Trial(
+                in_force.order, in_force.version, self._clock.now()
+            )
             self._trials[service] = trial
         if not trial.since_ms:
             trial.since_ms = self._store.now_ms(trial.seen_at) or 0
         return trial
 
-    def _age_s(self, trial: _Trial) -> float:
+    def _age_s(self, trial: trials.Trial) -> float:
         now = self._clock.now()
         now_ms = self._store.now_ms(now)
         if now_ms is None or not trial.since_ms:
@@ -113,7 +81,7 @@
             return new
         return max(old, key=lambda version: (present[version], version))
 
-    def _serves_new(self, trial: _Trial, session: str) -> bool:
+    def _serves_new(self, trial: trials.Trial, session: str) -> bool:
         if trial.state is canary.RolloutState.COMPLETED:
             return True
         if trial.state is not canary.RolloutState.RUNNING:
@@ -199,7 +167,7 @@
             kind = (entry.service, route, model)
             learn = arm is canary.Arm.OLD
             slow = self._durations.note(kind, seconds, reading_s, learn)
-        if trial is None or trial.state in _TERMINAL:
+        if trial is None or trial.state in trials.FINAL:
             return
         tally = trial.tallies.setdefault((arm, route), canary.Tally())
         tally.total += 1
@@ -228,7 +196,7 @@
         slow = self._durations.note_pace(
             (entry.service, model), seconds, events, arm is canary.Arm.OLD
         )
-        if slow is None or trial is None or trial.state in _TERMINAL:
+        if slow is None or trial is None or trial.state in trials.FINAL:
             return
         key = (arm, canary.pace_route(route))
         tally = trial.tallies.setdefault(key, canary.Tally())
@@ -253,8 +221,8 @@
                     )
             await anyio.sleep(PERIOD_S)
 
-    async def _step(self, trial: _Trial) -> None:
-        if trial.state in _TERMINAL and trial.published:
+    async def _step(self, trial: trials.Trial) -> None:
+        if trial.state in trials.FINAL and trial.published:
             return
         now = self._clock.now()
         alone = not self._peers.alive
@@ -278,7 +246,7 @@
             for peer in self._peers.alive
         )
 
-    async def _look(self, trial: _Trial) -> ports.StatusRow:
+    async def _look(self, trial: trials.Trial) -> ports.StatusRow:
         trial.looked_at = self._clock.now()
         row = await self._store.read_status(trial.order.service)
         if row.status is not None and row.status.order == trial.version:
@@ -287,17 +255,17 @@
             trial.state = canary.RolloutState.RUNNING
         return row
 
-    def _adopt(self, trial: _Trial, status: canary.Status) -> None:
+    def _adopt(self, trial: trials.Trial, status: canary.Status) -> None:
         """Takes over a published state; a final one is never replaced."""
         if status.since_ms and trial.state is not status.state:
             trial.since_ms = min(
                 trial.since_ms or status.since_ms, status.since_ms
             )
-        if trial.published and trial.state in _TERMINAL:
+        if trial.published and trial.state in trials.FINAL:
             return
         if (
             status.state is canary.RolloutState.RUNNING
-            and trial.state in _TERMINAL
+            and trial.state in trials.FINAL
         ):
             return
         changed = trial.state is not status.state
@@ -305,8 +273,8 @@
         if changed:
             self._log(trial, 'published')
 
-    def _decide(self, trial: _Trial) -> None:
-        tallies, old_in_flight = self._merged(trial)
+    def _decide(self, trial: trials.Trial) -> None:
+        tallies, old_in_flight = trial.merged()
         age = self._age_s(trial)
         state = None
         if canary.is_bad(tallies):
@@ -323,23 +291,10 @@
         self._log(trial, 'decided', tallies, old_in_flight)
 
     @staticmethod
-    def _set_decided(trial: _Trial, state: canary.RolloutState) -> None:
+    def _set_decided(trial: trials.Trial, state: canary.RolloutState) -> None:
         trial.state, trial.published, trial.due_at = state, False, None
 
-    def _merged(self, trial: _Trial) -> tuple[canary.Tallies, int]:
-        merged: canary.Tallies = {}
-        for key, tally in trial.tallies.items():
-            merged.setdefault(key, canary.Tally()).add(tally)
-        old_in_flight = trial.old_in_flight
-        for report in trial.reports.values():
-            old_in_flight += report.old_in_flight
-            for item in report.tallies:
-                key = (canary.Arm(item.arm), item.route)
-                tally = canary.Tally(item.total, item.bad, item.slow)
-                merged.setdefault(key, canary.Tally()).add(tally)
-        return merged, old_in_flight
-
-    async def _publish(self, trial: _Trial) -> None:
+    async def _publish(self, trial: trials.Trial) -> None:
         row = await self._look(trial)
         if trial.published:
             return
@@ -384,29 +339,11 @@
         with the fleet, and a few nodes' counts show a bad version.
         """
         return [
-            self._own_report(service, trial)
-            for service, trial in self._trials.items()
-            if not (trial.state in _TERMINAL and trial.published)
+            trial.report(self._peers.incarnation, self._clock.now())
+            for trial in self._trials.values()
+            if not (trial.state in trials.FINAL and trial.published)
         ]
 
-    def _own_report(self, service, trial: _Trial) -> ttypes.RolloutReport:
-        tallies = [
-            ttypes.RouteTally(
-                arm.value, route, tally.total, tally.bad, tally.slow
-            )
-            for (arm, route), tally in trial.tallies.items()
-        ]
-        # The count in progress changes without the counter of answers.
-        counter = int(1000 * self._clock.now())
-        return ttypes.RolloutReport(
-            service,
-            trial.version,
-            self._peers.incarnation,
-            counter,
-            tallies,
-            trial.old_in_flight,
-        )
-
     def statuses(self) -> list[ttypes.RolloutStatus]:
         """Returns the states of roll-outs that others may not know."""
         return [
@@ -434,9 +371,7 @@
                 continue
             if report.node == self._peers.incarnation:
                 continue
-            known = trial.reports.get(report.node)
-            if known is None or report.counter > known.counter:
-                trial.reports[report.node] = report
+            trial.take(report)
         for told in statuses:
             self._merge_status(told)
 
--- a/packages/node/src/radishcourse_node/app.py
+++ b/packages/node/src/radishcourse_node/app.py
@@ -12,6 +12,7 @@
 
 from radishcourse_model import ids
 from radishcourse_model import states
+from radishcourse_node import bodies
 from radishcourse_node import connections
 from radishcourse_node import errors
 from radishcourse_node import events
@@ -62,7 +63,7 @@
                 await self._answer(send, connection, job)
         except errors.Refusal as refusal:
             await self._send_refusal(send, refusal, request_id, job)
-        except requests.CallerLeft:
+        except bodies.CallerLeft:
             return
         else:
             if left.cancelled_caught:
--- a/packages/node/src/radishcourse_node/main.py
+++ b/packages/node/src/radishcourse_node/main.py
@@ -10,7 +10,6 @@
 
 from radishcourse_model import errors as model_errors
 from radishcourse_node import environment as environments
-from radishcourse_node import errors
 from radishcourse_node import events
 from radishcourse_node import exitstatus
 from radishcourse_node import node as nodes
@@ -32,15 +31,9 @@
         settings = node_settings.read(pathlib.Path(settings_file))
         with _logging_to(environment.stderr):
             anyio.run(_serve, environment, settings)
-    except errors.SettingsError as error:
-        environment.stderr.write(f'{error.code}: {error}\n')
-        return exitstatus.ExitStatus.INVALID
-    except errors.AddressError as error:
-        environment.stderr.write(f'{error.code}: {error}\n')
-        return exitstatus.ExitStatus.ADDRESS_IN_USE
     except model_errors.RadishcourseError as error:
         environment.stderr.write(f'{error.code}: {error}\n')
-        return exitstatus.ExitStatus.ERROR
+        return exitstatus.of_error(error)
     return exitstatus.ExitStatus.SUCCESS
 
 
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -5,7 +5,6 @@
 import functools
 import secrets
 import signal
-import socket
 
 import anyio
 import uvicorn
@@ -15,11 +14,11 @@
 from radishcourse_node import app
 from radishcourse_node import connections
 from radishcourse_node import environment as environments
-from radishcourse_node import errors
 from radishcourse_node import events
 from radishcourse_node import gossip
 from radishcourse_node import metrics
 from radishcourse_node import ratings
+from radishcourse_node import serving
 from radishcourse_node import settings as node_settings
 from radishcourse_node import statuses
 from radishcourse_node.controllers import admissions
@@ -50,7 +49,6 @@
 from radishcourse_wire import server as peer_server
 
 MAX_LINE_BYTES = 32 * 1024
-RESTART_DELAY_S = 1.0
 # Time limit on reads of the configuration, and on their number at once.
 # Answers that come later than others still confirm, or show a change.
 CONFIGURATION_TIMEOUT_S = 5.0
@@ -257,8 +255,8 @@
     async def serve(self) -> None:
         """Serves callers until SIGTERM or SIGINT, then drains."""
         server = self._make_server()
-        callers = await _listen(self.settings.listen)
-        peers = await _listen(self.settings.peer_listen)
+        callers = await serving.listen(self.settings.listen)
+        peers = await serving.listen(self.settings.peer_listen)
         events.log(
             events.Event.NODE_STARTED,
             node=self.settings.node,
@@ -277,10 +275,11 @@
                 self.rollouts,
                 self.claims,
             ):
-                tasks.start_soon(self._supervise, controller)
+                name = type(controller).__name__
+                tasks.start_soon(serving.supervise, name, controller.run)
             tasks.start_soon(self.peer_server.serve_on, peers)
             tasks.start_soon(self._drain_on_signal, server)
-            await server.serve([_raw_socket(callers)])
+            await server.serve([serving.raw_socket(callers)])
             # Nothing is left to stop; a signal must not change the exit code.
             for number in _STOP_SIGNALS:
                 signal.signal(number, signal.SIG_IGN)
@@ -311,18 +310,6 @@
         server.capture_signals = contextlib.nullcontext
         return server
 
-    async def _supervise(self, controller) -> None:
-        while True:
-            try:
-                await controller.run()
-            except Exception as error:
-                events.log(
-                    events.Event.TASK_FAILED,
-                    task=type(controller).__name__,
-                    error=repr(error),
-                )
-            await anyio.sleep(RESTART_DELAY_S)
-
     async def _drain_on_signal(self, server: uvicorn.Server) -> None:
         # Handlers of the event loop would be removed before the process ends,
         # and a second signal in that moment would kill it.
@@ -354,26 +341,6 @@
         await self.ratings.aclose()
 
 
-async def _listen(address: str) -> anyio.abc.SocketListener:
-    """Returns a listener on an address.
-
-    Raises:
-      AddressError: The address can't be listened on.
-    """
-    host, port = node_settings.split_address(address)
-    try:
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, reuse_port=False
-        )
-    except OSError as error:
-        raise errors.AddressError(f'{address}: {error}') from error
-    return listener.listeners[0]
-
-
-def _raw_socket(listener: anyio.abc.SocketListener) -> socket.socket:
-    return listener.extra(anyio.abc.SocketAttribute.raw_socket)
-
-
 def _note_reject(reason: str) -> None:
     events.log(events.Event.PEER_REJECTED, reason=reason)
 
--- /dev/null
+++ b/packages/node/src/radishcourse_node/serving.py
@@ -0,0 +1,44 @@
+"""What all servers of the router share: listeners and background tasks."""
+
+import socket
+import typing
+
+import anyio
+
+from radishcourse_node import errors
+from radishcourse_node import events
+
+RESTART_DELAY_S = 1.0
+
+
+async def listen(address: str) -> anyio.abc.SocketListener:
+    """Returns a listener on an IP address and port.
+
+    Raises:
+      AddressError: The address can't be listened on.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port), reuse_port=False
+        )
+    except OSError as error:
+        raise errors.AddressError(f'{address}: {error}') from error
+    return listener.listeners[0]
+
+
+def raw_socket(listener: anyio.abc.SocketListener) -> socket.socket:
+    """Returns the listener's socket, which uvicorn serves."""
+    return listener.extra(anyio.abc.SocketAttribute.raw_socket)
+
+
+async def supervise(
+    name: str, run: typing.Callable[[], typing.Awaitable[None]]
+) -> None:
+    """Runs a task until cancelled, and starts it again when it fails."""
+    while True:
+        try:
+            await run()
+        except Exception as error:
+            events.log(events.Event.TASK_FAILED, task=name, error=repr(error))
+        await anyio.sleep(RESTART_DELAY_S)
--- a/packages/policy/src/radishcourse_policy/retrybudget.py
+++ b/packages/policy/src/radishcourse_policy/retrybudget.py
@@ -29,6 +29,11 @@
         """Retries that are left."""
         return self._tokens
 
+    def resize(self, cap: float) -> None:
+        """Sets how many tokens can be saved up."""
+        self._cap = cap
+        self._tokens = min(self._tokens, cap)
+
     def note_request(self) -> None:
         """Earns a share of a retry."""
         self._tokens = min(self._cap, self._tokens + self._ratio)
