Begin a trial only when all nodes know of the order

Cause: test_good_version_completes_in_time_and_no_session_returns failed again, with the same session (33): in the first 0.3 s after an order some nodes had not heard of it, so a session that one had placed on the new version came back to the old one at another. Change: no session is placed on the new version in the first second.

--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -20,6 +20,9 @@
 # Part of the sessions on trial, relative to the permitted exposure: leaves
 # room for requests that arrive while the decision spreads.
 TRIAL_OF_EXPOSURE = 0.6
+# No session moves before all nodes know of the order: it takes them a call of
+# a follower and two rounds between nodes.
+START_S = 1.0
 # Parts of the time limit between which all other sessions move, evenly: at no
 # moment do many of them depend on how well the nodes' clocks agree.
 MOVE_BEGIN = 0.5
@@ -126,6 +129,8 @@
       within_s: Its time limit.
       exposure: Permitted share of requests on a bad version.
     """
+    if age_s < START_S:
+        return 0.0
     trial = TRIAL_OF_EXPOSURE * exposure
     moved = (age_s / within_s - MOVE_BEGIN) / (MOVE_END - MOVE_BEGIN)
     return trial + (1 - trial) * min(1.0, max(0.0, moved))
