Serve short requests to near the end of a stop

Ruled out: readiness (503 at once on SIGTERM in each log). Change: the listener stays until 2.5 s before the end of the stop, or until nothing came for 0.5 s; from 2.5 s on a request is taken only if its route's time limit fits into what is left, and refused with 503 else.

--- a/packages/gateway/src/radishcourse_gateway/edge.py
+++ b/packages/gateway/src/radishcourse_gateway/edge.py
@@ -192,9 +192,12 @@
         body = await self._read_body(
             receive, limits.body_bytes, limits.header_timeout_s
         )
-        if self._gateway.closing:
+        left_s = self._gateway.time_left_s
+        if left_s is not None and route.timeout_s > left_s:
             raise errors.Refusal(
-                errors.Reason.CLOSING, 'the node stops', CLOSING_RETRY_S
+                errors.Reason.CLOSING,
+                f'the node stops in {left_s:.1f} s',
+                CLOSING_RETRY_S,
             )
         target = scope['raw_path']
         if scope['query_string']:
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -36,6 +36,12 @@
 REREAD_S = 2.0
 # The balancer takes a node out after two misses, a second apart.
 DRAIN_DELAY_S = 2.5
+# A drained node still serves what ends in time: while less than half of a
+# zone's nodes are ready the balancer sends to all of them. The listener is
+# closed this long before the end of the stop, or when nothing came for a while.
+LISTEN_END_S = 2.5
+QUIET_S = 0.5
+DRAIN_POLL_S = 0.1
 # Time at the end of a stop that is left for closing.
 CLOSING_S = 0.4
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -99,7 +105,8 @@
             for table in records.Table
         ]
         self._draining = False
-        self._closing = False
+        self._stops_at: float | None = None
+        self._requested_at = 0.0
         self._requests = 0
         self._log_dropped = lambda: 0
         self._settings_error = ''
@@ -121,18 +128,25 @@
         return self._draining
 
     @property
-    def closing(self) -> bool:
-        """Whether the balancer had time to notice that the node drains.
+    def time_left_s(self) -> float | None:
+        """How long a new request may last, None when any may.
 
-        A request that still comes, on a connection that was kept, may last
-        longer than the process does.
+        While the balancer has not had the time to notice that the node
+        drains, requests of any length are taken.
         """
-        return self._closing
+        if self._stops_at is None:
+            return None
+        now = self.environment.clock.now()
+        stop_s = self.current.value.bounds.stop_s
+        if self._stops_at - now > stop_s - DRAIN_DELAY_S:
+            return None
+        return max(0.0, self._stops_at - now - CLOSING_S)
 
     @contextlib.contextmanager
     def count_request(self):
         """Counts a request while it is in progress."""
         self._requests += 1
+        self._requested_at = self.environment.clock.now()
         try:
             yield
         finally:
@@ -217,10 +231,7 @@
             h11_max_incomplete_event_size=MAX_HEAD_BYTES,
             timeout_keep_alive=60,
             # uvicorn passes it on to asyncio.wait_for, which takes fractions.
-            timeout_graceful_shutdown=max(
-                1.0,
-                self.current.value.bounds.stop_s - DRAIN_DELAY_S - CLOSING_S,
-            ),
+            timeout_graceful_shutdown=LISTEN_END_S - CLOSING_S,
         )
         server = uvicorn.Server(config)
         server.capture_signals = contextlib.nullcontext
@@ -294,11 +305,19 @@
         )
         await stopping.wait()
         self._draining = True
+        stop_s = self.current.value.bounds.stop_s
+        self._stops_at = self.environment.clock.now() + stop_s
         events.log(events.Event.NODE_DRAINING, in_progress=self._requests)
         await anyio.sleep(DRAIN_DELAY_S)
-        self._closing = True
+        while not self._may_close():
+            await anyio.sleep(DRAIN_POLL_S)
         server.should_exit = True
 
+    def _may_close(self) -> bool:
+        now = self.environment.clock.now()
+        quiet = now - self._requested_at > QUIET_S and not self._requests
+        return quiet or now > self._stops_at - LISTEN_END_S
+
     async def aclose(self) -> None:
         """Closes all connections."""
         await self.peers.aclose()
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -213,6 +213,34 @@
             self.assertEqual(30, answer.body.count(b'\n\n'))
         self.assertEqual(0, site.gateways['gateway-1'].popen.wait(6))
 
+    def test_stopping_node_serves_what_ends_in_time(self):
+        site = self.start(1)
+        for name in ('engine-1', 'engine-2'):
+            site.behave(name, events=33, event_ms=100)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            stream = pool.submit(
+                site.send, 'gateway-1', 'POST', '/draft/1', b'prompt'
+            )
+            time.sleep(0.3)
+            site.gateways['gateway-1'].signal(signal.SIGTERM)
+            time.sleep(2.8)
+            # 3.2 s of the 6 s are left: less than the route may take.
+            long = site.send('gateway-1', 'POST', '/draft/1', b'prompt')
+            site.configure(
+                version=2,
+                routes=[
+                    sites.route(
+                        'stock', '/stock/', 'idempotent', 'desk', timeoutMs=1000
+                    )
+                ],
+            )
+            sites.await_true(
+                lambda: site.send('gateway-1', 'GET', '/stock/1').status == 200,
+                1.0,
+            )
+            self.assertEqual(503, long.status)
+            self.assertTrue(stream.result().whole)
+
     def test_reload_signal_does_not_end_the_process(self):
         site = self.start(1)
         site.gateways['gateway-1'].signal(signal.SIGHUP)
