Count each request once towards the budget of repeats

Cause: a request whose connections failed earned a share of a repeat for each of them, though nothing arrived at an upstream; read in the code before the landing. Change: earned once; a condition that another one covers is gone.

--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -90,6 +90,7 @@
         if request.route.models:
             plan.model = request.route.models[0]
         last: _Failed | None = None
+        counted = False
         while True:
             try:
                 listed = self._targets.choose(request, plan)
@@ -97,8 +98,9 @@
                 if last is None:
                     raise
                 return await self._give_up(request, plan, out, last, refusal)
-            if not plan.attempts:
+            if not counted:
                 self._repeats.note_request(plan.service)
+                counted = True
             try:
                 step = await self._attempt(request, plan, listed, out)
             except _Failed as failure:
@@ -112,8 +114,6 @@
 
     def _may_repeat(self, request, plan, failure: _Failed) -> bool:
         now = self._clock.now()
-        if plan.attempts >= request.route.max_attempts and plan.sent:
-            return False
         if now >= request.deadline:
             return False
         if plan.begun and not request.route.resumable:
