--- a/packages/gateway/src/radishcourse_gateway/exchange.py
+++ b/packages/gateway/src/radishcourse_gateway/exchange.py
@@ -1,11 +1,7 @@
 """Forwards one request: attempts, repeats, larger models, resumed streams."""
 
-import asyncio
-import contextlib
 import enum
 
-import anyio
-
 from radishcourse_gateway import answers
 from radishcourse_gateway import channels
 from radishcourse_gateway import directory as directories
@@ -13,19 +9,12 @@
 from radishcourse_gateway import eventstream
 from radishcourse_gateway import inbound
 from radishcourse_gateway import repeats
+from radishcourse_gateway import silence
 from radishcourse_gateway import targets
 from radishcourse_gateway import view as views
 from radishcourse_node import events
 from radishcourse_policy import modelchoice
 
-# An upstream that is silent for this multiple of the route's goal, or of
-# its longest pause within a stream, is given up if the work may be repeated.
-SILENCE_GOALS = 2.0
-LEAST_SILENCE_S = 1.0
-# An upstream that is busy is given this multiple of its expected wait.
-SILENCE_WAITS = 3.0
-# Longest pause within streams of routes that name none.
-DEFAULT_GAP_S = 5.0
 # An upstream that is full is free again after about one request.
 BUSY_RETRY_S = 0.5
 MISDIRECTED = 421
@@ -73,6 +62,7 @@
         self._targets = gateway.targets
         self._pool: channels.Pool = gateway.pool
         self._repeats = repeats.Repeats(gateway)
+        self._silence = silence.Silence(gateway, self._repeats)
 
     async def run(self, request: inbound.Inbound, out) -> targets.Plan:
         """Sends a request to upstreams until one answers.
@@ -234,56 +224,11 @@
 
     async def _receive_head(self, request, plan, listed, channel):
         headers = self._headers(request, plan, listed)
-        limit_s = self._silence_s(request, listed)
-        with self._unless_silent(request, plan, limit_s):
+        with self._silence.before_head(request, plan, listed):
             return await channel.request(
                 request.method, request.target, headers, request.body
             )
 
-    def _silence_s(self, request, listed) -> float:
-        """Returns how long an upstream may be silent before the head."""
-        goal_s = SILENCE_GOALS * request.route.goal_s
-        expected_s = self._targets.expected_s(listed)
-        return max(LEAST_SILENCE_S, goal_s, SILENCE_WAITS * expected_s)
-
-    @contextlib.contextmanager
-    def _unless_silent(self, request, plan, limit_s: float):
-        """Ends the block when the time is over and a repeat is possible.
-
-        Without one, waiting on is all that is left. The timer is asyncio's,
-        as one is needed for each event of a stream.
-
-        Raises:
-          ChannelError: The upstream was silent for too long.
-        """
-        if not request.route.repeatable:
-            yield
-            return
-        with anyio.CancelScope() as scope:
-            timer = asyncio.get_running_loop().call_later(
-                limit_s, self._end_silence, request, plan, scope
-            )
-            try:
-                yield
-            finally:
-                timer.cancel()
-        if scope.cancelled_caught:
-            raise errors.ChannelError(f'silent for {limit_s:g} s', True)
-
-    def _end_silence(self, request, plan, scope: anyio.CancelScope) -> None:
-        if self._has_more(request, plan):
-            plan.repeat_paid = self._repeats.pay(plan.service)
-        if plan.repeat_paid:
-            scope.cancel()
-
-    def _has_more(self, request, plan) -> bool:
-        """Tells whether there is another attempt, and somewhere to send it."""
-        if plan.attempts >= request.route.max_attempts:
-            return False
-        if not self._repeats.can_pay(plan.service):
-            return False
-        return len(self._view.usable(plan.service)) > 1
-
     async def _fail(self, request, plan, listed, channel, head, not_run):
         upstream = listed.upstream.upstream_id
         if head.status == MISDIRECTED:
@@ -321,7 +266,7 @@
             plan.confidence = float(confidence)
         if not models or plan.begun or request.size is None:
             return False
-        if not self._has_more(request, plan) or confidence is None:
+        if not self._silence.can_repeat(request, plan) or confidence is None:
             return False
         service = self._view.directory.services.get(plan.service)
         costs = service.engine.costs if service and service.engine else {}
@@ -355,13 +300,11 @@
         """Passes events on as they come; only whole ones."""
         splitter = eventstream.Splitter(plan.last_event)
         began_at = self._clock.now()
-        gap_s = request.route.gap_s or DEFAULT_GAP_S
-        limit_s = max(LEAST_SILENCE_S, SILENCE_GOALS * gap_s)
         if not plan.begun:
             plan.version = listed.upstream.version
             headers = inbound.returned_headers(head.headers)
         while True:
-            with self._unless_silent(request, plan, limit_s):
+            with self._silence.between_events(request, plan):
                 data = await channel.receive()
             if data is None:
                 break
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -287,13 +287,9 @@
             state = canary.RolloutState.COMPLETED
         if state is None:
             return
-        self._set_decided(trial, state)
+        trial.decide(state)
         self._log(trial, 'decided', tallies, old_in_flight)
 
-    @staticmethod
-    def _set_decided(trial: trials.Trial, state: canary.RolloutState) -> None:
-        trial.state, trial.published, trial.due_at = state, False, None
-
     async def _publish(self, trial: trials.Trial) -> None:
         row = await self._look(trial)
         if trial.published:
@@ -398,5 +394,5 @@
             and trial.state is canary.RolloutState.RUNNING
         ):
             # To stop is safe before the decision is published.
-            self._set_decided(trial, state)
+            trial.decide(state)
             self._log(trial, 'told')
--- a/packages/gateway/src/radishcourse_gateway/trials.py
+++ b/packages/gateway/src/radishcourse_gateway/trials.py
@@ -41,6 +41,10 @@
     )
     old_in_flight: int = 0
 
+    def decide(self, state: canary.RolloutState) -> None:
+        """Notes a decision that is not published yet."""
+        self.state, self.published, self.due_at = state, False, None
+
     def merged(self) -> tuple[canary.Tallies, int]:
         """Returns the counts of all nodes.
 
