Give back permits whose grant was lost, also without a known holder

Cause: a node whose call for a permit times out (0.5 s; a holder that pauses for 1 s is enough) forgets the holder. In an outage the row can't be read, so it stays unknown: releases were sent to nobody, and each permit that was granted afterwards blocked the cold upstream for its life of 10 s. A paused holder also granted the calls that it found when it woke up, to owners who had gone. Ruled out: the lease (valid in all runs, as its events show); the queue: its 1 s waits are callers who wait for a slot that a lost permit holds. Change: permits are released to whoever may count them, again until answered; an answer to a call names the holder; a request that its release overtook grants nothing.

--- a/packages/node/src/radishcourse_node/controllers/leases.py
+++ b/packages/node/src/radishcourse_node/controllers/leases.py
@@ -124,6 +124,10 @@
         if heard is not None and heard.holder is not None:
             self._heard[name] = _Heard(None, heard.at)
 
+    def note_holder(self, name: ids.LeaseName, node: ids.NodeId) -> None:
+        """Notes a node that has just answered as the lease's holder."""
+        self._heard[name] = _Heard(node, self._clock.now())
+
     async def run(self) -> None:
         """Renews what this node holds and watches what it prefers."""
         while True:
--- a/packages/node/src/radishcourse_node/controllers/permits.py
+++ b/packages/node/src/radishcourse_node/controllers/permits.py
@@ -49,6 +49,9 @@
       request_id: The request as the upstream knows it.
       asked_at: When the request was sent that was granted last.
       cancelled: Whether the job was cancelled because the permit ended.
+      may_count_it: Nodes that may count it as granted: the one that granted
+        it, and those whose answer did not come.
+      last_asked_at: When a grantor was asked last, granted or not.
     """
 
     upstream: ids.UpstreamId
@@ -56,6 +59,8 @@
     request_id: str
     asked_at: float = 0.0
     cancelled: bool = False
+    may_count_it: set[ids.NodeId] = dataclasses.field(default_factory=set)
+    last_asked_at: float = 0.0
 
 
 class Permits:
@@ -157,15 +162,24 @@
                 await self._engine(owned.upstream).cancel(owned.request_id)
             except enginecontrol.ControlError:
                 return
+            clean = True
         message = ttypes.ReleasePermit(
             upstream=owned.upstream,
             permit=f'{self._incarnation}/{owned.permit}',
         )
-        holder = self._leases.holder(self._shard(owned.upstream))
-        if holder == self._node_id:
-            self._release(message)
-        elif holder is not None:
-            await self._send(holder, messages.Kind.RELEASE_PERMIT, message)
+        for node in list(owned.may_count_it):
+            if node == self._node_id:
+                self._release(message)
+            elif not await self._send(
+                node, messages.Kind.RELEASE_PERMIT, message
+            ):
+                continue
+            owned.may_count_it.discard(node)
+        if not owned.may_count_it:
+            return
+        if self._clock.now() < owned.last_asked_at + policy.LIFE_S:
+            # Not by _note_ended: the next tick is soon enough.
+            self._ended.append((owned, clean))
 
     async def _look_after(self, owned: Owned) -> None:
         now = self._clock.now()
@@ -187,17 +201,23 @@
             ttl_ms=int(policy.LIFE_S * 1000),
         )
         for node in asked[: lease_policy.WATCHERS]:
-            asked_at = self._clock.now()
+            asked_at = owned.last_asked_at = self._clock.now()
             if node == self._node_id:
                 reply = self._grant_local(message)
             else:
                 kind = messages.Kind.ACQUIRE_PERMIT
                 reply = await self._send(node, kind, message)
             if reply is None:
+                if node != self._node_id:
+                    # It may have granted, or may do so when it wakes up.
+                    owned.may_count_it.add(node)
                 self._leases.forget_holder(name)
                 continue
+            # Only the holder answers, so this needs no row of the platform.
+            self._leases.note_holder(name, node)
             if reply.granted:
                 owned.asked_at = asked_at
+                owned.may_count_it.add(node)
             else:
                 retry_s = max(RETRY_S, reply.retry_after_ms / 1000)
                 self._registry.get(owned.upstream).refused_until = (
@@ -280,8 +300,15 @@
         return policy.may_grant(now, hold.epoch, hold.acquired_at, cleared)
 
     def _release(self, message) -> ttypes.ReleasePermitReply:
-        known = self._ledgers.get(ids.UpstreamId(message.upstream))
-        released = known is not None and known[1].release(message.permit)
+        upstream = ids.UpstreamId(message.upstream)
+        hold = self._leases.hold(self._shard(upstream))
+        if hold is not None:
+            # The release may come before the request that it follows.
+            self._ledger(upstream, hold.epoch)
+        known = self._ledgers.get(upstream)
+        released = known is not None and known[1].release(
+            message.permit, self._clock.now()
+        )
         return ttypes.ReleasePermitReply(released=released)
 
     async def _revoke_expired(self, upstream: ids.UpstreamId) -> None:
@@ -299,7 +326,7 @@
                     error=str(error),
                 )
                 return
-            ledger.release(permit.permit)
+            ledger.release(permit.permit, self._clock.now())
 
     def _shard(self, upstream: ids.UpstreamId) -> ids.LeaseName:
         return lease_policy.shard_name(upstream, self._shards)
--- a/packages/policy/src/radishcourse_policy/permits.py
+++ b/packages/policy/src/radishcourse_policy/permits.py
@@ -35,6 +35,8 @@
 
     def __init__(self):
         self._permits: dict[str, Permit] = {}
+        # Ended permits, each until a request for it can't be under way.
+        self._ended: dict[str, float] = {}
 
     @property
     def count(self) -> int:
@@ -52,8 +54,12 @@
         """Grants a permit, or prolongs one that is still alive.
 
         A repeated request, after a lost reply or to prolong, is the same
-        permit and is counted once.
+        permit and is counted once. One that arrives after the release, from
+        a connection that was slower, grants nothing.
         """
+        self._forget_ended(now)
+        if permit in self._ended:
+            return False
         known = self._permits.get(permit)
         if known is not None:
             if now >= known.expires_at:
@@ -66,10 +72,18 @@
         self._permits[permit] = Permit(permit, request_id, expires_at)
         return True
 
-    def release(self, permit: str) -> bool:
+    def release(self, permit: str, now: float) -> bool:
         """Ends a permit whose job is over; False if it is not known."""
+        self._forget_ended(now)
+        self._ended[permit] = now + LIFE_S
         return self._permits.pop(permit, None) is not None
 
+    def _forget_ended(self, now: float) -> None:
+        for permit, until in list(self._ended.items()):
+            if until > now:
+                return
+            del self._ended[permit]
+
     def expired(self, now: float) -> list[Permit]:
         """Returns permits whose jobs are to be cancelled at the upstream."""
         return [
--- a/tests/test_cutoff.py
+++ b/tests/test_cutoff.py
@@ -1,13 +1,23 @@
 """Holders of leases that are cut off from all other processes."""
 
+import signal
 import time
 
 import testtools
+from testtools import matchers
 
 from radishcourse_policy import leases as lease_policy
+from radishcourse_policy import permits as permit_policy
 from tests import test_cold
 from tests import traffic
 
+# Longer than a call for a permit waits (0.5 s), shorter than the 2.5 s after
+# which a paused holder must find its lease lapsed.
+MISSED_S = 1.0
+# A first token takes 0.3 s in a cold start: 30 fit into a permit's life of
+# 10 s, one when each permit blocks the upstream for its life.
+LEAST_GRANTS = 5
+
 
 class CutTest(testtools.TestCase):
     """Guards against a holder that grants while nobody can reach it."""
@@ -43,3 +53,22 @@
             test_cold.await_grants(cluster)
             self.assertEqual(first, test_cold.holder(cluster))
             self.assertEqual(1, test_cold.counts(cluster)['max_cold'])
+
+    def test_holder_that_missed_calls_in_an_outage_is_found_again(self):
+        with (
+            test_cold.cold_cluster(4, test_cold.COLD) as cluster,
+            traffic.running(cluster),
+        ):
+            first = test_cold.holder(cluster)
+            test_cold.await_grants(cluster)
+            cluster.platform_fault('down')
+            time.sleep(MISSED_S)
+            cluster.nodes[first].signal(signal.SIGSTOP)
+            time.sleep(MISSED_S)
+            cluster.nodes[first].signal(signal.SIGCONT)
+            before = test_cold.counts(cluster)['cold_total']
+            time.sleep(permit_policy.LIFE_S)
+            # A permit that nobody releases blocks the upstream for its life.
+            more = test_cold.counts(cluster)['cold_total'] - before
+            self.assertThat(more, matchers.GreaterThan(LEAST_GRANTS))
+            self.assertEqual(1, test_cold.counts(cluster)['max_cold'])
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -17,6 +17,7 @@
 from radishcourse_node.controllers import permits
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import leases as lease_policy
+from radishcourse_policy import permits as policy
 from radishcourse_wire import errors as wire_errors
 from radishcourse_wire import messages
 
@@ -97,6 +98,9 @@
     def forget_holder(self, name):
         pass
 
+    def note_holder(self, name, node):
+        pass
+
     # As its connections to peers.
     async def call(self, address, kind, message, timeout_s):
         peer = self._machine.nodes[address]
@@ -132,7 +136,7 @@
         self.requests = 0
         self.epoch = 0
         self.nodes = {name: Node(self, name) for name in NAMES}
-        self.holder = 'a'
+        self.holder: str | None = 'a'
         self._take('a')
 
     def teardown(self):
@@ -285,3 +289,42 @@
         self.machine.nodes['b'].paused = False
         self.machine.proceed('b')
         self.assertEqual(set(), self.machine.engine.sent)
+
+
+class LostGrantTest(testtools.TestCase):
+    """Guards against permits that block an upstream though nobody has them."""
+
+    def setUp(self):
+        super().setUp()
+        self.machine = PermitMachine()
+        self.addCleanup(self.machine.teardown)
+
+    def _begin_with_lost_replies(self) -> None:
+        self.machine.nodes['b'].lost = True
+        for _ in range(LIMIT):
+            self.machine.begin('b')
+        self.assertEqual({}, self.machine.nodes['b'].jobs)
+
+    def test_lost_grants_are_given_back_while_the_holder_is_not_known(self):
+        self.machine.holder = None
+        self._begin_with_lost_replies()
+        self.machine.run(1)
+        self.machine.begin('c')
+        self.assertEqual(1, len(self.machine.nodes['c'].jobs))
+
+    def test_lost_grants_are_given_back_when_the_holder_is_heard_again(self):
+        self._begin_with_lost_replies()
+        self.machine.nodes['a'].paused = True
+        self.machine.run(2)
+        self.machine.nodes['a'].paused = False
+        self.machine.run(1)
+        self.machine.begin('c')
+        self.assertEqual(1, len(self.machine.nodes['c'].jobs))
+
+    def test_request_that_its_release_overtook_grants_nothing(self):
+        ledger = policy.Ledger()
+        self.assertFalse(ledger.release('b/r1#1', 100.0))
+        self.assertFalse(
+            ledger.grant(100.1, 'b/r1#1', 'r1', policy.LIFE_S, LIMIT)
+        )
+        self.assertEqual(0, ledger.count)
