--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -2,9 +2,10 @@
 
 A fixed part of the sessions runs on the new version until late in the time
 limit, so that no session has to move between versions. Then the others follow
-evenly, as late as their requests leave the exposure up to the limit within
-its bound: a version that is bad in a way that nobody met keeps it too. Sessions are assigned by hash, so all nodes agree without messages,
-and a growing part only moves sessions from the old version to the new one.
+evenly, so late that the exposure up to the limit stays within its bound: a
+version that is bad in a way that nobody met keeps it too. Sessions are
+assigned by hash, so all nodes agree without messages, and a growing part only
+moves sessions from the old version to the new one.
 
 Load pattern: a version that fails or delays a part of its requests, at
 once, later, under load or on one route only.
--- a/tests/site.py
+++ b/tests/site.py
@@ -5,6 +5,7 @@
 all of them.
 """
 
+import base64
 import contextlib
 import http.client
 import itertools
@@ -154,6 +155,14 @@
         }
         self.put('servers', name, entry)
 
+    def status(self, service: str) -> dict:
+        """Returns what the system published on a service's roll-out."""
+        for row in self.control(self.store, 'rows')['rows']:
+            key = (row['table'], row['key'])
+            if key == ('status', f'rollout/{service}'):
+                return json.loads(base64.b64decode(row['value']))
+        return {}
+
     def behave(self, name: str, **settings) -> None:
         """Sets the behaviour of a worker."""
         self.control(self.workers[name], 'settings', settings)
@@ -223,6 +232,11 @@
             )
             processes.wait_http(probe, '/ready')
 
+    def wait_workers(self) -> None:
+        """Waits until all workers answer."""
+        for process in self.workers.values():
+            processes.wait_http(process, '/control/state')
+
     def wait_listed(self, count: int) -> None:
         """Waits until all gateways know a number of upstreams."""
         wanted = f'radishcourse_upstreams_listed {count}'
@@ -344,8 +358,7 @@
             site.worker(name, 'engine')
         for number in range(gateways):
             site.gateway(f'gateway-{number + 1}')
-        for process in site.workers.values():
-            processes.wait_http(process, '/control/state')
+        site.wait_workers()
         site.wait_ready()
         site.wait_listed(len(site.workers))
         yield site
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -1,9 +1,7 @@
 """Roll-outs decided by several gateways over the store's row."""
 
-import base64
 import concurrent.futures
 import itertools
-import json
 import signal
 import threading
 import time
@@ -63,7 +61,8 @@
         self.addCleanup(running.__exit__, None, None, None)
         for name in ('new-1', 'new-2'):
             site.worker(name, 'engine', version='v2', born=2)
-            sites.await_true(lambda name=name: self._sound(site, name))
+        site.wait_workers()
+        for name in ('new-1', 'new-2'):
             site.behave(name, **behaviour)
         site.wait_listed(6)
         traffic = _Traffic(site)
@@ -71,34 +70,20 @@
         time.sleep(0.5)
         return site, traffic
 
-    @staticmethod
-    def _sound(site, name: str) -> bool:
-        try:
-            return bool(site.control(site.workers[name], 'state'))
-        except OSError:
-            return False
-
     def _order(self, site: sites.Site) -> None:
         order = {'service': 'engine', 'to': 'v2', 'withinS': WITHIN_S}
         site.put('op', 'rollout/engine', order)
 
-    def _status(self, site: sites.Site) -> dict:
-        rows = site.control(site.store, 'rows')['rows']
-        for row in rows:
-            if row['table'] == 'status':
-                return json.loads(base64.b64decode(row['value']))
-        return {}
-
     def _await(self, site, state: str, seconds: float) -> None:
         sites.await_true(
-            lambda: self._status(site).get('state') == state, seconds
+            lambda: site.status('engine').get('state') == state, seconds
         )
 
     def test_good_version_completes_in_time_and_no_session_returns(self):
         site, traffic = self._start()
         self._order(site)
         self._await(site, 'completed', WITHIN_S)
-        self.assertEqual('v2', self._status(site)['to'])
+        self.assertEqual('v2', site.status('engine')['to'])
         time.sleep(1.0)
         before = len(traffic.seen)
         time.sleep(1.0)
