Soak gateways under seeded faults, and check what callers and workers saw

Ruled out: extending tests/soak.py, which drives radishcourse-node through its own interface, bills and claims. Callers keep their connections. Ruled out on the way: a first run reported 3 events of 8 in streams; workers that came back had the default length, so it is an option of the stand-in now.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all install format lint test demo soak measure bench wire clean
+.PHONY: all install format lint test demo soak fleetsoak measure bench wire clean
 
 VENV ?= .venv
 BIN = $(VENV)/bin
@@ -33,6 +33,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m tests.soak
 
+fleetsoak: $(STAMP)
+	$(BIN)/python -m tests.fleetsoak --seeds 1-50
+
 measure: $(STAMP)
 	$(BIN)/python -m radishcourse_standins.measure all
 
--- a/packages/standins/src/radishcourse_standins/worker.py
+++ b/packages/standins/src/radishcourse_standins/worker.py
@@ -6,6 +6,7 @@
 
 import collections
 import enum
+import time
 
 import anyio
 import fire
@@ -78,12 +79,13 @@
     Args:
       name: Its id.
       stream: Whether it answers with streams of events.
+      events: Events of a stream until the settings say otherwise.
     """
 
-    def __init__(self, name: str, stream: bool):
+    def __init__(self, name: str, stream: bool, events: int):
         self._name = name
         self._stream = stream
-        self._settings = Settings()
+        self._settings = Settings(events=events)
         self._runs: list[Run] = []
         self._left: collections.Counter[str] = collections.Counter()
         self._connections = 0
@@ -177,6 +179,7 @@
             )
             return True
         self._runs.append(run)
+        self._tell(run)
         if fault is Fault.HANG:
             await self._watch(stream, run.request)
             return False
@@ -190,6 +193,16 @@
             return await self._send_stream(stream, run, fault)
         return await self._send_answer(stream, run, fault)
 
+    def _tell(self, run: Run) -> None:
+        """Writes a run to the log, which outlives the process."""
+        line = {
+            'run': run.request,
+            'worker': self._name,
+            'target': run.target,
+            'at': time.monotonic(),
+        }
+        print(msgspec.json.encode(line).decode(), flush=True)
+
     async def _send_answer(self, stream, run: Run, fault: Fault) -> bool:
         body = f'{self._name} {run.method} {run.target}'.encode()
         headers = dict(run.headers)
@@ -259,9 +272,9 @@
         return ('\r\n'.join(lines) + '\r\n\r\n').encode()
 
 
-def main(port: int, worker: str, stream: bool = False) -> None:
+def main(port: int, worker: str, stream: bool = False, events: int = 3) -> None:
     """Serves the stand-in."""
-    anyio.run(Worker(worker, stream).serve, port)
+    anyio.run(Worker(worker, stream, events).serve, port)
 
 
 if __name__ == '__main__':
--- a/tests/site.py
+++ b/tests/site.py
@@ -23,6 +23,7 @@
 OTHER_KEY = 'key-of-the-second-organisation'
 ZONES = ('zone-a', 'zone-b')
 BUDGET_MS = 5000
+GRACE_S = 6
 _octets = itertools.count(1)
 
 
@@ -95,13 +96,27 @@
 class Site:
     """Store, workers and gateways as processes.
 
+    Args:
+      started: Starts the processes and ends them.
+      linked: Whether workers are reached through links of the proxy, too.
+      events: Events of a stream.
+
     Attributes:
       gateways: Gateways by name.
       workers: Workers by id.
     """
 
-    def __init__(self, started: processes.Processes):
+    def __init__(
+        self,
+        started: processes.Processes,
+        linked: bool = False,
+        events: int = 3,
+    ):
         self._started = started
+        self._linked = linked
+        self._events = events
+        self._addresses: dict[str, str] = {}
+        self._launches: dict[str, tuple] = {}
         self.store = started.stand_in('rowstore')
         self.proxy = started.stand_in('proxy')
         self.gateways: dict[str, processes.Process] = {}
@@ -111,6 +126,11 @@
         for process in (self.store, self.proxy):
             processes.wait_http(process, '/control/counts', None)
 
+    @property
+    def folder(self) -> pathlib.Path:
+        """Where settings and logs are."""
+        return self._started.folder
+
     def control(self, process, path: str, body: object = None) -> dict:
         """Calls a control page of a stand-in."""
         connection = http.client.HTTPConnection(
@@ -133,18 +153,47 @@
 
     def worker(self, name: str, service: str, **fields) -> processes.Process:
         """Starts a worker and writes its entry."""
-        process = self._started.stand_in(
-            'worker', name, worker=name, stream=service == 'engine'
-        )
+        process = self._start_worker(name, service)
         self.workers[name] = process
+        self._addresses[name] = process.address
+        if self._linked:
+            self._addresses[name] = self._link(name, process.address)
         self.enter(name, service, **fields)
         return process
 
+    def _link(self, name: str, target: str) -> str:
+        port = processes.free_port()
+        link = {'name': name, 'port': port, 'target': target}
+        self.control(self.proxy, 'links', [link])
+        return f'127.0.0.1:{port}'
+
+    def restart_worker(self, name: str, service: str) -> None:
+        """Starts a worker that has ended again, at its address."""
+        port = self.workers[name].port
+        self.workers[name] = self._start_worker(name, service, port=port)
+
+    def _start_worker(self, name, service, **options) -> processes.Process:
+        return self._started.stand_in(
+            'worker',
+            name,
+            worker=name,
+            stream=service == 'engine',
+            events=self._events,
+            **options,
+        )
+
+    def restart_gateway(self, name: str) -> None:
+        """Starts a gateway that has ended again, at its addresses."""
+        ready_port = self.gateways[name].ready_port
+        process = self._started.adapter(name, *self._launches[name])
+        process.ready_port = ready_port
+        self.gateways[name] = process
+
     def enter(self, name: str, service: str, **fields) -> None:
         """Writes a worker's entry."""
         entry = {
             'service': service,
-            'address': self.workers[name].address,
+            'address': self._addresses[name],
             'zone': ZONES[0],
             'version': 'v1',
             'slots': 8,
@@ -179,12 +228,7 @@
         """Starts a gateway, reachable at an address of its own."""
         host = f'127.{1 + os.getpid() % 200}.0.{next(_octets)}'
         front, ready, peer = (processes.free_port() for _ in range(3))
-        link = processes.free_port()
-        self.control(
-            self.proxy,
-            'links',
-            [{'name': name, 'port': link, 'target': self.store.address}],
-        )
+        store = self._link(name, self.store.address)
         settings = f"""
 node = "{name}"
 ip = "{host}"
@@ -201,15 +245,16 @@
 [limits]
 memoryMb = 200
 [bounds]
-graceS = 6
+graceS = {GRACE_S}
 budgetRatio = 0.9
 retrySlack = 56
 exposeShare = 0.15
 coldExcess = 1.5
 coldSlack = 5
 [platform]
-address = "127.0.0.1:{link}"
+address = "{store}"
 """
+        self._launches[name] = (host, front, settings)
         process = self._started.adapter(name, host, front, settings)
         process.ready_port = ready
         self.gateways[name] = process
@@ -218,7 +263,12 @@
 
     def store_fault(self, mode: str, *names: str) -> None:
         """Sets the fault of gateways' links to the store."""
-        self.control(self.proxy, 'faults', {'links': list(names), 'mode': mode})
+        self.link_fault(mode, *names)
+
+    def link_fault(self, mode: str, *names: str, **fields) -> None:
+        """Sets the fault of links by the names of gateways and workers."""
+        fault = {'links': list(names), 'mode': mode, **fields}
+        self.control(self.proxy, 'faults', fault)
 
     def wait_ready(self) -> None:
         """Waits until all gateways are ready."""
@@ -344,13 +394,13 @@
 
 
 @contextlib.contextmanager
-def running(gateways: int = 2, **fields):
+def running(gateways: int = 2, linked: bool = False, events: int = 3, **fields):
     """Yields a site with two desks, two engines and some gateways."""
     with (
         tempfile.TemporaryDirectory() as folder,
         processes.started(pathlib.Path(folder)) as started,
     ):
-        site = Site(started)
+        site = Site(started, linked, events)
         site.configure(**fields)
         for name in ('desk-1', 'desk-2'):
             site.worker(name, 'desk')
--- /dev/null
+++ b/tests/soakcalls.py
@@ -0,0 +1,149 @@
+"""Callers of the soak on gateways: connections kept until they break."""
+
+import concurrent.futures
+import contextlib
+import dataclasses
+import http.client
+import itertools
+import random
+import threading
+import time
+
+from tests import site as sites
+
+PAUSE_S = 0.03
+# Callers wait longer than any answer may take.
+TIMEOUT_S = sites.BUDGET_MS / 1000 + 4
+KINDS = (
+    ('order', 'POST', b'an order'),
+    ('stock', 'GET', None),
+    ('draft', 'POST', b'a prompt'),
+)
+LOST = (OSError, http.client.HTTPException)
+
+
+@dataclasses.dataclass
+class Call:
+    """A request and what its caller saw.
+
+    Attributes:
+      request: Its id.
+      gateway: The gateway.
+      kind: First part of its path.
+      target: Its path.
+      key: Key of its organisation.
+      sent_at: When it was sent, on the steady clock in seconds.
+      done_at: When its answer or its failure was complete.
+      status: Status of its answer, 0 for none.
+      whole: Whether the answer was complete.
+      stamp: The upstream that the answer names.
+      retry_after: What a refusal asks to wait, in seconds.
+      body: Its body.
+    """
+
+    request: str
+    gateway: str
+    kind: str
+    target: str
+    key: str
+    sent_at: float
+    done_at: float = 0.0
+    status: int = 0
+    whole: bool = False
+    stamp: str = ''
+    retry_after: str = ''
+    body: bytes = b''
+
+
+class _Caller:
+    def __init__(self, site, number: int, seed: int, stop: threading.Event):
+        self._site = site
+        self._number = number
+        self._random = random.Random(f'{seed}/{number}')
+        self._stop = stop
+        self._turns = itertools.count()
+        self._open: dict[str, http.client.HTTPConnection] = {}
+        self.calls: list[Call] = []
+
+    def run(self) -> None:
+        """Calls until the end."""
+        while not self._stop.is_set():
+            self._call()
+            time.sleep(PAUSE_S)
+        for connection in self._open.values():
+            connection.close()
+
+    def _call(self) -> None:
+        turn = next(self._turns)
+        kind, method, body = self._random.choice(KINDS)
+        name = self._random.choice(sorted(self._site.gateways))
+        call = Call(
+            request=f'{name}-{self._number}-{turn}',
+            gateway=name,
+            kind=kind,
+            target=f'/{kind}/{self._number}-{turn}',
+            key=self._random.choice((sites.KEY, sites.OTHER_KEY)),
+            sent_at=time.monotonic(),
+        )
+        headers = {
+            'Host': sites.HOST,
+            'X-Request-Id': call.request,
+            'X-Time-Budget-Ms': str(sites.BUDGET_MS),
+            'Api-Key': call.key,
+            'Session': f'session-{self._number}-{turn // 20}',
+        }
+        try:
+            self._exchange(call, method, body, headers)
+        except LOST:
+            self._open.pop(name).close()
+        call.done_at = time.monotonic()
+        self.calls.append(call)
+
+    def _exchange(self, call: Call, method, body, headers) -> None:
+        connection = self._open.get(call.gateway)
+        if connection is None:
+            process = self._site.gateways[call.gateway]
+            connection = self._open[call.gateway] = http.client.HTTPConnection(
+                process.host, process.port, timeout=TIMEOUT_S
+            )
+        connection.request(method, call.target, body, headers)
+        response = connection.getresponse()
+        call.status = response.status
+        call.stamp = response.headers.get('x-server-stamp', '')
+        call.retry_after = response.headers.get('retry-after', '')
+        try:
+            call.body = response.read()
+            call.whole = True
+        except http.client.IncompleteRead as error:
+            call.body = error.partial
+            raise
+
+
+@contextlib.contextmanager
+def calling(site: sites.Site, callers: int, seed: int):
+    """Yields a list that holds all calls once the context has ended."""
+    stop = threading.Event()
+    calls: list[Call] = []
+    with concurrent.futures.ThreadPoolExecutor(callers) as pool:
+        every = [_Caller(site, number, seed, stop) for number in range(callers)]
+        running = [pool.submit(caller.run) for caller in every]
+        try:
+            yield calls
+        finally:
+            stop.set()
+            for item in running:
+                item.result()
+    for caller in every:
+        calls += caller.calls
+
+
+def serves(site: sites.Site, name: str) -> bool:
+    """Tells whether a gateway serves each kind of request."""
+    try:
+        answers = [
+            site.send(name, method, f'/{kind}/recovery', body)
+            for kind, method, body in KINDS
+        ]
+    except LOST:
+        return False
+    return all(answer.status == 200 and answer.whole for answer in answers)
--- /dev/null
+++ b/tests/soakrules.py
@@ -0,0 +1,262 @@
+"""The promises that a soak on gateways checks, on what callers saw."""
+
+import collections
+import contextlib
+import dataclasses
+import re
+import time
+
+from tests import site as sites
+from tests import soakcalls
+
+FINAL = ('completed', 'rolled_back')
+# Statuses that say that a request was not run.
+NOT_RUN = (408, 421, 429, 503)
+# The users' bounds in seconds, by the kind of change.
+BOUND_S = {'key': 5.0, 'drain': 2.0, 'evacuation': 5.0}
+# A gateway counts as in touch again this long after a trouble.
+CONTACT_S = 3.0
+# What an answer may take beyond its budget.
+OVERTIME_S = 1.0
+EXPOSURE, EXPOSURE_SLACK = 0.15, 30
+_EVENT = re.compile(rb'id: (\d+)\n')
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """A request that a worker ran.
+
+    Attributes:
+      request: The request's id.
+      worker: The worker.
+      target: The request's path.
+      at: When it began, on the steady clock in seconds.
+    """
+
+    request: str
+    worker: str
+    target: str
+    at: float
+
+
+@dataclasses.dataclass
+class Change:
+    """An order of the operator, or a trouble, while it lasts.
+
+    Attributes:
+      kind: What it is.
+      name: What it is about.
+      begun_at: When it began, on the steady clock in seconds.
+      ended_at: When it ended.
+    """
+
+    kind: str
+    name: str
+    begun_at: float
+    ended_at: float = float('inf')
+
+
+@dataclasses.dataclass
+class Rollout:
+    """A version that was ordered.
+
+    Attributes:
+      names: Its workers.
+      bad: Whether it fails.
+      ordered_at: When it was ordered.
+      ended_at: When its state was read for the last time.
+      state: That state.
+    """
+
+    names: list[str]
+    bad: bool
+    ordered_at: float = 0.0
+    ended_at: float = 0.0
+    state: str | None = None
+
+    def begin(self) -> None:
+        """Notes the order."""
+        self.ordered_at = time.monotonic()
+
+    def end(self, state: str | None) -> None:
+        """Notes the state at the end."""
+        self.ended_at, self.state = time.monotonic(), state
+
+
+class Notes:
+    """What was done to the site, and when.
+
+    Attributes:
+      changes: Orders of the operator.
+      rollouts: Versions that were ordered.
+      troubles: When the store, gateways or links were at fault.
+    """
+
+    def __init__(self):
+        self.changes: list[Change] = []
+        self.rollouts: list[Rollout] = []
+        self.troubles: list[Change] = []
+        self._exits: list[tuple[str, int]] = []
+        self._faults: list[tuple[str, float, float]] = []
+
+    @contextlib.contextmanager
+    def trouble(self, name: str):
+        """Notes that the store, a gateway or a worker's link is at fault."""
+        trouble = Change('trouble', name, time.monotonic())
+        self.troubles.append(trouble)
+        yield
+        trouble.ended_at = time.monotonic()
+
+    @contextlib.contextmanager
+    def change(self, kind: str, name: str):
+        """Notes an order of the operator that holds while it lasts."""
+        change = Change(kind, name, time.monotonic())
+        self.changes.append(change)
+        yield
+        change.ended_at = time.monotonic()
+
+    @contextlib.contextmanager
+    def rollout(self, names: list[str], bad: bool):
+        """Yields the notes of a roll-out."""
+        rollout = Rollout(names, bad)
+        yield rollout
+        self.rollouts.append(rollout)
+
+    def note_exit(self, name: str, code: int) -> None:
+        """Notes how a gateway ended that was asked to stop."""
+        self._exits.append((name, code))
+
+    def note_fault(self, name: str, begun_at: float, ended_at: float) -> None:
+        """Notes a fault that was played."""
+        self._faults.append((name, begun_at, ended_at))
+
+    def troubled(self, name: str, since: float, until: float) -> bool:
+        """Tells whether something was at fault, or shortly before, then."""
+        return any(
+            trouble.name == name
+            and trouble.begun_at <= until
+            and trouble.ended_at + CONTACT_S >= since
+            for trouble in self.troubles
+        )
+
+    def excused(self, gateway: str, since: float, until: float) -> bool:
+        """Tells whether a gateway could not know of a change in time."""
+        return self.troubled('store', since, until) or self.troubled(
+            gateway, since, until
+        )
+
+    def exits(self) -> list[str]:
+        """Returns planned stops that did not end well."""
+        return [
+            f'stop: {name} ended with {code}'
+            for name, code in self._exits
+            if code != 0
+        ]
+
+    def counts(self) -> collections.Counter:
+        """Returns how often each fault was played."""
+        return collections.Counter(name for name, _, _ in self._faults)
+
+    def rows(self) -> list:
+        """Returns all notes for a file."""
+        rollouts = [dataclasses.asdict(item) for item in self.rollouts]
+        items = self.troubles + self.changes
+        return [self._faults, [dataclasses.asdict(i) for i in items], rollouts]
+
+
+def check(
+    notes: Notes, calls: list[soakcalls.Call], runs: list[Run], events: int
+) -> list[str]:
+    """Returns the promises that were broken.
+
+    Args:
+      notes: What was done.
+      calls: What callers saw.
+      runs: What workers ran.
+      events: Events of a whole stream.
+    """
+    by_request = collections.defaultdict(list)
+    for run in runs:
+        by_request[run.request].append(run)
+    broken = notes.exits()
+    for call in calls:
+        broken += _check_call(notes, call, by_request[call.request], events)
+    for change in notes.changes:
+        broken += _check_change(notes, change, calls, runs)
+    for rollout in notes.rollouts:
+        broken += _check_rollout(notes, rollout, runs)
+    return broken
+
+
+def _check_call(notes, call: soakcalls.Call, runs: list[Run], events: int):
+    if call.kind == 'order' and len(runs) > 1:
+        yield f'twice: {call.request} ran at {[run.worker for run in runs]}'
+    if call.status in NOT_RUN and runs:
+        yield f'untrue: {call.request} has {call.status} and ran'
+    if call.status in NOT_RUN and not call.retry_after:
+        yield f'no time to return: {call.request} has {call.status}'
+    if call.status == 200 and call.whole:
+        yield from _check_body(call, events)
+    took_s = call.done_at - call.sent_at
+    late = took_s > sites.BUDGET_MS / 1000 + OVERTIME_S
+    paused = notes.troubled(call.gateway, call.sent_at, call.done_at)
+    if late and not paused:
+        yield f'late: {call.request} took {took_s:.2f} s ({call.status})'
+
+
+def _check_body(call: soakcalls.Call, events: int):
+    if call.kind == 'draft':
+        seen = [int(number) for number in _EVENT.findall(call.body)]
+        if seen != list(range(1, events + 1)):
+            yield f'stream: {call.request} has events {seen}'
+        return
+    method = 'GET' if call.kind == 'stock' else 'POST'
+    if call.body != f'{call.stamp} {method} {call.target}'.encode():
+        yield f'foreign: {call.request} got {call.body!r}'
+
+
+def _check_change(notes: Notes, change: Change, calls, runs):
+    begin = change.begun_at + BOUND_S[change.kind]
+    if change.kind == 'key':
+        late = [
+            (call.gateway, call.sent_at, call.request)
+            for call in calls
+            if call.key == change.name and call.status not in (0, 401)
+        ]
+    else:
+        # Ids begin with the gateway's name and its number.
+        late = [
+            ('-'.join(run.request.split('-')[:2]), run.at, run.request)
+            for run in runs
+            if run.worker == change.name
+            and not notes.troubled(run.worker, change.begun_at, run.at)
+        ]
+    for gateway, at, request in late:
+        if not begin < at < change.ended_at:
+            continue
+        if not notes.excused(gateway, change.begun_at, at):
+            yield f'{change.kind}: {request} after {at - change.begun_at:.2f} s'
+
+
+def _check_rollout(notes: Notes, rollout: Rollout, runs: list[Run]):
+    seen = [
+        run
+        for run in runs
+        if run.target.startswith('/draft/')
+        and rollout.ordered_at <= run.at <= rollout.ended_at
+    ]
+    exposed = sum(run.worker in rollout.names for run in seen)
+    if rollout.bad and exposed > EXPOSURE * len(seen) + EXPOSURE_SLACK:
+        yield f'exposure: {exposed} of {len(seen)} for {rollout.names}'
+    if rollout.bad and rollout.state == 'completed':
+        yield f'rollout: bad {rollout.names} was completed'
+    early = [
+        run
+        for run in runs
+        if run.worker in rollout.names and run.at < rollout.ordered_at
+    ]
+    if early:
+        yield f'rollout: {len(early)} runs before the order'
+    excused = notes.troubled('store', rollout.ordered_at, rollout.ended_at)
+    if rollout.state not in FINAL and not excused:
+        yield f'rollout: {rollout.names} is {rollout.state} at its limit'
