Start deaf to SIGHUP, compiled, and without other site packages

The start is also long: modules of ours were compiled at each start, and httpcore loads trio where a VM has it. Ruled out: SIGTERM during a start (-15), which ends nothing that was begun; the soak tells them apart now. Change: __main__ ignores SIGHUP before its imports (program.py has the rest); the build compiles; python3 -S. The soak's faults are a module of their own.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -16,3 +16,6 @@
 done
 find "$deps" -path '*radishcourse_*' -name '__pycache__' -prune -exec rm -rf {} +
 find "$deps" -path '*radishcourse_*' -name '*.egg-info' -prune -exec rm -rf {} +
+# Compiled here, as a start that compiles costs time and memory on each VM;
+# never checked against the sources, which this script has just copied.
+python3 -m compileall -q --invalidation-mode unchecked-hash "$deps"/radishcourse_*
--- a/tests/site.py
+++ b/tests/site.py
@@ -282,10 +282,19 @@
             )
             processes.wait_http(probe, '/ready')
 
-    def wait_workers(self) -> None:
-        """Waits until all workers answer."""
-        for process in self.workers.values():
-            processes.wait_http(process, '/control/state')
+    def wait_workers(self, *names: str) -> None:
+        """Waits until all workers answer, or those that are named."""
+        for name in names or list(self.workers):
+            processes.wait_http(self.workers[name], '/control/state')
+
+    def serves(self, name: str) -> bool:
+        """Tells whether a gateway accepts connections."""
+        process = self.gateways[name]
+        try:
+            with socket.create_connection((process.host, process.port), 1.0):
+                return True
+        except OSError:
+            return False
 
     def wait_listed(self, count: int) -> None:
         """Waits until all gateways know a number of upstreams."""
--- /dev/null
+++ b/tests/soakfaults.py
@@ -0,0 +1,303 @@
+"""Faults that the soak on gateways plays, and the operator's changes."""
+
+import contextlib
+import dataclasses
+import itertools
+import random
+import signal
+import threading
+import time
+import typing
+
+from tests import site as sites
+from tests import soakrules
+
+EVENTS = 8
+ROLLOUT_S = 10
+
+FAULTS: dict[str, typing.Callable] = {}
+
+
+def _fault(function):
+    """Registers a fault: a generator that begins it, yields, and ends it."""
+    FAULTS[function.__name__] = contextlib.contextmanager(function)
+    return function
+
+
+@dataclasses.dataclass
+class Soak:
+    """A site under faults.
+
+    Attributes:
+      site: The processes.
+      notes: What was done and when, for the checks.
+      stopped: Set when no more faults are to begin.
+      busy: Names that have a fault of which there may be one at a time.
+    """
+
+    site: sites.Site
+    notes: soakrules.Notes
+    stopped: threading.Event = dataclasses.field(
+        default_factory=threading.Event
+    )
+    busy: set[str] = dataclasses.field(default_factory=set)
+    versions: itertools.count = dataclasses.field(
+        default_factory=lambda: itertools.count(2)
+    )
+    guard: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+
+    @contextlib.contextmanager
+    def taking(self, source: random.Random, names) -> str | None:
+        """Yields a name that no other fault has, or None; frees it after."""
+        with self.guard:
+            free = sorted(set(names) - self.busy)
+            name = source.choice(free) if free else None
+            if name:
+                self.busy.add(name)
+        try:
+            yield name
+        finally:
+            self.busy.discard(name)
+
+
+def _lasting(site: sites.Site) -> list[str]:
+    """Returns the workers that are there for the whole run."""
+    return [name for name in site.workers if not name.startswith('new')]
+
+
+@_fault
+def store_link(soak: Soak, source: random.Random):
+    """The store can't be reached from some gateways, or not one way."""
+    names = [name for name in soak.site.gateways if source.random() < 0.6]
+    mode = source.choice(['refuse', 'blackhole', 'reset', 'slow'])
+    direction = source.choice(['both', 'requests', 'answers'])
+    if not names:
+        yield
+        return
+    with soak.notes.trouble('store'):
+        soak.site.link_fault(
+            mode, *names, direction=direction, after_bytes=200, delay_ms=400
+        )
+        yield
+        soak.site.link_fault('pass', *names)
+
+
+@_fault
+def store_mode(soak: Soak, source: random.Random):
+    """The store refuses, hangs, or loses the answers to writes."""
+    with soak.taking(source, ['store']) as name, soak.notes.trouble('store'):
+        if name:
+            mode = source.choice(['busy', 'hang', 'lose'])
+            soak.site.control(soak.site.store, 'faults', {'mode': mode})
+        yield
+        if name:
+            soak.site.control(soak.site.store, 'faults', {'mode': 'up'})
+
+
+@_fault
+def store_history(soak: Soak, source: random.Random):
+    """The store forgets its history."""
+    del source
+    soak.site.control(soak.site.store, 'compact', {})
+    yield
+
+
+@_fault
+def worker_link(soak: Soak, source: random.Random):
+    """Connections to a worker are delayed, reset or silent one way."""
+    name = source.choice(sorted(soak.site.workers))
+    with soak.notes.trouble(name):
+        soak.site.link_fault(
+            source.choice(['blackhole', 'reset', 'slow', 'refuse']),
+            name,
+            direction=source.choice(['both', 'requests', 'answers']),
+            after_bytes=source.randrange(0, 600),
+            delay_ms=source.randrange(20, 600),
+        )
+        yield
+        soak.site.link_fault('pass', name)
+
+
+@_fault
+def worker_behaviour(soak: Soak, source: random.Random):
+    """A worker fails, cuts, mixes up or withholds some answers."""
+    faults = 'error shed hang close truncate cut extra foreign unstamped silent'
+    with soak.taking(source, _lasting(soak.site)) as name:
+        if name:
+            soak.site.behave(
+                name,
+                fault=source.choice(faults.split()),
+                count=source.randrange(1, 12),
+                events=EVENTS,
+            )
+        yield
+        if name:
+            with contextlib.suppress(OSError):
+                soak.site.behave(name, events=EVENTS)
+
+
+@_fault
+def worker_pause(soak: Soak, source: random.Random):
+    """A worker stops and goes on."""
+    with soak.taking(source, _lasting(soak.site)) as name:
+        if name:
+            soak.site.workers[name].signal(signal.SIGSTOP)
+        yield
+        if name:
+            soak.site.workers[name].signal(signal.SIGCONT)
+
+
+@_fault
+def worker_restart(soak: Soak, source: random.Random):
+    """A worker crashes and comes back."""
+    with soak.taking(source, _lasting(soak.site)) as name:
+        if name:
+            soak.site.workers[name].kill()
+        yield
+        if name:
+            soak.site.restart_worker(name, name.partition('-')[0])
+
+
+@_fault
+def gateway_pause(soak: Soak, source: random.Random):
+    """A gateway stops and goes on."""
+    with soak.taking(source, soak.site.gateways) as name:
+        if not name:
+            yield
+            return
+        with soak.notes.trouble(name):
+            soak.site.gateways[name].signal(signal.SIGSTOP)
+            yield
+            soak.site.gateways[name].signal(signal.SIGCONT)
+
+
+@_fault
+def gateway_kill(soak: Soak, source: random.Random):
+    """A gateway is killed and started again."""
+    with soak.taking(source, soak.site.gateways) as name:
+        if not name:
+            yield
+            return
+        with soak.notes.trouble(name):
+            soak.site.gateways[name].kill()
+            yield
+            soak.site.restart_gateway(name)
+
+
+@_fault
+def gateway_stop(soak: Soak, source: random.Random):
+    """A gateway is stopped as planned, and started again."""
+    with soak.taking(source, soak.site.gateways) as name:
+        if not name:
+            yield
+            return
+        process = soak.site.gateways[name]
+        started = soak.site.serves(name)
+        with soak.notes.trouble(name):
+            process.signal(signal.SIGTERM)
+            code = process.popen.wait(sites.GRACE_S + 1)
+            # One that had not begun to serve has nothing to end.
+            if started:
+                soak.notes.note_exit(name, code)
+            yield
+            soak.site.restart_gateway(name)
+
+
+@_fault
+def gateway_reload(soak: Soak, source: random.Random):
+    """A gateway is told to read its settings again."""
+    with soak.taking(source, soak.site.gateways) as name:
+        if name:
+            soak.site.gateways[name].signal(signal.SIGHUP)
+        yield
+
+
+@_fault
+def key_withdrawn(soak: Soak, source: random.Random):
+    """The second organisation's key is taken away and comes back."""
+    with soak.taking(source, ['keys']) as name:
+        if not name:
+            yield
+            return
+        tenants = [{'name': 'first', 'apiKeys': [sites.KEY], 'priority': 2}]
+        soak.site.configure(version=next(soak.versions), tenants=tenants)
+        with soak.notes.change('key', sites.OTHER_KEY):
+            yield
+        soak.site.configure(version=next(soak.versions))
+
+
+@_fault
+def worker_drain(soak: Soak, source: random.Random):
+    """A worker leaves; its entry says so."""
+    names = ['desk-1', 'engine-1']
+    with soak.taking(source, names) as name:
+        if not name:
+            yield
+            return
+        service = name.partition('-')[0]
+        soak.site.enter(name, service, state='draining')
+        with soak.notes.change('drain', name):
+            yield
+        soak.site.enter(name, service)
+
+
+@_fault
+def zone_evacuated(soak: Soak, source: random.Random):
+    """Nothing may go to the second zone any more."""
+    with soak.taking(source, ['zone']) as name:
+        if not name:
+            yield
+            return
+        soak.site.put('op', 'evacuate/zone-b', {'zone': 'zone-b'})
+        with soak.notes.change('evacuation', 'desk-2'):
+            with soak.notes.change('evacuation', 'engine-2'):
+                yield
+        soak.site.put('op', 'evacuate/zone-b', None)
+
+
+@_fault
+def version(soak: Soak, source: random.Random):
+    """A new version of the engine's service, good or bad, is ordered."""
+    with soak.taking(source, ['rollout']) as name:
+        if not name:
+            yield
+            return
+        number = next(soak.versions)
+        names = [f'new-{number}-{index}' for index in (1, 2)]
+        bad = source.random() < 0.6
+        with soak.notes.rollout(names, bad) as rollout:
+            _play_version(soak, number, names, bad, rollout)
+        yield
+
+
+def _play_version(soak: Soak, number, names, bad: bool, rollout) -> None:
+    site = soak.site
+    for name in names:
+        site.worker(name, 'engine', version=f'v{number}', born=number)
+    site.wait_workers(*names)
+    for name in names:
+        fault = 'error' if bad else 'none'
+        site.behave(name, events=EVENTS, fault=fault)
+    time.sleep(0.5)
+    order = {'service': 'engine', 'to': f'v{number}', 'withinS': ROLLOUT_S}
+    rollout.begin()
+    site.put('op', 'rollout/engine', order)
+    with contextlib.suppress(TimeoutError):
+        sites.await_true(
+            lambda: (
+                site.status('engine').get('state') in soakrules.FINAL
+                and site.status('engine').get('to') == f'v{number}'
+            ),
+            ROLLOUT_S,
+        )
+    status = site.status('engine')
+    of_order = status.get('to') == f'v{number}'
+    rollout.end(status.get('state') if of_order else None)
+    # The platform would stop the old workers; here the new ones leave again.
+    time.sleep(1.0)
+    for name in names:
+        site.put('servers', name, None)
+    site.put('op', 'rollout/engine', None)
+    time.sleep(1.0)
+    for name in names:
+        site.workers.pop(name).kill()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies
 import testtools
 
-from radishcourse_adapter import __main__ as program
 from radishcourse_adapter import manifest
+from radishcourse_adapter import program
 from radishcourse_adapter import settings
 from radishcourse_gateway import directory
 from radishcourse_gateway import errors
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -10,7 +10,11 @@
 SECONDS = 8.0
 EVENTS = 3
 # Seeds that failed once, each with its cause; they are played again here.
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS = {
+    # Its faults come later than a short run lasts: test_gateway_fleet.StartTest
+    # plays the cause alone, and `--seeds 27 --seconds 20` the whole.
+    27: 'SIGHUP during the start ended the process',
+}
 
 
 class SoakTest(testtools.TestCase):
