--- a/packages/gateway/src/radishcourse_gateway/logsink.py
+++ b/packages/gateway/src/radishcourse_gateway/logsink.py
@@ -2,9 +2,13 @@
 
 import collections
 import json
+import logging
 import os
 import typing
 
+from radishcourse_model import texts
+from radishcourse_node import events
+
 # Lines that wait for a slow reader; beyond it the newest are dropped.
 MAX_WAITING_BYTES = 256 * 1024
 # Lines in a second, on the mean; bounds the volume under load.
@@ -80,3 +84,19 @@
                 self._waiting[0] = line[written:]
                 return
             self._waiting.popleft()
+
+
+class LibraryHandler(logging.Handler):
+    """Turns warnings of libraries into events, bounded like all others."""
+
+    def __init__(self):
+        super().__init__(logging.WARNING)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record."""
+        events.log(
+            events.Event.LIBRARY_WARNED,
+            logger=record.name,
+            level=record.levelname,
+            text=texts.escape(self.format(record)),
+        )
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from radishcourse_node import events
 from tests import site as sites
 
 
@@ -197,6 +198,20 @@
         answer = self.send('POST', '/draft/1', b'prompt')
         self.assertFalse(answer.whole)
 
+    def test_warnings_of_libraries_are_lines_of_the_log(self):
+        self._spoil('engine', 'cut')
+        self.send('POST', '/draft/1', b'prompt')
+        [name] = self.site.gateways
+        sites.await_true(
+            lambda: any(
+                line['event'] == events.Event.LIBRARY_WARNED.value
+                for line in self.site.log(name)
+            )
+        )
+        text = self.site.gateways[name].log.read_text()
+        plain = [x for x in text.splitlines() if not x.startswith('{')]
+        self.assertEqual([], plain)
+
     def test_early_answer_is_passed_on_and_its_connection_not_reused(self):
         self._spoil('desk', 'early', count=1)
         body = b'x' * 60_000
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -84,6 +84,13 @@
         call = self._call(done_at=107.0)
         self.assertEqual({'late'}, self._broken([call]))
 
+    def test_stall_of_the_machine_excuses_only_what_fell_into_it(self):
+        self.notes.note_stall(95.0, 99.0)
+        late = self._call(done_at=107.0)
+        self.assertEqual({'late'}, self._broken([late]))
+        stalled = self._call(sent_at=98.0, done_at=107.0)
+        self.assertEqual(set(), self._broken([stalled]))
+
     def test_withdrawn_key_that_still_opens(self):
         change = soakrules.Change('key', sites.OTHER_KEY, 90.0)
         self.notes.changes.append(change)
