Complete no version that answered nobody; compile all that is installed

The start: a copy of a checkout has new times, so each start compiled all libraries once more (0.60 s of processor time for the imports; 0.30 to 0.38 s unchecked; 37 and 33 MB; 0.29 to 0.30 s with no collection while importing). Ruled out: loading certifi late (no gain that could be told from noise); click can't be left out without stubs for uvicorn.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,11 +2,21 @@
 # Puts the run-time libraries and the packages of the gateway under target/.
 set -eu
 deps=target/deps
+# Compiled here, as a start that compiles costs time and memory on each VM.
+# Never checked against the sources: a copy of a checkout has other times, and
+# all of it would be compiled at each start. Positions for tracebacks of single
+# expressions are left out; lines stay.
+compile() {
+  python3 -X no_debug_ranges -m compileall -q -f \
+    --invalidation-mode unchecked-hash "$@"
+}
 stamp=target/.installed
-if ! [ "$stamp" -nt constraints.txt ] || ! [ "$stamp" -nt deploy/requirements.txt ]; then
+if ! [ "$stamp" -nt constraints.txt ] || ! [ "$stamp" -nt deploy/build.sh ] ||
+  ! [ "$stamp" -nt deploy/requirements.txt ]; then
   rm -rf "$deps"
   python3 -m pip install --quiet --target "$deps" \
     --constraint constraints.txt --requirement deploy/requirements.txt
+  compile "$deps"
   touch "$stamp"
 fi
 rm -rf "$deps"/radishcourse_*
@@ -16,6 +26,4 @@
 done
 find "$deps" -path '*radishcourse_*' -name '__pycache__' -prune -exec rm -rf {} +
 find "$deps" -path '*radishcourse_*' -name '*.egg-info' -prune -exec rm -rf {} +
-# Compiled here, as a start that compiles costs time and memory on each VM;
-# never checked against the sources, which this script has just copied.
-python3 -m compileall -q --invalidation-mode unchecked-hash "$deps"/radishcourse_*
+compile "$deps"/radishcourse_*
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -41,6 +41,9 @@
 SETTLE_S = 0.7
 # Fewer bad answers than this can be one upstream's own trouble.
 MIN_BAD = 4
+# A version that has given fewer good answers is not known well enough to stop
+# the old one; its duty is missed then.
+LEAST_GOOD = 3
 # Share of failures, above the old version's own, that condemns.
 BAD_EXCESS = 0.18
 # The same for slow answers. Any version has some, behind long prompts, so a
@@ -188,13 +191,13 @@
       exposure: Permitted share of requests on a bad version.
       old_in_flight: Requests in progress on the old version.
       tallies: Counts of answers; failures that are too few to condemn the
-        new version still keep the old one.
+        new version still keep the old one, and so does a lack of answers.
     """
     new = Tally()
     for (arm, _), tally in tallies.items():
         if arm is Arm.NEW:
             new.add(tally)
-    if new.bad > BAD_EXCESS * new.total:
+    if new.bad > BAD_EXCESS * new.total or new.total - new.bad < LEAST_GOOD:
         return False
     if age_s >= within_s - COMPLETE_EARLY_S:
         return True
--- a/tests/site.py
+++ b/tests/site.py
@@ -12,6 +12,8 @@
 import json
 import os
 import pathlib
+import re
+import signal
 import socket
 import tempfile
 import time
@@ -287,6 +289,23 @@
         for name in names or list(self.workers):
             processes.wait_http(self.workers[name], '/control/state')
 
+    def takes_reload(self, name: str, caught: bool = True) -> bool:
+        """Tells whether SIGHUP does not end a gateway.
+
+        Args:
+          name: The gateway.
+          caught: Whether a handler counts, or only that it is ignored.
+        """
+        pid = self.gateways[name].popen.pid
+        status = pathlib.Path(f'/proc/{pid}/status').read_text()
+        fields = ('SigIgn', 'SigCgt') if caught else ('SigIgn',)
+        masks = [
+            int(mask, 16)
+            for field in fields
+            for mask in re.findall(rf'^{field}:\s*(\w+)$', status, re.MULTILINE)
+        ]
+        return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
     def serves(self, name: str) -> bool:
         """Tells whether a gateway accepts connections."""
         process = self.gateways[name]
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -13,6 +13,7 @@
 REGRESSIONS = {
     # Its faults come later than a short run lasts: test_gateway_fleet.StartTest
     # plays the cause alone, and `--seeds 27 --seconds 20` the whole.
+    16: 'a version was completed that had answered nobody (test_canary)',
     27: 'SIGHUP during the start ended the process',
 }
 
