--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -35,8 +35,8 @@
 SMALL_FANOUT = 6
 FANOUT = 3
 # Nodes that one without rows asks for them in a round. Whole tables are long in
-# a large fleet, and after the loss of all nodes every one asks for them: 100
-# nodes with 1,000 upstreams needed 8.5 s to serve when each asked three.
+# a large fleet: the busiest of 100 nodes sent 475 KB a second in a start of all
+# when each asked three, 353 KB when it asked two.
 ROWS_FANOUT = 2
 # Other nodes are told of in each such round only; it is well below the time
 # after which a node counts as gone.
