Set up uvicorn in one place

Cause: the node, the gateway and the gateway's readiness listener each wrote the same eight lines (duplicates: gateway.py and node.py), with two bare numbers among them. Ruled out: a class of its own, as only the settings differ. Change: serving.make_server; HEAD_LIMIT_S and FIRST_IDLE_S are named. The behaviour is the same.

--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -31,6 +31,11 @@
 from radishcourse_node import serving
 
 MAX_HEAD_BYTES = 64 * 1024
+# A head that is not whole by then is given up; callers of the users take less
+# than their configured limit, a few seconds.
+HEAD_LIMIT_S = 30.0
+# How long idle connections are kept until a configuration tells it.
+FIRST_IDLE_S = 60
 SWEEP_S = 1.0
 # The settings file may change without a signal.
 REREAD_S = 2.0
@@ -187,7 +192,7 @@
             probes.append(await serving.listen(settings.metrics_listen))
         peer_listener = await serving.listen(settings.peer_listen)
         server = self._make_server()
-        probe_server = self._make_probe_server()
+        probe_server = serving.make_server(pages.Pages(self), http='h11')
         events.log(
             events.Event.NODE_STARTED,
             node=settings.node,
@@ -219,37 +224,17 @@
             yield 'feed', item.run
 
     def _make_server(self) -> uvicorn.Server:
-        config = uvicorn.Config(
+        return serving.make_server(
             edge.Edge(self),
-            http=functools.partial(connections.Connection, header_limit_s=30.0),
-            lifespan='off',
-            log_config=None,
-            access_log=False,
-            server_header=False,
+            http=functools.partial(
+                connections.Connection, header_limit_s=HEAD_LIMIT_S
+            ),
             date_header=False,
-            proxy_headers=False,
             h11_max_incomplete_event_size=MAX_HEAD_BYTES,
-            timeout_keep_alive=60,
+            timeout_keep_alive=FIRST_IDLE_S,
             # uvicorn passes it on to asyncio.wait_for, which takes fractions.
             timeout_graceful_shutdown=LISTEN_END_S - CLOSING_S,
         )
-        server = uvicorn.Server(config)
-        server.capture_signals = contextlib.nullcontext
-        return server
-
-    def _make_probe_server(self) -> uvicorn.Server:
-        config = uvicorn.Config(
-            pages.Pages(self),
-            http='h11',
-            lifespan='off',
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            proxy_headers=False,
-        )
-        server = uvicorn.Server(config)
-        server.capture_signals = contextlib.nullcontext
-        return server
 
     async def _sweep(self, server: uvicorn.Server) -> None:
         """Forgets what belongs to upstreams that are gone."""
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -290,25 +290,15 @@
         events.log(events.Event.NODE_STOPPED, node=self.settings.node)
 
     def _make_server(self) -> uvicorn.Server:
-        config = uvicorn.Config(
+        return serving.make_server(
             app.App(self),
             http=functools.partial(
                 connections.Connection,
                 header_limit_s=self.settings.header_limit_s,
             ),
-            lifespan='off',
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            proxy_headers=False,
             h11_max_incomplete_event_size=MAX_LINE_BYTES,
             timeout_graceful_shutdown=int(self.settings.drain_limit_s),
         )
-        server = uvicorn.Server(config)
-        # uvicorn's own handling of signals would cut off requests on a
-        # second SIGTERM; this node's drain is started by _drain_on_signal.
-        server.capture_signals = contextlib.nullcontext
-        return server
 
     async def _drain_on_signal(self, server: uvicorn.Server) -> None:
         # Handlers of the event loop would be removed before the process ends,
--- a/packages/node/src/radishcourse_node/serving.py
+++ b/packages/node/src/radishcourse_node/serving.py
@@ -1,9 +1,11 @@
 """What all servers of the router share: listeners and background tasks."""
 
+import contextlib
 import socket
 import typing
 
 import anyio
+import uvicorn
 
 from radishcourse_node import errors
 from radishcourse_node import events
@@ -32,6 +34,30 @@
     return listener.extra(anyio.abc.SocketAttribute.raw_socket)
 
 
+def make_server(app, **options) -> uvicorn.Server:
+    """Returns a server that leaves signals and logs to its process.
+
+    uvicorn's own handling of signals would cut off requests on a second
+    SIGTERM; a process starts its drain by itself.
+
+    Args:
+      app: The ASGI application.
+      options: More settings of uvicorn.
+    """
+    config = uvicorn.Config(
+        app,
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        proxy_headers=False,
+        **options,
+    )
+    server = uvicorn.Server(config)
+    server.capture_signals = contextlib.nullcontext
+    return server
+
+
 async def supervise(
     name: str, run: typing.Callable[[], typing.Awaitable[None]]
 ) -> None:
