Keep versions in service apart from roll-outs

Ruled out: splitting what nodes tell each other, which reads and writes the trials as the decisions do. Behaviour is the same.

--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from radishcourse_gateway import incumbents
 from radishcourse_gateway import ports
 from radishcourse_gateway import trials
 from radishcourse_gateway import view as views
@@ -40,7 +41,7 @@
         self._peers = gateway.peers
         self._store: ports.Store = gateway.store
         self._trials: dict[ids.ServiceId, trials.Trial] = {}
-        self._incumbents: dict[ids.ServiceId, ids.VersionId] = {}
+        self._incumbents = incumbents.Incumbents(gateway.view)
         self._durations = canary.Durations()
 
     def _trial(self, service: ids.ServiceId) -> trials.Trial | None:
@@ -72,7 +73,7 @@
         present = self._view.versions(service)
         trial = self._trial(service)
         if trial is None:
-            return self._incumbent(service, present)
+            return self._incumbents.version(service, present)
         new = trial.order.to_version
         old = [version for version in present if version != new]
         if new not in present or not old:
@@ -94,36 +95,6 @@
         place = canary.place(session, trial.order.service, trial.version)
         return place < part
 
-    def _incumbent(self, service, present) -> ids.VersionId | None:
-        """Returns the version in service when nothing was ordered.
-
-        Upstreams of a new version are listed before its order is seen. The
-        version in service is the one that was there before; a node that has
-        just started takes the one whose upstreams are the oldest.
-        """
-        if not present:
-            return None
-        if self._incumbents.get(service) not in present:
-            self._incumbents[service] = min(
-                present, key=lambda version: self._age_key(service, version)
-            )
-        return self._incumbents[service]
-
-    def _age_key(self, service, version) -> tuple:
-        started = min(
-            listed.upstream.started_ms
-            for listed in self._view.usable(service)
-            if listed.upstream.version == version
-        )
-        return started, version
-
-    def _note_incumbents(self) -> None:
-        """Notes the versions in service before others are listed."""
-        directory = self._view.directory
-        for service in directory.services if directory else ():
-            if service not in self._view.orders:
-                self._incumbent(service, self._view.versions(service))
-
     @contextlib.contextmanager
     def count(self, service: ids.ServiceId, version: ids.VersionId):
         """Counts a request on the old version while it is in progress."""
@@ -156,23 +127,13 @@
           reading_s: Expected time to read its prompt.
           failed: Whether it was a failure.
         """
-        entry = listed.upstream
-        trial = self._trial(entry.service)
-        arm = canary.Arm.OLD
-        if trial is not None:
-            arm = views.arm_of(trial.order, entry.version)
-        warm = self._clock.now() > listed.cold_until
+        trial, arm = self._arm(listed.upstream)
         slow = False
-        if not failed and warm:
-            kind = (entry.service, route, model)
+        if not failed and self._is_warm(listed):
+            kind = (listed.upstream.service, route, model)
             learn = arm is canary.Arm.OLD
             slow = self._durations.note(kind, seconds, reading_s, learn)
-        if trial is None or trial.state in trials.FINAL:
-            return
-        tally = trial.tallies.setdefault((arm, route), canary.Tally())
-        tally.total += 1
-        tally.bad += failed
-        tally.slow += slow
+        self._count_answer(trial, arm, route, slow, failed)
 
     def note_pace(
         self, listed: views.Listed, route: str, model: str, seconds, events
@@ -186,27 +147,36 @@
           seconds: Time from its head to its end.
           events: Events in that time.
         """
-        entry = listed.upstream
-        trial = self._trial(entry.service)
-        arm = canary.Arm.OLD
-        if trial is not None:
-            arm = views.arm_of(trial.order, entry.version)
-        if self._clock.now() <= listed.cold_until:
+        if not self._is_warm(listed):
             return
-        slow = self._durations.note_pace(
-            (entry.service, model), seconds, events, arm is canary.Arm.OLD
-        )
-        if slow is None or trial is None or trial.state in trials.FINAL:
+        trial, arm = self._arm(listed.upstream)
+        kind = (listed.upstream.service, model)
+        learn = arm is canary.Arm.OLD
+        slow = self._durations.note_pace(kind, seconds, events, learn)
+        if slow is not None:
+            self._count_answer(trial, arm, canary.pace_route(route), slow)
+
+    def _is_warm(self, listed: views.Listed) -> bool:
+        return self._clock.now() > listed.cold_until
+
+    def _arm(self, entry) -> tuple[trials.Trial | None, canary.Arm]:
+        trial = self._trial(entry.service)
+        if trial is None:
+            return None, canary.Arm.OLD
+        return trial, views.arm_of(trial.order, entry.version)
+
+    def _count_answer(self, trial, arm, route, slow, failed=False) -> None:
+        if trial is None or trial.state in trials.FINAL:
             return
-        key = (arm, canary.pace_route(route))
-        tally = trial.tallies.setdefault(key, canary.Tally())
+        tally = trial.tallies.setdefault((arm, route), canary.Tally())
         tally.total += 1
+        tally.bad += failed
         tally.slow += slow
 
     async def run(self) -> None:
         """Decides and publishes until cancelled."""
         while True:
-            self._note_incumbents()
+            self._incumbents.note()
             for service in list(self._view.orders):
                 trial = self._trial(service)
                 try:
