--- a/tests/fleetsoak.py
+++ b/tests/fleetsoak.py
@@ -24,6 +24,7 @@
 import fire
 
 from tests import site as sites
+from tests import sitefiles
 from tests import soakcalls
 from tests import soakfaults
 from tests import soakrules
@@ -124,7 +125,7 @@
     source = random.Random(seed)
     with sites.running(GATEWAYS, linked=True, events=soakfaults.EVENTS) as site:
         for name in site.workers:
-            zone = sites.ZONES[int(name[-1]) - 1]
+            zone = sitefiles.ZONES[int(name[-1]) - 1]
             site.enter(name, name.partition('-')[0], zone=zone)
         soak = soakfaults.Soak(site, soakrules.Notes())
         with (
--- a/tests/site.py
+++ b/tests/site.py
@@ -19,82 +19,11 @@
 import time
 
 from radishcourse_standins import processes
+from tests import sitefiles
 
-HOST = 'site.example'
-KEY = 'key-of-the-first-organisation'
-OTHER_KEY = 'key-of-the-second-organisation'
-ZONES = ('zone-a', 'zone-b')
-BUDGET_MS = 5000
-GRACE_S = 6
 _octets = itertools.count(1)
 
 
-def route(name: str, prefix: str, kind: str, service: str, **fields) -> dict:
-    """Returns a route of a manifest."""
-    return {
-        'name': name,
-        'host': HOST,
-        'prefix': prefix,
-        'kind': kind,
-        'service': service,
-        'timeoutMs': 4000,
-        'goalMs': 400,
-        'priority': 1,
-        'maxAttempts': 3,
-        'anonymous': False,
-        **fields,
-    }
-
-
-def manifest(version: int = 1, **fields) -> dict:
-    """Returns a manifest with a service and an engine."""
-    stream = {'streamResume': True, 'gapTargetMs': 500, 'affinity': True}
-    return {
-        'version': version,
-        'routes': [
-            route('order', '/order/', 'non_idempotent', 'desk'),
-            route('stock', '/stock/', 'idempotent', 'desk'),
-            route('draft', '/draft/', 'stream', 'engine', **stream),
-            route(
-                'sized',
-                '/sized/',
-                'stream',
-                'engine',
-                sizes=['small', 'large'],
-                **stream,
-            ),
-        ],
-        'services': [
-            {'name': 'desk', 'healthPath': '/health', 'maxConns': 100},
-            {
-                'name': 'engine',
-                'maxConns': 100,
-                'coldStartS': 3.0,
-                'coldPerS': 5.0,
-                'engine': {
-                    'slots': 8,
-                    'kvCapacity': 100_000,
-                    'models': [
-                        {'name': 'small', 'cost': 0.02},
-                        {'name': 'large', 'cost': 0.2},
-                    ],
-                },
-            },
-        ],
-        'limits': {
-            'maxHeaderBytes': 16384,
-            'maxBodyBytes': 65536,
-            'headerTimeoutMs': 3000,
-            'idleTimeoutMs': 15000,
-        },
-        'tenants': [
-            {'name': 'first', 'apiKeys': [KEY], 'priority': 2},
-            {'name': 'second', 'apiKeys': [OTHER_KEY]},
-        ],
-        **fields,
-    }
-
-
 class Site:
     """Store, workers and gateways as processes.
 
@@ -151,7 +80,7 @@
 
     def configure(self, **fields) -> None:
         """Writes a manifest."""
-        self.put('op', 'config', manifest(**fields))
+        self.put('op', 'config', sitefiles.manifest(**fields))
 
     def worker(self, name: str, service: str, **fields) -> processes.Process:
         """Starts a worker and writes its entry."""
@@ -196,7 +125,7 @@
         entry = {
             'service': service,
             'address': self._addresses[name],
-            'zone': ZONES[0],
+            'zone': sitefiles.ZONES[0],
             'version': 'v1',
             'slots': 8,
             'state': 'ready',
@@ -231,31 +160,14 @@
         host = f'127.{1 + os.getpid() % 200}.0.{next(_octets)}'
         front, ready, peer = (processes.free_port() for _ in range(3))
         store = self._link(name, self.store.address)
-        settings = f"""
-node = "{name}"
-ip = "{host}"
-zone = "{ZONES[len(self.gateways) % len(ZONES)]}"
-seeds = {json.dumps(self._seeds)}
-unknown = "fields that are new"
-[zones]
-zone-a = "region"
-zone-b = "region"
-[listen]
-front = "{host}:{front}"
-readiness = "{host}:{ready}"
-control = "{host}:{peer}"
-[limits]
-memoryMb = 200
-[bounds]
-graceS = {GRACE_S}
-budgetRatio = 0.9
-retrySlack = 56
-exposeShare = 0.15
-coldExcess = 1.5
-coldSlack = 5
-[platform]
-address = "{store}"
-"""
+        settings = sitefiles.settings(
+            name,
+            host,
+            sitefiles.Ports(front, ready, peer),
+            len(self.gateways),
+            self._seeds,
+            store,
+        )
         self._launches[name] = (host, front, settings)
         process = self._started.adapter(name, host, front, settings)
         process.ready_port = ready
@@ -263,10 +175,6 @@
         self._seeds.append(f'{host}:{peer}')
         return process
 
-    def store_fault(self, mode: str, *names: str) -> None:
-        """Sets the fault of gateways' links to the store."""
-        self.link_fault(mode, *names)
-
     def link_fault(self, mode: str, *names: str, **fields) -> None:
         """Sets the fault of links by the names of gateways and workers."""
         fault = {'links': list(names), 'mode': mode, **fields}
@@ -344,10 +252,10 @@
         """
         process = self.gateways[name]
         fields = {
-            'Host': HOST,
+            'Host': sitefiles.HOST,
             'X-Request-Id': f'{name}-{next(self._requests)}',
-            'X-Time-Budget-Ms': str(BUDGET_MS),
-            'Api-Key': KEY,
+            'X-Time-Budget-Ms': str(sitefiles.BUDGET_MS),
+            'Api-Key': sitefiles.KEY,
         }
         for key, value in headers.items():
             fields[key.replace('_', '-')] = value
@@ -365,7 +273,8 @@
         """Sends a request and closes the connection after some time."""
         process = self.gateways[name]
         head = (
-            f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n'
+            f'{method} {path} HTTP/1.1\r\nHost: {sitefiles.HOST}\r\n'
+            f'Api-Key: {sitefiles.KEY}\r\n'
             f'X-Request-Id: {name}-{next(self._requests)}\r\n'
             f'Content-Length: 0\r\n\r\n'
         )
--- /dev/null
+++ b/tests/sitefiles.py
@@ -0,0 +1,130 @@
+"""What the operator and the platform write for a small site."""
+
+import json
+import typing
+
+HOST = 'site.example'
+KEY = 'key-of-the-first-organisation'
+OTHER_KEY = 'key-of-the-second-organisation'
+ZONES = ('zone-a', 'zone-b')
+BUDGET_MS = 5000
+GRACE_S = 6
+
+
+class Ports(typing.NamedTuple):
+    """Ports of a gateway: for callers, readiness and other nodes."""
+
+    front: int
+    ready: int
+    peer: int
+
+
+def route(name: str, prefix: str, kind: str, service: str, **fields) -> dict:
+    """Returns a route of a manifest."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'service': service,
+        'timeoutMs': 4000,
+        'goalMs': 400,
+        'priority': 1,
+        'maxAttempts': 3,
+        'anonymous': False,
+        **fields,
+    }
+
+
+def manifest(version: int = 1, **fields) -> dict:
+    """Returns a manifest with a service and an engine."""
+    stream = {'streamResume': True, 'gapTargetMs': 500, 'affinity': True}
+    return {
+        'version': version,
+        'routes': [
+            route('order', '/order/', 'non_idempotent', 'desk'),
+            route('stock', '/stock/', 'idempotent', 'desk'),
+            route('draft', '/draft/', 'stream', 'engine', **stream),
+            route(
+                'sized',
+                '/sized/',
+                'stream',
+                'engine',
+                sizes=['small', 'large'],
+                **stream,
+            ),
+        ],
+        'services': [
+            {'name': 'desk', 'healthPath': '/health', 'maxConns': 100},
+            {
+                'name': 'engine',
+                'maxConns': 100,
+                'coldStartS': 3.0,
+                'coldPerS': 5.0,
+                'engine': {
+                    'slots': 8,
+                    'kvCapacity': 100_000,
+                    'models': [
+                        {'name': 'small', 'cost': 0.02},
+                        {'name': 'large', 'cost': 0.2},
+                    ],
+                },
+            },
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 65536,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [
+            {'name': 'first', 'apiKeys': [KEY], 'priority': 2},
+            {'name': 'second', 'apiKeys': [OTHER_KEY]},
+        ],
+        **fields,
+    }
+
+
+def settings(
+    name: str,
+    host: str,
+    ports: Ports,
+    number: int,
+    seeds: list[str],
+    store: str,
+) -> str:
+    """Returns the settings file of a gateway.
+
+    Args:
+      name: Its name.
+      host: Its IP address.
+      ports: Its ports.
+      number: How many there are already; zones take turns.
+      seeds: Addresses of other nodes.
+      store: Address of the store.
+    """
+    return f"""
+node = "{name}"
+ip = "{host}"
+zone = "{ZONES[number % len(ZONES)]}"
+seeds = {json.dumps(seeds)}
+unknown = "fields that are new"
+[zones]
+zone-a = "region"
+zone-b = "region"
+[listen]
+front = "{host}:{ports.front}"
+readiness = "{host}:{ports.ready}"
+control = "{host}:{ports.peer}"
+[limits]
+memoryMb = 200
+[bounds]
+graceS = {GRACE_S}
+budgetRatio = 0.9
+retrySlack = 56
+exposeShare = 0.15
+coldExcess = 1.5
+coldSlack = 5
+[platform]
+address = "{store}"
+"""
--- a/tests/soakcalls.py
+++ b/tests/soakcalls.py
@@ -10,10 +10,11 @@
 import time
 
 from tests import site as sites
+from tests import sitefiles
 
 PAUSE_S = 0.03
 # Callers wait longer than any answer may take.
-TIMEOUT_S = sites.BUDGET_MS / 1000 + 4
+TIMEOUT_S = sitefiles.BUDGET_MS / 1000 + 4
 KINDS = (
     ('order', 'POST', b'an order'),
     ('stock', 'GET', None),
@@ -82,13 +83,13 @@
             gateway=name,
             kind=kind,
             target=f'/{kind}/{self._number}-{turn}',
-            key=self._random.choice((sites.KEY, sites.OTHER_KEY)),
+            key=self._random.choice((sitefiles.KEY, sitefiles.OTHER_KEY)),
             sent_at=time.monotonic(),
         )
         headers = {
-            'Host': sites.HOST,
+            'Host': sitefiles.HOST,
             'X-Request-Id': call.request,
-            'X-Time-Budget-Ms': str(sites.BUDGET_MS),
+            'X-Time-Budget-Ms': str(sitefiles.BUDGET_MS),
             'Api-Key': call.key,
             'Session': f'session-{self._number}-{turn // 20}',
         }
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -10,6 +10,7 @@
 import typing
 
 from tests import site as sites
+from tests import sitefiles
 from tests import soakrules
 
 EVENTS = 8
@@ -195,7 +196,7 @@
         started = soak.site.serves(name)
         with soak.notes.trouble(name):
             process.signal(signal.SIGTERM)
-            code = process.popen.wait(sites.GRACE_S + 1)
+            code = process.popen.wait(sitefiles.GRACE_S + 1)
             # One that had not begun to serve has nothing to end.
             if started:
                 soak.notes.note_exit(name, code)
@@ -220,9 +221,9 @@
         if not name:
             yield
             return
-        tenants = [{'name': 'first', 'apiKeys': [sites.KEY], 'priority': 2}]
+        tenants = [{'name': 'first', 'apiKeys': [sitefiles.KEY], 'priority': 2}]
         soak.site.configure(version=next(soak.versions), tenants=tenants)
-        with soak.notes.change('key', sites.OTHER_KEY):
+        with soak.notes.change('key', sitefiles.OTHER_KEY):
             yield
         soak.site.configure(version=next(soak.versions))
 
--- a/tests/soakrules.py
+++ b/tests/soakrules.py
@@ -6,7 +6,7 @@
 import re
 import time
 
-from tests import site as sites
+from tests import sitefiles
 from tests import soakcalls
 
 FINAL = ('completed', 'rolled_back')
@@ -215,7 +215,7 @@
     if call.status == 200 and call.whole:
         yield from _check_body(call, events)
     took_s = call.done_at - call.sent_at
-    late = took_s > sites.BUDGET_MS / 1000 + OVERTIME_S
+    late = took_s > sitefiles.BUDGET_MS / 1000 + OVERTIME_S
     paused = notes.troubled(call.gateway, call.sent_at, call.done_at)
     if late and not paused:
         yield f'late: {call.request} took {took_s:.2f} s ({call.status})'
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -21,7 +21,7 @@
 from radishcourse_node import environment as environments
 from radishcourse_node import exitstatus
 from radishcourse_policy import canary
-from tests import site as sites
+from tests import sitefiles
 
 SETTINGS = """
 node = "front-1"
@@ -109,30 +109,30 @@
         return self.decoder.decode(_record('config', value))
 
     def test_routes_services_and_keys(self):
-        found = self._decode(sites.manifest(7))
+        found = self._decode(sitefiles.manifest(7))
         self.assertEqual(7, found.version)
-        route = found.match(sites.HOST.upper(), '/sized/1')
+        route = found.match(sitefiles.HOST.upper(), '/sized/1')
         self.assertEqual(('small', 'large'), route.models)
         self.assertTrue(route.repeatable)
-        self.assertFalse(found.match(sites.HOST, '/order/1').repeatable)
-        self.assertEqual('first', found.organisation(sites.KEY).name)
+        self.assertFalse(found.match(sitefiles.HOST, '/order/1').repeatable)
+        self.assertEqual('first', found.organisation(sitefiles.KEY).name)
         self.assertIsNone(found.organisation('other'))
         engine = found.services['engine'].engine
         self.assertEqual({'small': 0.02, 'large': 0.2}, engine.costs)
 
     def test_longest_prefix_wins(self):
         routes = [
-            sites.route('short', '/a/', 'idempotent', 'desk'),
-            sites.route('long', '/a/b/', 'idempotent', 'desk'),
+            sitefiles.route('short', '/a/', 'idempotent', 'desk'),
+            sitefiles.route('long', '/a/b/', 'idempotent', 'desk'),
         ]
-        found = self._decode(sites.manifest(1, routes=routes))
-        self.assertEqual('long', found.match(sites.HOST, '/a/b/c').name)
-        self.assertEqual('short', found.match(sites.HOST, '/a/bc').name)
-        self.assertIsNone(found.match(sites.HOST, '/a'))
+        found = self._decode(sitefiles.manifest(1, routes=routes))
+        self.assertEqual('long', found.match(sitefiles.HOST, '/a/b/c').name)
+        self.assertEqual('short', found.match(sitefiles.HOST, '/a/bc').name)
+        self.assertIsNone(found.match(sitefiles.HOST, '/a'))
         self.assertIsNone(found.match('other.example', '/a/b/c'))
 
     def test_fields_that_are_new_are_ignored(self):
-        found = self._decode({**sites.manifest(1), 'news': [1, 2]})
+        found = self._decode({**sitefiles.manifest(1), 'news': [1, 2]})
         self.assertEqual(1, found.version)
 
     def test_order_and_status(self):
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -7,6 +7,7 @@
 import testtools
 
 from tests import site as sites
+from tests import sitefiles
 
 # The shortest bounds of the users' sites, in seconds.
 CONFIGURATION_S = 2.0
@@ -37,10 +38,10 @@
         site = self.start(3)
         site.configure(
             version=2,
-            routes=[sites.route('new', '/new/', 'idempotent', 'desk')],
-            tenants=[{'name': 'second', 'apiKeys': [sites.OTHER_KEY]}],
+            routes=[sitefiles.route('new', '/new/', 'idempotent', 'desk')],
+            tenants=[{'name': 'second', 'apiKeys': [sitefiles.OTHER_KEY]}],
         )
-        key = {'Api_Key': sites.OTHER_KEY}
+        key = {'Api_Key': sitefiles.OTHER_KEY}
         self.within(
             CONFIGURATION_S,
             site,
@@ -54,7 +55,7 @@
     def test_node_that_the_store_does_not_serve_learns_from_others(self):
         for mode in ('refuse', 'blackhole'):
             site = self.start(3)
-            site.store_fault(mode, 'gateway-2')
+            site.link_fault(mode, 'gateway-2')
             site.configure(version=2, routes=[])
             self.within(
                 CONFIGURATION_S + 5.0,
@@ -98,12 +99,12 @@
 
     def test_changes_whose_history_is_gone_are_read_as_a_whole(self):
         site = self.start(1)
-        site.store_fault('blackhole', 'gateway-1')
+        site.link_fault('blackhole', 'gateway-1')
         time.sleep(0.2)
         site.configure(version=2, routes=[])
         site.put('servers', 'desk-1', None)
         site.control(site.store, 'compact', {})
-        site.store_fault('pass', 'gateway-1')
+        site.link_fault('pass', 'gateway-1')
         self.within(
             2 * CONFIGURATION_S,
             site,
@@ -113,7 +114,7 @@
     def test_started_node_without_a_store_learns_from_others(self):
         site = self.start(1)
         site.gateway('late')
-        site.store_fault('refuse', 'late')
+        site.link_fault('refuse', 'late')
         site.wait_ready()
         self.assertEqual(200, site.send('late', 'GET', '/stock/1').status)
 
@@ -141,10 +142,10 @@
 
     def test_evacuated_zone_gets_no_new_work_until_it_is_back(self):
         site = self.start(2)
-        site.enter('desk-1', 'desk', zone=sites.ZONES[1])
-        site.put('op', f'evacuate/{sites.ZONES[1]}', {})
+        site.enter('desk-1', 'desk', zone=sitefiles.ZONES[1])
+        site.put('op', f'evacuate/{sitefiles.ZONES[1]}', {})
         self._await_only(site, 'desk-2', EVACUATION_S / 2)
-        site.put('op', f'evacuate/{sites.ZONES[1]}', None)
+        site.put('op', f'evacuate/{sitefiles.ZONES[1]}', None)
         sites.await_true(
             lambda: (
                 site.send('gateway-1', 'GET', '/stock/1').headers[
@@ -229,7 +230,7 @@
             site.configure(
                 version=2,
                 routes=[
-                    sites.route(
+                    sitefiles.route(
                         'stock', '/stock/', 'idempotent', 'desk', timeoutMs=1000
                     )
                 ],
--- a/tests/test_gateway_minute.py
+++ b/tests/test_gateway_minute.py
@@ -13,6 +13,7 @@
 from testtools import matchers
 
 from tests import site as sites
+from tests import sitefiles
 
 MINUTE_S = 60.0
 CALLERS = 6
@@ -88,7 +89,7 @@
             ('order', 'POST', b'order'),
             ('stock', 'GET', None),
         )
-        keys = (sites.KEY, sites.OTHER_KEY)
+        keys = (sitefiles.KEY, sitefiles.OTHER_KEY)
         while not self._stop.is_set():
             turn = next(self._numbers)
             session = f'caller-{number}-{turn // 60}'
@@ -152,7 +153,7 @@
         callers.wait(6.0)
         site.put('op', 'evacuate/zone-b', {'zone': 'zone-b'})
         withdrawn_at = callers.seconds
-        first = {'name': 'first', 'apiKeys': [sites.KEY], 'priority': 2}
+        first = {'name': 'first', 'apiKeys': [sitefiles.KEY], 'priority': 2}
         site.configure(version=2, tenants=[first])
         self._stays_without_work(EVACUATION_S, 'new-2', 'engine-2', 'desk-3')
         site.put('op', 'evacuate/zone-b', None)
@@ -183,7 +184,7 @@
         sent = self.callers.sent
         self.assertEqual(['completed', 'v2'], rollout)
         self._check_key(sent, withdrawn_at)
-        kept = [item for item in sent if item.key == sites.KEY]
+        kept = [item for item in sent if item.key == sitefiles.KEY]
         self._check_served(kept)
         self._check_whole(kept)
         self._check_runs(sent)
@@ -193,7 +194,7 @@
         late = {
             item.answer and item.answer.status
             for item in sent
-            if item.key == sites.OTHER_KEY
+            if item.key == sitefiles.OTHER_KEY
             and item.at > withdrawn_at + CONFIGURATION_S
         }
         self.assertEqual({401}, late)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -4,6 +4,7 @@
 
 from radishcourse_node import events
 from tests import site as sites
+from tests import sitefiles
 
 
 class SiteTest(testtools.TestCase):
@@ -113,7 +114,7 @@
     def test_nothing_to_serve_is_said_at_once_with_a_time_to_return(self):
         self.site.configure(
             version=9,
-            routes=[sites.route('none', '/none/', 'idempotent', 'nobody')],
+            routes=[sitefiles.route('none', '/none/', 'idempotent', 'nobody')],
         )
         sites.await_true(lambda: self.send('GET', '/none/1').status != 404)
         answer = self.send('GET', '/none/1')
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -3,7 +3,7 @@
 import testtools
 
 from tests import fleetsoak
-from tests import site as sites
+from tests import sitefiles
 from tests import soakcalls
 from tests import soakrules
 
@@ -39,7 +39,7 @@
             gateway='gateway-1',
             kind=kind,
             target=f'/{kind}/0-1',
-            key=sites.KEY,
+            key=sitefiles.KEY,
             sent_at=100.0,
             done_at=100.1,
             status=200,
@@ -93,9 +93,9 @@
         self.assertEqual(set(), self._broken([stalled]))
 
     def test_withdrawn_key_that_still_opens(self):
-        change = soakrules.Change('key', sites.OTHER_KEY, 90.0)
+        change = soakrules.Change('key', sitefiles.OTHER_KEY, 90.0)
         self.notes.changes.append(change)
-        call = self._call(key=sites.OTHER_KEY)
+        call = self._call(key=sitefiles.OTHER_KEY)
         self.assertEqual({'key'}, self._broken([call]))
 
     def test_work_for_a_worker_that_leaves(self):
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -9,7 +9,7 @@
 from radishcourse_gateway import view
 from radishcourse_model import ids
 from radishcourse_policy import clock as clocks
-from tests import site as sites
+from tests import sitefiles
 
 SERVICE = ids.ServiceId('desk')
 # The users' bound on new work for an upstream whose entry is removed.
@@ -24,7 +24,7 @@
         self._clock = clocks.ManualClock(100.0)
         self._view = view.View(self._clock, manifest.Decoder())
         self._version = 0
-        self._take(records.Table.CONFIGURATION, 'config', sites.manifest(1))
+        self._take(records.Table.CONFIGURATION, 'config', sitefiles.manifest(1))
         for name in ('desk-1', 'desk-2'):
             self._enter(name)
 
