Say once what a fault of the soak takes

When the store was taken, store_mode noted trouble all the same, which excused nodes for nothing. Ruled out: one fault at a time, which would not overlap. Change: a fault is registered with what it befalls; only one that is played notes trouble; a worker that comes back is waited for.

--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -25,6 +25,32 @@
     return function
 
 
+def _fault_of(choices: typing.Callable):
+    """Registers a fault of which the thing it befalls has one at a time.
+
+    Args:
+      choices: Returns the names to choose from, by the site. The generator
+        is given the one that was drawn; none is played when all are taken.
+    """
+
+    def register(function):
+        begin = contextlib.contextmanager(function)
+
+        @contextlib.contextmanager
+        def play(soak: Soak, source: random.Random):
+            with soak.taking(source, choices(soak.site)) as name:
+                if name is None:
+                    yield
+                    return
+                with begin(soak, source, name):
+                    yield
+
+        FAULTS[function.__name__] = play
+        return function
+
+    return register
+
+
 @dataclasses.dataclass
 class Soak:
     """A site under faults.
@@ -61,6 +87,10 @@
             self.busy.discard(name)
 
 
+def _gateways(site: sites.Site) -> list[str]:
+    return list(site.gateways)
+
+
 def _lasting(site: sites.Site) -> list[str]:
     """Returns the workers that are there for the whole run."""
     return [name for name in site.workers if not name.startswith('new')]
@@ -83,16 +113,14 @@
         soak.site.link_fault('pass', *names)
 
 
-@_fault
-def store_mode(soak: Soak, source: random.Random):
+@_fault_of(lambda site: ['store'])
+def store_mode(soak: Soak, source: random.Random, name: str):
     """The store refuses, hangs, or loses the answers to writes."""
-    with soak.taking(source, ['store']) as name, soak.notes.trouble('store'):
-        if name:
-            mode = source.choice(['busy', 'hang', 'lose'])
-            soak.site.control(soak.site.store, 'faults', {'mode': mode})
+    mode = source.choice(['busy', 'hang', 'lose'])
+    with soak.notes.trouble(name):
+        soak.site.control(soak.site.store, 'faults', {'mode': mode})
         yield
-        if name:
-            soak.site.control(soak.site.store, 'faults', {'mode': 'up'})
+        soak.site.control(soak.site.store, 'faults', {'mode': 'up'})
 
 
 @_fault
@@ -119,157 +147,130 @@
         soak.site.link_fault('pass', name)
 
 
-@_fault
-def worker_behaviour(soak: Soak, source: random.Random):
+@_fault_of(_lasting)
+def worker_behaviour(soak: Soak, source: random.Random, name: str):
     """A worker fails, cuts, mixes up or withholds some answers."""
     faults = 'error shed hang close truncate cut extra foreign unstamped silent'
-    with soak.taking(source, _lasting(soak.site)) as name:
-        if name:
-            soak.site.behave(
-                name,
-                fault=source.choice(faults.split()),
-                count=source.randrange(1, 12),
-                events=EVENTS,
-            )
-        yield
-        if name:
-            with contextlib.suppress(OSError):
-                soak.site.behave(name, events=EVENTS)
+    soak.site.behave(
+        name,
+        fault=source.choice(faults.split()),
+        count=source.randrange(1, 12),
+        events=EVENTS,
+    )
+    yield
+    soak.site.behave(name, events=EVENTS)
 
 
-@_fault
-def worker_pause(soak: Soak, source: random.Random):
+@_fault_of(_lasting)
+def worker_pause(soak: Soak, source: random.Random, name: str):
     """A worker stops and goes on."""
-    with soak.taking(source, _lasting(soak.site)) as name:
-        if name:
-            soak.site.workers[name].signal(signal.SIGSTOP)
-        yield
-        if name:
-            soak.site.workers[name].signal(signal.SIGCONT)
+    del source
+    soak.site.workers[name].signal(signal.SIGSTOP)
+    yield
+    soak.site.workers[name].signal(signal.SIGCONT)
 
 
-@_fault
-def worker_restart(soak: Soak, source: random.Random):
+@_fault_of(_lasting)
+def worker_restart(soak: Soak, source: random.Random, name: str):
     """A worker crashes and comes back."""
-    with soak.taking(source, _lasting(soak.site)) as name:
-        if name:
-            soak.site.workers[name].kill()
-        yield
-        if name:
-            soak.site.restart_worker(name, name.partition('-')[0])
+    del source
+    soak.site.workers[name].kill()
+    yield
+    soak.site.restart_worker(name, name.partition('-')[0])
+    soak.site.wait_workers(name)
 
 
-@_fault
-def gateway_pause(soak: Soak, source: random.Random):
+@_fault_of(_gateways)
+def gateway_pause(soak: Soak, source: random.Random, name: str):
     """A gateway stops and goes on."""
-    with soak.taking(source, soak.site.gateways) as name:
-        if not name:
-            yield
-            return
-        with soak.notes.trouble(name):
-            soak.site.gateways[name].signal(signal.SIGSTOP)
-            yield
-            soak.site.gateways[name].signal(signal.SIGCONT)
+    del source
+    with soak.notes.trouble(name):
+        soak.site.gateways[name].signal(signal.SIGSTOP)
+        yield
+        soak.site.gateways[name].signal(signal.SIGCONT)
 
 
-@_fault
-def gateway_kill(soak: Soak, source: random.Random):
+@_fault_of(_gateways)
+def gateway_kill(soak: Soak, source: random.Random, name: str):
     """A gateway is killed and started again."""
-    with soak.taking(source, soak.site.gateways) as name:
-        if not name:
-            yield
-            return
-        with soak.notes.trouble(name):
-            soak.site.gateways[name].kill()
-            yield
-            soak.site.restart_gateway(name)
+    del source
+    with soak.notes.trouble(name):
+        soak.site.gateways[name].kill()
+        yield
+        soak.site.restart_gateway(name)
 
 
-@_fault
-def gateway_stop(soak: Soak, source: random.Random):
+@_fault_of(_gateways)
+def gateway_stop(soak: Soak, source: random.Random, name: str):
     """A gateway is stopped as planned, and started again."""
-    with soak.taking(source, soak.site.gateways) as name:
-        if not name:
-            yield
-            return
-        process = soak.site.gateways[name]
-        started = soak.site.serves(name)
-        with soak.notes.trouble(name):
-            process.signal(signal.SIGTERM)
-            code = process.popen.wait(sitefiles.GRACE_S + 1)
-            # One that had not begun to serve has nothing to end.
-            if started:
-                soak.notes.note_exit(name, code)
-            yield
-            soak.site.restart_gateway(name)
+    del source
+    process = soak.site.gateways[name]
+    started = soak.site.serves(name)
+    with soak.notes.trouble(name):
+        process.signal(signal.SIGTERM)
+        code = process.popen.wait(sitefiles.GRACE_S + 1)
+        # One that had not begun to serve has nothing to end.
+        if started:
+            soak.notes.note_exit(name, code)
+        yield
+        soak.site.restart_gateway(name)
 
 
-@_fault
-def gateway_reload(soak: Soak, source: random.Random):
+@_fault_of(_gateways)
+def gateway_reload(soak: Soak, source: random.Random, name: str):
     """A gateway is told to read its settings again."""
-    with soak.taking(source, soak.site.gateways) as name:
-        # Python's own start, some 10 ms, can't be told to ignore the signal.
-        if name and soak.site.takes_reload(name):
-            soak.site.gateways[name].signal(signal.SIGHUP)
-        yield
+    del source
+    # Python's own start, some 10 ms, can't be told to ignore the signal.
+    if soak.site.takes_reload(name):
+        soak.site.gateways[name].signal(signal.SIGHUP)
+    yield
 
 
-@_fault
-def key_withdrawn(soak: Soak, source: random.Random):
+@_fault_of(lambda site: ['keys'])
+def key_withdrawn(soak: Soak, source: random.Random, name: str):
     """The second organisation's key is taken away and comes back."""
-    with soak.taking(source, ['keys']) as name:
-        if not name:
-            yield
-            return
-        tenants = [{'name': 'first', 'apiKeys': [sitefiles.KEY], 'priority': 2}]
-        soak.site.configure(version=next(soak.versions), tenants=tenants)
-        with soak.notes.change('key', sitefiles.OTHER_KEY):
-            yield
-        soak.site.configure(version=next(soak.versions))
+    del source, name
+    tenants = [{'name': 'first', 'apiKeys': [sitefiles.KEY], 'priority': 2}]
+    soak.site.configure(version=next(soak.versions), tenants=tenants)
+    with soak.notes.change('key', sitefiles.OTHER_KEY):
+        yield
+    soak.site.configure(version=next(soak.versions))
 
 
-@_fault
-def worker_drain(soak: Soak, source: random.Random):
+@_fault_of(lambda site: ['desk-1', 'engine-1'])
+def worker_drain(soak: Soak, source: random.Random, name: str):
     """A worker leaves; its entry says so."""
-    names = ['desk-1', 'engine-1']
-    with soak.taking(source, names) as name:
-        if not name:
-            yield
-            return
-        service = name.partition('-')[0]
-        soak.site.enter(name, service, state='draining')
-        with soak.notes.change('drain', name):
-            yield
-        soak.site.enter(name, service)
+    del source
+    service = name.partition('-')[0]
+    soak.site.enter(name, service, state='draining')
+    with soak.notes.change('drain', name):
+        yield
+    soak.site.enter(name, service)
 
 
-@_fault
-def zone_evacuated(soak: Soak, source: random.Random):
+@_fault_of(lambda site: ['zone-b'])
+def zone_evacuated(soak: Soak, source: random.Random, name: str):
     """Nothing may go to the second zone any more."""
-    with soak.taking(source, ['zone']) as name:
-        if not name:
-            yield
-            return
-        soak.site.put('op', 'evacuate/zone-b', {'zone': 'zone-b'})
-        with soak.notes.change('evacuation', 'desk-2'):
-            with soak.notes.change('evacuation', 'engine-2'):
-                yield
-        soak.site.put('op', 'evacuate/zone-b', None)
+    del source
+    soak.site.put('op', f'evacuate/{name}', {'zone': name})
+    with (
+        soak.notes.change('evacuation', 'desk-2'),
+        soak.notes.change('evacuation', 'engine-2'),
+    ):
+        yield
+    soak.site.put('op', f'evacuate/{name}', None)
 
 
-@_fault
-def version(soak: Soak, source: random.Random):
+@_fault_of(lambda site: ['rollout'])
+def version(soak: Soak, source: random.Random, name: str):
     """A new version of the engine's service, good or bad, is ordered."""
-    with soak.taking(source, ['rollout']) as name:
-        if not name:
-            yield
-            return
-        number = next(soak.versions)
-        names = [f'new-{number}-{index}' for index in (1, 2)]
-        bad = source.random() < 0.6
-        with soak.notes.rollout(names, bad) as rollout:
-            _play_version(soak, number, names, bad, rollout)
-        yield
+    del name
+    number = next(soak.versions)
+    names = [f'new-{number}-{index}' for index in (1, 2)]
+    bad = source.random() < 0.6
+    with soak.notes.rollout(names, bad) as rollout:
+        _play_version(soak, number, names, bad, rollout)
+    yield
 
 
 def _play_version(soak: Soak, number, names, bad: bool, rollout) -> None:
