Log the session of each attempt

When a session's requests run on different versions, the logs could not show it: attempt_started named the version but not the session, so a canary that takes in open sessions could not be told from nodes that disagree. The line now has the session. The volume stays limited as before.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -391,6 +391,7 @@
         events.log(
             events.Event.ATTEMPT_STARTED,
             request=request.request_id,
+            session=request.session or None,
             attempt=plan.attempts + 1,
             upstream=entry.upstream_id,
             version=entry.version,
