Add a failing test of open sessions moved to a new version

The test keeps 200 sessions open over three gateways from before the order to half of its time limit.

--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -1,5 +1,6 @@
 """Roll-outs that several gateways decide through the store's status row."""
 
+import collections
 import concurrent.futures
 import itertools
 import signal
@@ -13,6 +14,11 @@
 TIME_LIMIT_S = 8
 EXPOSURE_SHARE = 0.15
 EXPOSURE_SLACK = 30
+# The users tolerate three requests on another version than the one before them
+# in their session.
+MAX_CHANGED_SESSIONS = 3
+CALLERS = 8
+LONG_SESSIONS = 200
 
 
 class _Traffic:
@@ -22,7 +28,7 @@
       seen: Session of each response and the upstream that sent it.
     """
 
-    def __init__(self, site: sites.Site, callers: int = 8):
+    def __init__(self, site: sites.Site, callers: int = CALLERS):
         self._site = site
         self._stop = threading.Event()
         self._pool = concurrent.futures.ThreadPoolExecutor(callers)
@@ -56,28 +62,112 @@
         self._pool.shutdown()
 
 
+class _LongSessions:
+    """Callers that keep their sessions, each at all gateways in turn.
+
+    Attributes:
+      seen: Time of sending of each answered request on the monotonic clock,
+        its session, and whether the new version answered it.
+    """
+
+    def __init__(self, site: sites.Site):
+        self._site = site
+        self._stop = threading.Event()
+        self._pool = concurrent.futures.ThreadPoolExecutor(CALLERS)
+        self.seen: list[tuple[float, str, bool]] = []
+        for caller in range(CALLERS):
+            sessions = [
+                f'long-{number}'
+                for number in range(caller, LONG_SESSIONS, CALLERS)
+            ]
+            self._pool.submit(self._call, sessions)
+
+    def _call(self, sessions: list[str]) -> None:
+        for name in itertools.cycle(self._site.gateways):
+            for session in sessions:
+                if self._stop.is_set():
+                    return
+                sent_at = time.monotonic()
+                response = self._site.send(
+                    name, 'POST', '/draft/1', b'p', Session=session
+                )
+                stamp = response.headers.get('x-server-stamp') or ''
+                if stamp:
+                    new = stamp.startswith('new')
+                    self.seen.append((sent_at, session, new))
+
+    def stop(self) -> None:
+        """Ends the callers."""
+        self._stop.set()
+        self._pool.shutdown()
+
+
+def _start_site(test: testtools.TestCase, **behaviour) -> sites.Site:
+    """Starts a site with three gateways and workers of a new version."""
+    running = sites.running(3)
+    site = running.__enter__()
+    test.addCleanup(running.__exit__, None, None, None)
+    for name in ('new-1', 'new-2'):
+        site.start_worker(name, 'engine', version='v2', born=2)
+    site.wait_workers()
+    for name in ('new-1', 'new-2'):
+        site.set_behaviour(name, **behaviour)
+    site.wait_listed(6)
+    return site
+
+
+def _order(site: sites.Site) -> None:
+    order = {'service': 'engine', 'to': 'v2', 'withinS': TIME_LIMIT_S}
+    site.put('op', 'rollout/engine', order)
+
+
+class OpenSessionTest(testtools.TestCase):
+    """Guards against sessions that change versions early in a roll-out."""
+
+    def test_open_sessions_change_versions_early_in_a_rollout(self):
+        # Incident inc1: the canary took in sessions on the old version.
+        site = _start_site(self)
+        callers = _LongSessions(site)
+        self.addCleanup(callers.stop)
+        time.sleep(2.0)
+        ordered_at = time.monotonic()
+        _order(site)
+        time.sleep(TIME_LIMIT_S / 2)
+        callers.stop()
+        opened = {session for at, session, _ in callers.seen if at < ordered_at}
+        self.assertEqual(LONG_SESSIONS, len(opened))
+        moved = {
+            session
+            for at, session, new in callers.seen
+            if new and at < ordered_at + TIME_LIMIT_S / 2
+        }
+        self.assertEqual(set(), moved)
+
+    def test_sessions_that_begin_during_a_rollout_keep_their_version(self):
+        site = _start_site(self)
+        traffic = _Traffic(site)
+        self.addCleanup(traffic.stop)
+        time.sleep(0.5)
+        _order(site)
+        time.sleep(TIME_LIMIT_S / 2)
+        versions = collections.defaultdict(set)
+        for session, stamp in list(traffic.seen):
+            versions[session].add(stamp.startswith('new'))
+        changed = [name for name, seen in versions.items() if len(seen) > 1]
+        self.assertLessEqual(len(changed), MAX_CHANGED_SESSIONS, changed)
+        self.assertIn({True}, versions.values())
+
+
 class RolloutTest(testtools.TestCase):
     """Guards against hung roll-outs, overexposure and sessions moved back."""
 
     def _start(self, **behaviour) -> tuple[sites.Site, _Traffic]:
-        running = sites.running(3)
-        site = running.__enter__()
-        self.addCleanup(running.__exit__, None, None, None)
-        for name in ('new-1', 'new-2'):
-            site.start_worker(name, 'engine', version='v2', born=2)
-        site.wait_workers()
-        for name in ('new-1', 'new-2'):
-            site.set_behaviour(name, **behaviour)
-        site.wait_listed(6)
+        site = _start_site(self, **behaviour)
         traffic = _Traffic(site)
         self.addCleanup(traffic.stop)
         time.sleep(0.5)
         return site, traffic
 
-    def _order(self, site: sites.Site) -> None:
-        order = {'service': 'engine', 'to': 'v2', 'withinS': TIME_LIMIT_S}
-        site.put('op', 'rollout/engine', order)
-
     def _await(self, site, state: str, seconds: float) -> None:
         sites.wait_until(
             lambda: site.rollout_status('engine').get('state') == state, seconds
@@ -85,7 +175,7 @@
 
     def test_good_version_completes_in_time_and_no_session_returns(self):
         site, traffic = self._start()
-        self._order(site)
+        _order(site)
         self._await(site, 'completed', TIME_LIMIT_S)
         self.assertEqual('v2', site.rollout_status('engine')['to'])
         time.sleep(1.0)
@@ -103,7 +193,7 @@
 
     def test_bad_version_is_rolled_back_with_bounded_exposure(self):
         site, _ = self._start(fault='error')
-        self._order(site)
+        _order(site)
         self._await(site, 'rolled_back', TIME_LIMIT_S)
         time.sleep(1.0)
         exposed = len(site.runs('new-1', 'new-2'))
@@ -115,7 +205,7 @@
     def test_decision_survives_lost_answers_of_the_store(self):
         site, _ = self._start(fault='error')
         site.control(site.store, 'faults', {'mode': 'lose'})
-        self._order(site)
+        _order(site)
         self._await(site, 'rolled_back', TIME_LIMIT_S)
         site.control(site.store, 'faults', {'mode': 'up'})
         # The others learn of it in a gossip round; the users' bound is 5 s.
@@ -126,7 +216,7 @@
 
     def test_decision_survives_the_death_of_two_nodes(self):
         site, _ = self._start(fault='error')
-        self._order(site)
+        _order(site)
         for name in ('gateway-1', 'gateway-2'):
             time.sleep(0.3)
             # Callers still try the killed gateway, then use the next one.
