Keep open sessions on the old version when a canary starts

Cause: the canary's share went from 0 to 4.8% of the hash space 1 s after the order, and a session was in it by its hash alone. A session whose last request had run on the old version within the session's pause changed versions. Class: a new assignment is put in force for work that already has one.

Change: nodes remember the sessions of the last session_s (sessionS of the platform), take those in the canary's range as open when they learn of the order, add those that come before the canary starts, and merge the sets with the roll-out states that they exchange (a bitmap that only grows). Open sessions stay on the old version until the ramp, which lies in the second half. The canary starts 3 s instead of 1 s after the order, when the sets have spread. Session ids over 64 bytes are replaced by a digest, so that memory is bounded.

Why it works: a session that is open at the order is in the set of some node, and six rounds bring it to all nodes before the first of them uses the canary. Sessions that begin later go to one version by hash, as before.

Two tests of canary took the share at ORDER_PROPAGATION_S for the canary's; they now use canary_share, the same 0.06. The test of a constant share now also checks that it is 0 before the start.

--- a/packages/gateway/src/radishcourse_gateway/inboundrequest.py
+++ b/packages/gateway/src/radishcourse_gateway/inboundrequest.py
@@ -1,6 +1,7 @@
 """A caller's request, and the headers sent to upstreams and callers."""
 
 import dataclasses
+import hashlib
 
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import headernames
@@ -8,6 +9,8 @@
 from radishcourse_policy import modelchoice
 
 Headers = list[tuple[bytes, bytes]]
+# Nodes remember sessions, so a longer id is replaced by its digest.
+MAX_SESSION_LENGTH = 64
 
 
 @dataclasses.dataclass
@@ -81,6 +84,16 @@
     return modelchoice.RequestSize(int(prompt), most)
 
 
+def read_session(
+    headers: Headers, header_names: headernames.HeaderNames
+) -> str:
+    """Returns the id of a request's session, empty without one."""
+    value = first_value(headers, header_names.session) or b''
+    if len(value) > MAX_SESSION_LENGTH:
+        return hashlib.blake2b(value, digest_size=16).hexdigest()
+    return value.decode('latin-1')
+
+
 def read_shared_prefix(
     headers: Headers, header_names: headernames.HeaderNames
 ) -> tuple[str | None, int]:
--- a/packages/gateway/src/radishcourse_gateway/localrollout.py
+++ b/packages/gateway/src/radishcourse_gateway/localrollout.py
@@ -4,6 +4,7 @@
 
 from radishcourse_gateway import interfaces
 from radishcourse_policy import canary
+from radishcourse_policy import opensessions
 from radishcourse_wire.gen.peer import ttypes
 
 FINAL_STATES = (canary.RolloutState.COMPLETED, canary.RolloutState.ROLLED_BACK)
@@ -27,6 +28,8 @@
       tallies: Counts of the responses that this node received.
       reports: Latest report of each other node, by incarnation.
       old_in_flight: This node's requests in progress on the old version.
+      open_sessions: Sessions that were open at any node before the canary
+        started.
     """
 
     order: interfaces.RolloutOrder
@@ -42,6 +45,50 @@
         default_factory=dict
     )
     old_in_flight: int = 0
+    open_sessions: opensessions.OpenSessions = dataclasses.field(
+        default_factory=opensessions.OpenSessions
+    )
+
+    def add_open_session(self, session: str, exposure: float) -> None:
+        """Keeps a session that is open on the old version out of the canary.
+
+        Args:
+          session: The session.
+          exposure: Permitted share of requests on a bad version.
+        """
+        hash_value = self._session_hash(session)
+        if hash_value < canary.canary_share(exposure):
+            self.open_sessions.add(hash_value)
+
+    def encoded_open_sessions(self) -> bytes | None:
+        """Returns the open sessions for peers, None once they do not matter."""
+        if self.state in FINAL_STATES:
+            return None
+        return self.open_sessions.encode()
+
+    def serves_new(self, session: str, age_s: float, exposure: float) -> bool:
+        """Tells whether the new version serves a session.
+
+        Args:
+          session: The session.
+          age_s: Time since the order.
+          exposure: Permitted share of requests on a bad version.
+        """
+        if self.state is canary.RolloutState.COMPLETED:
+            return True
+        if self.state is not canary.RolloutState.RUNNING:
+            return False
+        hash_value = self._session_hash(session)
+        return canary.serves_new(
+            hash_value,
+            hash_value in self.open_sessions,
+            age_s,
+            self.order.within_s,
+            exposure,
+        )
+
+    def _session_hash(self, session: str) -> float:
+        return canary.session_hash(session, self.order.service, self.version)
 
     def decide(self, state: canary.RolloutState) -> None:
         """Sets a state that is not published yet."""
--- a/packages/gateway/src/radishcourse_gateway/requesthandler.py
+++ b/packages/gateway/src/radishcourse_gateway/requesthandler.py
@@ -233,9 +233,6 @@
         request_id = (
             inboundrequest.first_value(headers, header_names.request_id) or b''
         )
-        session = (
-            inboundrequest.first_value(headers, header_names.session) or b''
-        )
         return inboundrequest.InboundRequest(
             request_id=request_id.decode('latin-1'),
             method=scope['method'].encode('latin-1'),
@@ -249,7 +246,7 @@
             size=inboundrequest.read_size(headers, header_names),
             prefix_key=key if route.cached_prompts else None,
             prefix_tokens=tokens,
-            session=session.decode('latin-1'),
+            session=inboundrequest.read_session(headers, header_names),
         )
 
     def _authenticate(self, directory, route, headers):
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -12,6 +12,7 @@
 
 from radishcourse_gateway import interfaces
 from radishcourse_gateway import localrollout
+from radishcourse_gateway import settings as gateway_settings
 from radishcourse_gateway import stableversions
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
@@ -19,6 +20,8 @@
 from radishcourse_platform import errors as platform_errors
 from radishcourse_policy import canary
 from radishcourse_policy import loadbalancing
+from radishcourse_policy import opensessions
+from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
 STEP_INTERVAL_S = 0.2
@@ -45,6 +48,11 @@
         self._by_service: dict[ids.ServiceId, localrollout.LocalRollout] = {}
         self._stable_versions = stableversions.StableVersions(gateway.view)
         self._durations = canary.Durations()
+        self._recent_sessions = opensessions.RecentSessions()
+
+    @property
+    def _bounds(self) -> gateway_settings.Bounds:
+        return self._current_settings.value.bounds
 
     def _rollout(
         self, service: ids.ServiceId
@@ -59,6 +67,9 @@
                 row.order, row.version, self._clock.now()
             )
             self._by_service[service] = rollout
+            since = rollout.seen_at - self._bounds.session_s
+            for session in self._recent_sessions.seen_since(service, since):
+                rollout.add_open_session(session, self._bounds.exposure_share)
         if not rollout.since_ms:
             rollout.since_ms = self._store.now_ms(rollout.seen_at) or 0
         return rollout
@@ -71,37 +82,46 @@
         return max(0.0, (now_ms - rollout.since_ms) / 1000)
 
     def version_for(
-        self, service: ids.ServiceId, session: str
+        self, service: ids.ServiceId, session: str, request_id: str
     ) -> ids.VersionId | None:
-        """Returns the version that serves a session, or None for any."""
+        """Returns the version that serves a request, or None for any.
+
+        Args:
+          service: The service.
+          session: The request's session, empty without one.
+          request_id: Id of the request; without a session it decides.
+        """
         present = self._view.versions(service)
         rollout = self._rollout(service)
+        if session:
+            self._note_session(service, rollout, session)
         if rollout is None:
             return self._stable_versions.version(service, present)
         new = rollout.order.to_version
         old = [version for version in present if version != new]
         if new not in present or not old:
             return next(iter(old), new if present else None)
-        if self._serves_new(rollout, session):
+        if rollout.serves_new(
+            session or request_id,
+            self._age_s(rollout),
+            self._bounds.exposure_share,
+        ):
             return new
         return max(old, key=lambda version: (present[version], version))
 
-    def _serves_new(
-        self, rollout: localrollout.LocalRollout, session: str
-    ) -> bool:
-        if rollout.state is canary.RolloutState.COMPLETED:
-            return True
-        if rollout.state is not canary.RolloutState.RUNNING:
-            return False
-        share = canary.new_version_share(
-            self._age_s(rollout),
-            rollout.order.within_s,
-            self._current_settings.value.bounds.exposure_share,
-        )
-        hash_value = canary.session_hash(
-            session, rollout.order.service, rollout.version
+    def _note_session(
+        self,
+        service: ids.ServiceId,
+        rollout: localrollout.LocalRollout | None,
+        session: str,
+    ) -> None:
+        self._recent_sessions.note(
+            service, session, self._clock.now(), self._bounds.session_s
         )
-        return hash_value < share
+        if rollout is not None and canary.is_before_canary(
+            self._age_s(rollout), rollout.order.within_s
+        ):
+            rollout.add_open_session(session, self._bounds.exposure_share)
 
     @contextlib.contextmanager
     def count(self, service: ids.ServiceId, version: ids.VersionId):
@@ -278,7 +298,7 @@
         ) and canary.may_complete(
             age_s,
             rollout.order.within_s,
-            self._current_settings.value.bounds.exposure_share,
+            self._bounds.exposure_share,
             old_in_flight,
             tallies,
         ):
@@ -350,6 +370,7 @@
                 rollout.version,
                 rollout.since_ms,
                 rollout.published,
+                rollout.encoded_open_sessions(),
             )
             for service, rollout in self._by_service.items()
             if rollout.state is not None
@@ -379,6 +400,11 @@
             rollout.since_ms = min(
                 rollout.since_ms or status.since_ms, status.since_ms
             )
+        if status.open_sessions is not None:
+            try:
+                rollout.open_sessions.merge(status.open_sessions)
+            except ValueError as error:
+                raise wire_errors.Malformed(str(error)) from error
         state = canary.RolloutState(status.state)
         if status.published:
             self._adopt(
--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -25,6 +25,7 @@
       cold_excess: The request rate to a cold upstream may be its service's
         cold_per_s times this factor, plus cold_slack.
       cold_slack: Requests per second.
+      session_s: Pause in seconds after which a session has ended.
     """
 
     stop_s: Seconds = 30.0
@@ -33,6 +34,7 @@
     exposure_share: Share = 0.1
     cold_excess: Share = 1.0
     cold_slack: Number = 0
+    session_s: Seconds = 10.0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -92,7 +92,7 @@
         if plan.service is None:
             plan.service = self._choose_service(request)
         version = plan.version or self._rollouts.version_for(
-            plan.service, request.session or request.request_id
+            plan.service, request.session, request.request_id
         )
         usable = [
             listed
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -1,12 +1,13 @@
 """Canary roll-out of a new version of a service.
 
 A fixed share of the sessions is the canary: it runs on the new version until
-late in the time limit, so that no session has to change versions. Then the
+late in the time limit. Sessions that are open when the canary starts stay on
+the old version until then, so that no session has to change versions. Then the
 remaining sessions are ramped up linearly, so late that the exposure up to the
 limit stays within its bound even for a bad version that has not shown its
-fault to anyone. Sessions are assigned by hash, so all nodes agree without
-messages, and a growing share only moves sessions from the old version to the
-new one.
+fault to anyone. Sessions are assigned by hash, so nodes only have to agree on
+the open ones, and a growing share only moves sessions from the old version to
+the new one.
 
 Load pattern: a version that fails or delays a part of its requests, at
 once, later, under load or on one route only.
@@ -25,6 +26,10 @@
 # No session moves before all nodes know of the order. It reaches them after one
 # store call of a follower and two rounds between nodes.
 ORDER_PROPAGATION_S = 1.0
+# The canary starts when all nodes also know the sessions that the others had
+# open. At 600 nodes this takes six rounds between nodes.
+SESSION_PROPAGATION_S = 2.0
+CANARY_START_S = ORDER_PROPAGATION_S + SESSION_PROPAGATION_S
 # Exposure that the ramp may add before the time limit, as a fraction of the
 # permitted one. The bound must also hold for a bad version whose fault does not
 # show before the time limit.
@@ -154,19 +159,60 @@
 def new_version_share(
     age_s: float, time_limit_s: float, exposure: float
 ) -> float:
-    """Returns the share of sessions that the new version serves.
+    """Returns the share of sessions below which the new version serves them.
 
     Args:
       age_s: Time since the order.
       time_limit_s: Time limit of the roll-out, counted from the order.
       exposure: Permitted share of requests on a bad version.
     """
-    if age_s < ORDER_PROPAGATION_S:
+    if is_before_canary(age_s, time_limit_s):
         return 0.0
-    canary_share = CANARY_EXPOSURE_FRACTION * exposure
     begin, end = _ramp_ages(time_limit_s, exposure)
     ramped = (age_s - begin) / (end - begin)
-    return canary_share + (1 - canary_share) * min(1.0, max(0.0, ramped))
+    share = canary_share(exposure)
+    return share + (1 - share) * min(1.0, max(0.0, ramped))
+
+
+def canary_share(exposure: float) -> float:
+    """Returns the canary's share of the sessions.
+
+    Args:
+      exposure: Permitted share of requests on a bad version.
+    """
+    return CANARY_EXPOSURE_FRACTION * exposure
+
+
+def is_before_canary(age_s: float, time_limit_s: float) -> bool:
+    """Tells whether the canary has not started yet.
+
+    Args:
+      age_s: Time since the order.
+      time_limit_s: Time limit of the roll-out, counted from the order.
+    """
+    start_s = min(CANARY_START_S, time_limit_s / 2)
+    return age_s < max(ORDER_PROPAGATION_S, start_s)
+
+
+def serves_new(
+    hash_value: float,
+    is_open: bool,
+    age_s: float,
+    time_limit_s: float,
+    exposure: float,
+) -> bool:
+    """Tells whether the new version serves a session.
+
+    Args:
+      hash_value: The session's hash.
+      is_open: Whether the session was open before the canary started.
+      age_s: Time since the order.
+      time_limit_s: Time limit of the roll-out, counted from the order.
+      exposure: Permitted share of requests on a bad version.
+    """
+    if is_open and age_s < _ramp_ages(time_limit_s, exposure)[0]:
+        return False
+    return hash_value < new_version_share(age_s, time_limit_s, exposure)
 
 
 def _ramp_ages(time_limit_s: float, exposure: float) -> tuple[float, float]:
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -173,6 +173,8 @@
   6: i32 old_in_flight
 }
 
+// `open_sessions` is a zlib-compressed bitmap of the sessions that the canary
+// leaves on the old version.
 struct RolloutStatus {
   1: string service_id
   2: string version
@@ -180,6 +182,7 @@
   4: i64 order
   5: i64 since_ms
   6: bool published
+  7: optional binary open_sessions
 }
 
 // Requests that a node has in progress at an upstream, the expected prefill
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2481,6 +2481,7 @@
      - order
      - since_ms
      - published
+     - open_sessions
 
     """
 
@@ -2491,16 +2492,18 @@
         'order',
         'since_ms',
         'published',
+        'open_sessions',
     )
 
 
-    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None, published=None,):
+    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None, published=None, open_sessions=None,):
         self.service_id = service_id
         self.version = version
         self.state = state
         self.order = order
         self.since_ms = since_ms
         self.published = published
+        self.open_sessions = open_sessions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2541,6 +2544,11 @@
                     self.published = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.open_sessions = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2575,6 +2583,10 @@
             oprot.writeFieldBegin('published', TType.BOOL, 6)
             oprot.writeBool(self.published)
             oprot.writeFieldEnd()
+        if self.open_sessions is not None:
+            oprot.writeFieldBegin('open_sessions', TType.STRING, 7)
+            oprot.writeBinary(self.open_sessions)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3189,6 +3201,7 @@
     (4, TType.I64, 'order', None, None, ),  # 4
     (5, TType.I64, 'since_ms', None, None, ),  # 5
     (6, TType.BOOL, 'published', None, None, ),  # 6
+    (7, TType.STRING, 'open_sessions', 'BINARY', None, ),  # 7
 )
 all_structs.append(UpstreamWork)
 UpstreamWork.thrift_spec = (
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -41,6 +41,7 @@
 budgetRatio = 0.9
 retrySlack = 56
 coldExcess = 1.5
+sessionS = 6.5
 [platform]
 address = "127.0.0.1:8223"
 """
@@ -69,6 +70,7 @@
         self.assertEqual(8, bounds.stop_s)
         self.assertEqual(0.9, bounds.repeat_share)
         self.assertEqual(56, bounds.repeat_slack)
+        self.assertEqual(6.5, bounds.session_s)
 
     def test_nodes_of_an_installation_share_a_key(self):
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -156,9 +156,7 @@
         }
         for _ in range(700):
             arm = canary.Arm.OLD
-            if source.random() < canary.new_version_share(
-                canary.ORDER_PROPAGATION_S, WITHIN_S, EXPOSURE
-            ):
+            if source.random() < canary.canary_share(EXPOSURE):
                 arm = canary.Arm.NEW
             prefill_s = source.lognormvariate(-3.5, 1.0)
             seconds = (0.05 + prefill_s) * source.lognormvariate(0.2, 0.3)
@@ -189,9 +187,7 @@
             for arm in (canary.Arm.OLD, canary.Arm.NEW)
         }
         for _ in range(500):
-            new = source.random() < canary.new_version_share(
-                canary.ORDER_PROPAGATION_S, WITHIN_S, EXPOSURE
-            )
+            new = source.random() < canary.canary_share(EXPOSURE)
             arm = canary.Arm.NEW if new else canary.Arm.OLD
             pace = 0.034 * source.lognormvariate(0, 0.35)
             slow = durations.record_pace(
@@ -231,19 +227,33 @@
             canary.new_version_share(late, within, exposure),
         )
 
-    def test_share_of_the_new_version_is_constant_in_the_first_half(self):
-        shares = {
+    def test_share_is_that_of_the_canary_from_its_start_to_half_time(self):
+        start = int(10 * canary.CANARY_START_S)
+        shares = [
             canary.new_version_share(age / 10, WITHIN_S, EXPOSURE)
-            for age in range(
-                int(10 * canary.ORDER_PROPAGATION_S), int(5 * WITHIN_S)
-            )
-        }
-        self.assertEqual(1, len(shares))
+            for age in range(int(5 * WITHIN_S))
+        ]
+        self.assertEqual({0.0}, set(shares[:start]))
+        self.assertEqual({canary.canary_share(EXPOSURE)}, set(shares[start:]))
 
     def test_no_session_moves_before_all_nodes_know_of_the_order(self):
         early = canary.ORDER_PROPAGATION_S - 0.1
-        self.assertEqual(
-            0.0, canary.new_version_share(early, WITHIN_S, EXPOSURE)
+        for within_s in (1.0, 4.0, WITHIN_S):
+            self.assertEqual(
+                0.0, canary.new_version_share(early, within_s, EXPOSURE)
+            )
+
+    @hypothesis.given(strategies.floats(0, 1), strategies.floats(2, 60))
+    def test_open_session_stays_on_the_old_version_until_half_time(
+        self, hash_value, within_s
+    ):
+        for age_s in (0.0, within_s / 4, within_s / 2 - 0.01):
+            self.assertFalse(
+                canary.serves_new(hash_value, True, age_s, within_s, EXPOSURE)
+            )
+        self.assertTrue(
+            canary.serves_new(hash_value, True, within_s, within_s, EXPOSURE)
+            or hash_value >= 1.0
         )
 
     @hypothesis.given(strategies.text(max_size=50), strategies.integers(0, 9))
