Judge slow streams while they run and complete no doubtful version

Callers saw streams several times slower than before, for good: the version was completed at its limit.

Cause: the pace of a stream was counted at its end only. A slow stream ends late or is given up, so at the decision most streams counted were fast, or there were two or three in all. Class: a sample that the measured property itself censors.

Change: a stream counts after 8 events, or before as soon as even the missing events could not make it fast, also when it is cut. Paces add up over routes. A version is completed only if it has three streams that are not slow and its share of slow answers is within 0.1 of the old one's; else the decision waits for the answers of the ramp, which come within a second.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -354,36 +354,32 @@
     ) -> NextStep:
         """Forwards the complete events of a stream, so that it can resume."""
         splitter = eventstream.Splitter(plan.last_event)
-        began_at = self._clock.now()
         if not plan.begun:
             plan.version = listed.upstream.version
             headers = inboundrequest.caller_headers(head.headers)
-        while True:
-            with self._attempt_timeout.between_events(request, plan):
-                data = await connection.receive()
-            if data is None:
-                break
-            complete = splitter.feed(data)
-            if not complete:
-                continue
-            if not plan.begun:
-                plan.begun = True
-                await out.start(head.status, headers)
-            await out.write(complete)
-            plan.last_event = splitter.last_id
+        with self._rollouts.measure_pace(
+            listed, request.route.name, plan.model or ''
+        ) as note_events:
+            while True:
+                with self._attempt_timeout.between_events(request, plan):
+                    data = await connection.receive()
+                if data is None:
+                    break
+                complete = splitter.feed(data)
+                if not complete:
+                    continue
+                note_events(splitter.count - 1)
+                if not plan.begun:
+                    plan.begun = True
+                    await out.start(head.status, headers)
+                await out.write(complete)
+                plan.last_event = splitter.last_id
         if not plan.begun:
             plan.begun = True
             await out.start(head.status, headers)
         if splitter.partial:
             await out.write(splitter.partial)
         await out.end()
-        self._rollouts.note_pace(
-            listed,
-            request.route.name,
-            plan.model or '',
-            self._clock.now() - began_at,
-            splitter.count - 1,
-        )
         return NextStep.DONE
 
     def _log_attempt(self, request, plan, listed) -> None:
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -165,31 +165,67 @@
             )
         self._count_response(rollout, arm, route, slow, failed)
 
-    def note_pace(
-        self,
-        listed: views.ListedUpstream,
-        route: str,
-        model: str,
-        seconds,
-        events,
-    ) -> None:
-        """Counts a stream that has ended by the time between its events.
+    @contextlib.contextmanager
+    def measure_pace(
+        self, listed: views.ListedUpstream, route: str, model: str
+    ):
+        """Counts a stream once by the time between its events.
+
+        It is counted as soon as its pace is known, also if it is cut then:
+        callers give up on slow streams.
 
         Args:
-          listed: The upstream that sent it.
+          listed: The upstream that sends it.
           route: Name of the request's route.
           model: The request's model, or an empty string.
-          seconds: Time from the head of the stream to its end.
-          events: Events in that time.
+
+        Yields:
+          A function to call with the number of events that followed the first.
         """
+        began_at = self._clock.now()
+        seen, counted = 0, False
+
+        def count(is_end: bool = False) -> None:
+            nonlocal counted
+            seconds = self._clock.now() - began_at
+            counted = counted or self._note_pace(
+                listed, route, model, seconds, seen, is_end
+            )
+
+        def note_events(events: int) -> None:
+            nonlocal seen
+            seen = events
+            count()
+
+        try:
+            yield note_events
+        except BaseException:
+            count()
+            raise
+        count(is_end=True)
+
+    def _note_pace(
+        self,
+        listed: views.ListedUpstream,
+        route: str,
+        model: str,
+        seconds: float,
+        events: int,
+        is_end: bool,
+    ) -> bool:
+        """Counts a stream if its pace is known; returns whether it is."""
         if not self._is_warm(listed):
-            return
+            return False
         rollout, arm = self._arm(listed.upstream)
         kind = (listed.upstream.service, model)
-        learn = arm is canary.Arm.OLD
-        slow = self._durations.record_pace(kind, seconds, events, learn)
+        if events >= canary.PACE_EVENTS or is_end:
+            learn = arm is canary.Arm.OLD
+            slow = self._durations.record_pace(kind, seconds, events, learn)
+        else:
+            slow = self._durations.is_slow_already(kind, seconds) or None
         if slow is not None:
             self._count_response(rollout, arm, canary.pace_route(route), slow)
+        return slow is not None
 
     def _is_warm(self, listed: views.ListedUpstream) -> bool:
         return self._clock.now() > listed.cold_until
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -53,6 +53,10 @@
 # With fewer good answers of the new version, the old one is not stopped and
 # the roll-out misses its time limit.
 MIN_GOOD = 3
+# Increase of the share of slow answers above which the version is not completed
+# before more answers decide, and number of slow ones that may be chance.
+DOUBTFUL_SLOW_EXCESS = 0.1
+MAX_CHANCE_SLOW = 1
 # Increase of the share of failures over the old version's above which the new
 # one is rejected.
 MAX_BAD_EXCESS = 0.18
@@ -75,11 +79,15 @@
 SLOW_PACE_FACTOR = 2.2
 # Streams with fewer events are too short to tell their pace.
 MIN_PACE_EVENTS = 4
+# A stream's pace is counted after this many events. Slow streams end late, so
+# most of those counted at their end would be fast.
+PACE_EVENTS = 8
 # Weight of the newest answer in the running mean.
 MEAN_WEIGHT = 0.05
 # Shorter times to the head of an answer and between events count as these.
 MIN_HEAD_S = 0.05
 MIN_PACE_S = 0.002
+_PACE_SUFFIX = ' (pace)'
 
 
 class RolloutState(enum.Enum):
@@ -234,15 +242,28 @@
 def is_regression(tallies: Tallies) -> bool:
     """Tells whether the new version is worse than the old one."""
     routes = {route for arm, route in tallies if arm is Arm.NEW}
-    new, old = Tally(), Tally()
     for route in routes:
         of_new = tallies.get((Arm.NEW, route), Tally())
         of_old = tallies.get((Arm.OLD, route), Tally())
         if _is_worse(of_new, of_old):
             return True
-        new.add(of_new)
-        old.add(of_old)
-    return _is_worse(new, old)
+    heads, paces = _sum(tallies, False), _sum(tallies, True)
+    return _is_worse(*heads) or _is_worse(*paces)
+
+
+def _sum(tallies: Tallies, of_paces: bool) -> tuple[Tally, Tally]:
+    """Returns the new and the old version's sums over routes.
+
+    Args:
+      tallies: Counts of answers.
+      of_paces: Whether to sum the counts of streams by their pace, or those of
+        answers by their head.
+    """
+    new, old = Tally(), Tally()
+    for (arm, route), tally in tallies.items():
+        if route.endswith(_PACE_SUFFIX) is of_paces:
+            (new if arm is Arm.NEW else old).add(tally)
+    return new, old
 
 
 def may_complete(
@@ -262,12 +283,14 @@
       tallies: Counts of answers. Failures that are too few to reject the new
         version still prevent its completion, and so do too few answers.
     """
-    new = Tally()
-    for (arm, _), tally in tallies.items():
-        if arm is Arm.NEW:
-            new.add(tally)
+    heads, paces = _sum(tallies, False), _sum(tallies, True)
+    new = heads[0]
     if new.bad > MAX_BAD_EXCESS * new.total or new.total - new.bad < MIN_GOOD:
         return False
+    if _is_doubtful(*heads) or _is_doubtful(*paces):
+        return False
+    if paces[1].total and paces[0].total - paces[0].slow < MIN_GOOD:
+        return False
     if age_s >= time_limit_s - COMPLETION_MARGIN_S:
         return True
     settled = age_s >= _ramp_ages(time_limit_s, exposure)[1] + SETTLE_S
@@ -276,7 +299,7 @@
 
 def pace_route(route: str) -> str:
     """Returns the route name under which the pace of streams is counted."""
-    return f'{route} (pace)'
+    return route + _PACE_SUFFIX
 
 
 class Durations:
@@ -294,7 +317,7 @@
     def record_pace(
         self, kind: tuple, seconds: float, events: int, learn: bool
     ) -> bool | None:
-        """Records the pace of an ended stream; tells whether it was slow.
+        """Records the pace of a stream; tells whether it was slow.
 
         Args:
           kind: The service and model.
@@ -311,6 +334,18 @@
         value = math.log(max(seconds / events, MIN_PACE_S))
         return self._compare(kind, value, learn, SLOW_PACE_FACTOR)
 
+    def is_slow_already(self, kind: tuple, seconds: float) -> bool:
+        """Tells whether a stream with less than PACE_EVENTS events is slow.
+
+        It is if even these events, coming now, would make a slow pace.
+
+        Args:
+          kind: The service and model.
+          seconds: Time since the head of the stream.
+        """
+        value = math.log(max(seconds / PACE_EVENTS, MIN_PACE_S))
+        return self._compare(kind, value, False, SLOW_PACE_FACTOR)
+
     def record_head_time(
         self, kind: tuple, seconds: float, prefill_s: float, learn: bool
     ) -> bool:
@@ -336,6 +371,15 @@
         return mean is not None and value > mean + math.log(factor)
 
 
+def _is_doubtful(new: Tally, old: Tally) -> bool:
+    """Tells whether a version had more slow answers than the old one."""
+    if new.slow <= MAX_CHANCE_SLOW:
+        return False
+    baseline = old.slow / old.total if old.total else 0.0
+    baseline = max(baseline, BASELINE_SLOW_SHARE)
+    return new.slow > (baseline + DOUBTFUL_SLOW_EXCESS) * new.total
+
+
 def _is_worse(new: Tally, old: Tally) -> bool:
     if _exceeds(
         new.bad, new.total, old.bad, old.total, MIN_BAD, MAX_BAD_EXCESS
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -109,6 +109,20 @@
             ).run()
             self.assertIsNone(simulation.decided_at, seed)
 
+    def test_streams_that_are_slow_on_several_routes_add_up(self):
+        # Counts from the own day hasty.
+        tallies = {
+            (canary.Arm.OLD, canary.pace_route('a')): canary.Tally(282, 0, 27),
+            (canary.Arm.OLD, canary.pace_route('b')): canary.Tally(75, 0, 10),
+            (canary.Arm.OLD, canary.pace_route('c')): canary.Tally(25, 0, 3),
+            (canary.Arm.NEW, 'a'): canary.Tally(15, 0, 0),
+            (canary.Arm.NEW, 'c'): canary.Tally(17, 0, 1),
+            (canary.Arm.NEW, canary.pace_route('a')): canary.Tally(3, 0, 3),
+            (canary.Arm.NEW, canary.pace_route('b')): canary.Tally(1, 0, 1),
+            (canary.Arm.NEW, canary.pace_route('c')): canary.Tally(3, 0, 2),
+        }
+        self.assertTrue(canary.is_regression(tallies))
+
     def test_one_route_that_fails_is_not_hidden_by_the_others(self):
         tallies = {
             (canary.Arm.NEW, 'good'): canary.Tally(200, 0, 0),
@@ -178,6 +192,13 @@
         for seed in range(10):
             self.assertTrue(self._is_rejected(seed, 0.5), seed)
 
+    def test_stream_is_slow_before_its_events_have_come(self):
+        durations = canary.Durations()
+        durations.record_pace(('route',), 8 * 0.03, 8, True)
+        self.assertFalse(durations.is_slow_already(('route',), 8 * 0.06))
+        self.assertTrue(durations.is_slow_already(('route',), 8 * 0.07))
+        self.assertFalse(durations.is_slow_already(('other',), 8 * 0.07))
+
     def _is_pace_rejected(self, seed: int, factor: float) -> bool:
         source = random.Random(seed)
         durations = canary.Durations()
@@ -298,6 +319,42 @@
     def test_few_failures_keep_the_old_version(self):
         self.assertFalse(self._may_complete(WITHIN_S - 0.6, 0, bad=3))
 
+    def test_version_with_few_but_slow_streams_is_not_completed(self):
+        # Counts from the own day hasty: heads, then paces of streams.
+        for slow_streams in (3, 2):
+            tallies = {
+                (canary.Arm.OLD, 'route'): canary.Tally(343, 0, 20),
+                (canary.Arm.NEW, 'route'): canary.Tally(21, 0, 0),
+                (canary.Arm.OLD, canary.pace_route('route')): canary.Tally(
+                    227, 0, 27
+                ),
+                (canary.Arm.NEW, canary.pace_route('route')): canary.Tally(
+                    3, 0, slow_streams
+                ),
+            }
+            self.assertFalse(
+                canary.may_complete(
+                    WITHIN_S - 0.6, WITHIN_S, EXPOSURE, 0, tallies
+                )
+            )
+
+    def test_version_with_as_many_slow_streams_as_the_old_one_is_completed(
+        self,
+    ):
+        tallies = {
+            (canary.Arm.OLD, 'route'): canary.Tally(343, 0, 20),
+            (canary.Arm.NEW, 'route'): canary.Tally(40, 0, 4),
+            (canary.Arm.OLD, canary.pace_route('route')): canary.Tally(
+                227, 0, 27
+            ),
+            (canary.Arm.NEW, canary.pace_route('route')): canary.Tally(
+                20, 0, 4
+            ),
+        }
+        self.assertTrue(
+            canary.may_complete(WITHIN_S - 0.6, WITHIN_S, EXPOSURE, 0, tallies)
+        )
+
     def test_version_that_answered_nobody_is_not_completed(self):
         # Soak seed 16 completed a bad version that had answered no request.
         self.assertFalse(self._may_complete(WITHIN_S - 0.6, 0, total=0))
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -161,9 +161,11 @@
 class RolloutTest(testtools.TestCase):
     """Guards against hung roll-outs, overexposure and sessions moved back."""
 
-    def _start(self, **behaviour) -> tuple[sites.Site, _Traffic]:
+    def _start(
+        self, callers: int = CALLERS, **behaviour
+    ) -> tuple[sites.Site, _Traffic]:
         site = _start_site(self, **behaviour)
-        traffic = _Traffic(site)
+        traffic = _Traffic(site, callers)
         self.addCleanup(traffic.stop)
         time.sleep(0.5)
         return site, traffic
@@ -202,6 +204,18 @@
         time.sleep(1.0)
         self.assertEqual(exposed, len(site.runs('new-1', 'new-2')))
 
+    def test_slow_version_is_completed_while_its_streams_are_in_progress(self):
+        # Own day hasty: slow streams ended too late to count.
+        site, _ = self._start(callers=40, events=60, event_ms=100)
+        for name in ('engine-1', 'engine-2'):
+            site.set_behaviour(name, events=60, event_ms=10)
+        time.sleep(2.0)
+        _order(site)
+        time.sleep(TIME_LIMIT_S)
+        self.assertEqual(
+            'rolled_back', site.rollout_status('engine').get('state')
+        )
+
     def test_decision_survives_lost_answers_of_the_store(self):
         site, _ = self._start(fault='error')
         site.control(site.store, 'faults', {'mode': 'lose'})
