--- a/packages/standins/src/radishcourse_standins/worker.py
+++ b/packages/standins/src/radishcourse_standins/worker.py
@@ -28,6 +28,10 @@
     stream within an event, EXTRA sends a second response, FOREIGN answers
     with another request's id, UNSTAMPED omits the server stamp, EARLY answers
     before reading the body, SILENT stops sending in the middle of a stream.
+
+    ENDLESS_HEAD sends a header without end, ENDLESS_INTERIM interim responses,
+    ENDLESS_BODY a body and ENDLESS_ERROR the body of an error, each until the
+    caller disconnects.
     """
 
     NONE = 'none'
@@ -42,6 +46,18 @@
     UNSTAMPED = 'unstamped'
     EARLY = 'early'
     SILENT = 'silent'
+    ENDLESS_HEAD = 'endless_head'
+    ENDLESS_INTERIM = 'endless_interim'
+    ENDLESS_BODY = 'endless_body'
+    ENDLESS_ERROR = 'endless_error'
+
+
+_ENDLESS_FAULTS = (
+    Fault.ENDLESS_HEAD,
+    Fault.ENDLESS_INTERIM,
+    Fault.ENDLESS_BODY,
+    Fault.ENDLESS_ERROR,
+)
 
 
 class Settings(msgspec.Struct):
@@ -53,6 +69,8 @@
       delay_ms: Time until a response starts.
       events: Events of a stream.
       event_ms: Time between two events.
+      piece_bytes: Bytes in each piece of an endless response.
+      piece_ms: Time between two pieces.
       confidence: Value of the `x-confidence` header of streams by model.
     """
 
@@ -61,6 +79,8 @@
     delay_ms: float = 1.0
     events: int = 3
     event_ms: float = 1.0
+    piece_bytes: int = 16 * 1024
+    piece_ms: float = 0.0
     confidence: dict[str, int] = {}
 
 
@@ -207,6 +227,8 @@
         if fault is Fault.ERROR:
             await self._send_response(stream, run.headers, 500, b'failed')
             return True
+        if fault in _ENDLESS_FAULTS:
+            await self._send_endless(stream, run, fault)
         if self._stream:
             return await self._send_stream(stream, run, fault)
         return await self._send_service_answer(stream, run, fault)
@@ -264,6 +286,26 @@
             raise
         return True
 
+    async def _send_endless(self, stream, run: Run, fault: Fault) -> None:
+        """Sends a response without end until the caller disconnects."""
+        data = b'x' * self._settings.piece_bytes
+        start, piece = b'HTTP/1.1 200 X\r\nX-Endless: ', data
+        if fault is Fault.ENDLESS_INTERIM:
+            start = b''
+            piece = b'HTTP/1.1 103 X\r\n\r\n' * max(1, len(data) // 18)
+        elif fault is not Fault.ENDLESS_HEAD:
+            status = 500 if fault is Fault.ENDLESS_ERROR else 200
+            start = self._head(run.headers, status, None)
+            piece = b'%x\r\n' % len(data) + data + b'\r\n'
+        try:
+            await stream.send(start)
+            while True:
+                await stream.send(piece)
+                await anyio.sleep(self._settings.piece_ms / 1000)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self._disconnects[run.request] += 1
+            raise
+
     async def _wait_for_disconnect(self, stream, request: str) -> None:
         """Waits until the caller closes the connection, for 60 s at most."""
         with anyio.move_on_after(HANG_S):
