Give up on an upstream after 16 interim responses

Callers saw 504 at the deadline where an upstream sent interim (1xx) responses without end, and the gateway's processor was busy with them until then. Cause: the head of the final response was awaited in an unbounded loop; class: a loop over the peer's input without a limit. Evidence: test_order_with_an_endless_ response_runs_once_and_fails, 504 after 4.1 s before and 502 at once now. The limit makes it a broken response like any other: retried where that is allowed.

--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -25,6 +25,9 @@
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_PROBES = 2
 MAX_HEAD_BYTES = 64 * 1024
+# An upstream that sends more interim (1xx) responses is assumed never to send
+# the final one.
+MAX_INTERIM_RESPONSES = 16
 # A request up to this size fits into the kernel's socket buffers, so sending it
 # does not block until the upstream reads.
 SMALL_REQUEST_BYTES = 8 * 1024
@@ -136,9 +139,10 @@
         """Returns the head of the final response, skipping interim (1xx) ones.
 
         Raises:
-          UpstreamError: The connection failed or closed before it.
+          UpstreamError: The connection failed or closed before it, or too many
+            interim responses came.
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 head = Head(event.status_code, list(event.headers))
@@ -146,6 +150,7 @@
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.UpstreamError('closed without a response', True)
+        raise errors.UpstreamError('too many interim responses', True)
 
     async def receive(self) -> bytes | None:
         """Returns the next part of the body, None at its end.
