Bound an event of a stream in bytes and in time

A stream whose upstream sent an event without end was read until the deadline: 18 MB of memory in the test, and no answer although another upstream could go on. Cause: the buffer of an incomplete event had a limit that nothing applied, and any byte restarted the timeout between events; class: progress measured in bytes where only whole events are progress. Now an event over 256 KiB fails the attempt, and the timeout runs until the next whole event.

--- a/packages/gateway/src/radishcourse_gateway/eventstream.py
+++ b/packages/gateway/src/radishcourse_gateway/eventstream.py
@@ -3,6 +3,9 @@
 A stream can be resumed at another upstream after a complete event.
 """
 
+from radishcourse_gateway import errors
+
+# An upstream that sends a longer event is assumed never to end it.
 MAX_EVENT_BYTES = 256 * 1024
 _TERMINATORS = (b'\n\n', b'\r\n\r\n', b'\r\r')
 
@@ -26,10 +29,16 @@
         return self._buffer
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the bytes of all events that are complete with this data."""
+        """Returns the bytes of all events that are complete with this data.
+
+        Raises:
+          UpstreamError: An incomplete event exceeds MAX_EVENT_BYTES.
+        """
         data = self._buffer + data
         end = max(_end_after(data, terminator) for terminator in _TERMINATORS)
         self._buffer = data[end:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise errors.UpstreamError('event too long', True)
         complete = data[:end]
         if complete:
             self.last_id = _last_id(complete) or self.last_id
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -362,12 +362,9 @@
         ) as note_events:
             while True:
                 with self._attempt_timeout.between_events(request, plan):
-                    data = await connection.receive()
-                if data is None:
+                    complete = await _receive_events(connection, splitter)
+                if complete is None:
                     break
-                complete = splitter.feed(data)
-                if not complete:
-                    continue
                 note_events(splitter.count - 1)
                 if not plan.begun:
                     plan.begun = True
@@ -408,3 +405,14 @@
             not_run=not_run,
             begun=plan.begun,
         )
+
+
+async def _receive_events(
+    connection: upstreamconnections.Connection, splitter: eventstream.Splitter
+) -> bytes | None:
+    """Returns the next complete events of a stream, None at its end."""
+    while (data := await connection.receive()) is not None:
+        complete = splitter.feed(data)
+        if complete:
+            return complete
+    return None
