Retry where a buffered body does not end in time

Callers of idempotent requests and streams got 504 where an upstream sent a body, or that of an error, byte by byte: the attempt's timeout ended with the head, and below 256 KiB no other limit applied. Class: a timeout that covers the first phase of an operation only. The body that is buffered before the caller gets any of it now has the timeout of a head, after which the request is retried where attempts and budget are left. Longer bodies are forwarded as before.

The error text of this timeout is now 'no whole answer or event for ... s'.

--- a/packages/gateway/src/radishcourse_gateway/attempttimeout.py
+++ b/packages/gateway/src/radishcourse_gateway/attempttimeout.py
@@ -11,8 +11,9 @@
 from radishcourse_gateway import targets
 from radishcourse_gateway import view as views
 
-# Timeout for the head of an answer as a multiple of the route's goal, and for
-# an event of a stream as a multiple of the route's longest pause.
+# Timeout for the head of an answer, and for a body that is buffered, as a
+# multiple of the route's goal; for an event of a stream as a multiple of the
+# route's longest pause.
 TIMEOUT_GOAL_FACTOR = 2.0
 MIN_TIMEOUT_S = 1.0
 # Minimum timeout for the head, as a multiple of the expected wait at a busy
@@ -38,13 +39,13 @@
         self._targets: targets.Targets = gateway.targets
         self._retry_budgets = budget
 
-    def before_head(
+    def for_answer(
         self,
         request: inboundrequest.InboundRequest,
         plan: targets.Plan,
         listed: views.ListedUpstream,
     ):
-        """Returns a context that limits the wait for the head of an answer.
+        """Returns a context that limits the wait for a head or a short body.
 
         Raises:
           UpstreamError: The timeout has passed and the request can be retried.
@@ -57,7 +58,7 @@
     def between_events(
         self, request: inboundrequest.InboundRequest, plan: targets.Plan
     ):
-        """Returns a context that limits the wait for the next event.
+        """Returns a context that limits the wait for the next whole event.
 
         Raises:
           UpstreamError: The timeout has passed and the request can be retried.
@@ -81,7 +82,7 @@
                 timer.cancel()
         if scope.cancelled_caught:
             raise errors.UpstreamError(
-                f'no data from the upstream for {timeout_s:g} s', True
+                f'no whole answer or event for {timeout_s:g} s', True
             )
 
     def _expire(self, request, plan, scope: anyio.CancelScope) -> None:
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -237,7 +237,9 @@
             return await self._forward_stream(
                 request, plan, listed, connection, head, out
             )
-        await responses.forward(request, plan, connection, head, out)
+        with self._attempt_timeout.for_answer(request, plan, listed):
+            response = await responses.read_start(request, connection, head)
+        await responses.forward(request, plan, connection, response, out)
         return NextStep.DONE
 
     def _request_headers(self, request, plan, listed) -> inboundrequest.Headers:
@@ -263,7 +265,7 @@
 
     async def _receive_head(self, request, plan, listed, connection):
         headers = self._request_headers(request, plan, listed)
-        with self._attempt_timeout.before_head(request, plan, listed):
+        with self._attempt_timeout.for_answer(request, plan, listed):
             return await connection.request(
                 request.method, request.target, headers, request.body
             )
@@ -279,9 +281,10 @@
             self._load.note_full(upstream)
         else:
             self._load.note_response(upstream, failed=True)
-        response = await responses.read_error_response(
-            request.method, connection, head
-        )
+        with self._attempt_timeout.for_answer(request, plan, listed):
+            response = await responses.read_error_response(
+                request, connection, head
+            )
         reason = f'status {head.status}'
         self._log_failure(request, plan, listed, reason, not_run)
         if not not_run:
--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -14,10 +14,17 @@
 
 @dataclasses.dataclass
 class BufferedResponse:
-    """A response that was read completely."""
+    """A response whose body was read, or the start of a long one.
+
+    Attributes:
+      head: Status and headers.
+      body: What was read of the body.
+      complete: Whether that is the whole body.
+    """
 
     head: upstreamconnections.Head
     body: bytes
+    complete: bool
 
 
 def has_body(method: bytes, status: int) -> bool:
@@ -26,7 +33,7 @@
 
 
 async def read_error_response(
-    method: bytes,
+    request: inboundrequest.InboundRequest,
     connection: upstreamconnections.Connection,
     head: upstreamconnections.Head,
 ) -> BufferedResponse:
@@ -35,47 +42,53 @@
     Raises:
       UpstreamError: It is truncated or larger than MAX_BUFFERED_BYTES.
     """
-    body = b''
-    while has_body(method, head.status):
-        part = await connection.receive()
-        if part is None:
-            break
-        body += part
-        if len(body) > MAX_BUFFERED_BYTES:
-            raise errors.UpstreamError('error response too large', True)
-    return BufferedResponse(head, body)
+    response = await read_start(request, connection, head)
+    if not response.complete:
+        raise errors.UpstreamError('error response too large', True)
+    return response
 
 
-async def forward(
+async def read_start(
     request: inboundrequest.InboundRequest,
-    plan,
     connection: upstreamconnections.Connection,
     head: upstreamconnections.Head,
-    out,
-) -> None:
-    """Forwards a response, buffered unless it exceeds MAX_BUFFERED_BYTES.
+) -> BufferedResponse:
+    """Reads a body until its end or until it exceeds MAX_BUFFERED_BYTES.
 
     Raises:
       UpstreamError: It is truncated.
     """
-    parts, held = [], 0
+    parts, size = [], 0
     complete = not has_body(request.method, head.status)
-    while not complete and held <= MAX_BUFFERED_BYTES:
+    while not complete and size <= MAX_BUFFERED_BYTES:
         part = await connection.receive()
         if part is None:
             complete = True
         else:
             parts.append(part)
-            held += len(part)
-    if complete:
-        await send_buffered(
-            request, plan, BufferedResponse(head, b''.join(parts)), out
-        )
+            size += len(part)
+    return BufferedResponse(head, b''.join(parts), complete)
+
+
+async def forward(
+    request: inboundrequest.InboundRequest,
+    plan,
+    connection: upstreamconnections.Connection,
+    response: BufferedResponse,
+    out,
+) -> None:
+    """Forwards a response of which at least the start was read.
+
+    Raises:
+      UpstreamError: The rest is truncated.
+    """
+    if response.complete:
+        await send_buffered(request, plan, response, out)
         return
     plan.begun = True
+    head = response.head
     await out.start(head.status, inboundrequest.caller_headers(head.headers))
-    for part in parts:
-        await out.write(part)
+    await out.write(response.body)
     while (part := await connection.receive()) is not None:
         await out.write(part)
     await out.end()
