--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -189,10 +189,14 @@
     def test_members_through_wrong_address_stop_and_restart(self):
         with clusters.running(3, peer_routes={}) as cluster:
             restarted = cluster.names[2]
+            # A node is ready before it has heard of the others.
+            self._await_state(cluster, 'entry-1', 'alive')
             cluster.nodes[restarted].kill()
-            neighbour_address = cluster.status('entry-0')['members'][0][
-                'address'
-            ]
+            neighbour_address = next(
+                item['address']
+                for item in cluster.status('entry-0')['members']
+                if item['node'] == 'entry-1'
+            )
             cluster.start_node(
                 restarted, peer_advertise=neighbour_address, drain_delay_s=3.0
             )
