Check in the soak that sessions keep their version in a roll-out

The soak now counts sessions whose successive requests ran on different versions in the first half of a roll-out's time limit, either way, and tolerates the users' three. Calls that a disruption excuses do not count.

--- a/tests/soakcalls.py
+++ b/tests/soakcalls.py
@@ -34,6 +34,7 @@
       kind: `order`, `stock` or `draft`, the first part of the path.
       target: The request's path.
       key: API key of the caller's organisation.
+      session: The session's id.
       sent_at: When it was sent, on the monotonic clock in seconds.
       done_at: When the answer was complete or the connection failed.
       status: HTTP status, 0 without an answer.
@@ -48,6 +49,7 @@
     kind: str
     target: str
     key: str
+    session: str
     sent_at: float
     done_at: float = 0.0
     status: int = 0
@@ -85,6 +87,7 @@
             kind=kind,
             target=f'/{kind}/{self._number}-{turn}',
             key=self._random.choice((sitefiles.KEY, sitefiles.OTHER_KEY)),
+            session=f'session-{self._number}-{turn // 20}',
             sent_at=time.monotonic(),
         )
         headers = {
@@ -92,7 +95,7 @@
             'X-Request-Id': call.request,
             'X-Time-Budget-Ms': str(sitefiles.BUDGET_MS),
             'Api-Key': call.key,
-            'Session': f'session-{self._number}-{turn // 20}',
+            'Session': call.session,
         }
         try:
             self._exchange(call, method, body, headers)
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -271,7 +271,7 @@
     number = next(soak.versions)
     names = [f'new-{number}-{index}' for index in (1, 2)]
     bad = rng.random() < 0.6
-    with soak.timeline.rollout(names, bad) as rollout:
+    with soak.timeline.rollout(names, bad, ROLLOUT_S) as rollout:
         _run_rollout(soak, number, names, bad, rollout)
     yield
 
--- a/tests/soakrules.py
+++ b/tests/soakrules.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 import re
 import time
 
@@ -21,6 +22,9 @@
 # Share of the draft requests that a bad version may get, and the number of
 # requests that it may get beyond this share.
 MAX_EXPOSURE_SHARE, EXPOSURE_SLACK = 0.15, 30
+# Requests on another version than the one before them in their session that
+# the users tolerate in a roll-out.
+MAX_CHANGED_SESSIONS = 3
 _ORGANISATIONS = {sitefiles.KEY: 'first', sitefiles.OTHER_KEY: 'second'}
 _EVENT_ID = re.compile(rb'id: (\d+)\n')
 
@@ -82,6 +86,7 @@
     Attributes:
       names: Workers of the new version.
       bad: Whether these workers answer with errors.
+      limit_s: Time limit of the roll-out.
       ordered_at: When it was requested, on the monotonic clock in seconds.
       ended_at: When its state was read for the last time.
       state: The state read then, or None if the store had none.
@@ -89,6 +94,7 @@
 
     names: list[str]
     bad: bool
+    limit_s: float
     ordered_at: float = 0.0
     ended_at: float = 0.0
     state: str | None = None
@@ -142,9 +148,9 @@
         change.ended_at = time.monotonic()
 
     @contextlib.contextmanager
-    def rollout(self, names: list[str], bad: bool):
+    def rollout(self, names: list[str], bad: bool, limit_s: float):
         """Yields the record of a roll-out; stores it at the end."""
-        rollout = Rollout(names, bad)
+        rollout = Rollout(names, bad, limit_s)
         yield rollout
         self.rollouts.append(rollout)
 
@@ -240,6 +246,7 @@
         violations += _check_change(timeline, change, calls, runs)
     for rollout in timeline.rollouts:
         violations += _check_rollout(timeline, rollout, runs)
+        violations += _check_sessions(timeline, rollout, calls)
     return violations
 
 
@@ -345,3 +352,28 @@
     excused = timeline.disrupted('store', rollout.ordered_at, rollout.ended_at)
     if rollout.state not in FINAL_STATES and not excused:
         yield (f'rollout: {rollout.names} is {rollout.state} at its time limit')
+
+
+def _check_sessions(timeline: Timeline, rollout: Rollout, calls):
+    """Checks that sessions keep their version in a roll-out's first half."""
+    half_time = rollout.ordered_at + (rollout.limit_s / 2)
+    by_session = collections.defaultdict(list)
+    for call in sorted(calls, key=lambda call: call.sent_at):
+        if call.kind == 'draft' and call.status == 200:
+            by_session[call.session].append(call)
+    changed = [
+        second.request
+        for session_calls in by_session.values()
+        for first, second in itertools.pairwise(session_calls)
+        if rollout.ordered_at <= second.sent_at < half_time
+        and (first.stamp in rollout.names) != (second.stamp in rollout.names)
+        and not timeline.excused(
+            first.gateway, rollout.ordered_at, second.sent_at
+        )
+        and not timeline.excused(
+            second.gateway, rollout.ordered_at, second.sent_at
+        )
+    ]
+    is_rolled_back = rollout.state == 'rolled_back'
+    if len(changed) > MAX_CHANGED_SESSIONS and not is_rolled_back:
+        yield f'session: {changed} ran on another version than before'
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -50,6 +50,7 @@
             kind=kind,
             target=f'/{kind}/0-1',
             key=sitefiles.KEY,
+            session='session-0-0',
             sent_at=100.0,
             done_at=100.1,
             status=200,
@@ -162,14 +163,43 @@
         disruption.begun_at, disruption.ended_at = 95.0, 99.0
         self.assertEqual(set(), self._violations(runs=[self._run()]))
 
+    def _rollout(self, bad: bool, state: str) -> soakrules.Rollout:
+        return soakrules.Rollout(['new-1'], bad, 20.0, 90.0, 110.0, state)
+
+    def _sessions(self, first_stamp: str, second_stamp: str, at: float):
+        """Returns two calls of each of four sessions."""
+        return [
+            self._call(
+                'draft',
+                request=f'gateway-1-{number}-{turn}',
+                session=f'session-{number}',
+                stamp=stamp,
+                sent_at=at + turn,
+                whole=False,
+            )
+            for number in range(4)
+            for turn, stamp in enumerate((first_stamp, second_stamp))
+        ]
+
+    def test_sessions_that_change_versions_early_in_a_rollout(self):
+        self.timeline.rollouts.append(self._rollout(False, 'completed'))
+        for stamps in (('engine-1', 'new-1'), ('new-1', 'engine-1')):
+            early = self._sessions(*stamps, at=95.0)
+            self.assertEqual({'session'}, self._violations(early))
+        self.assertEqual(set(), self._violations(early[:6]))
+        late = self._sessions('engine-1', 'new-1', at=100.0)
+        self.assertEqual(set(), self._violations(late))
+        stays = self._sessions('new-1', 'new-1', at=95.0)
+        self.assertEqual(set(), self._violations(stays))
+
     def test_bad_version_with_too_many_requests(self):
-        rollout = soakrules.Rollout(['new-1'], True, 90.0, 110.0, 'rolled_back')
+        rollout = self._rollout(True, 'rolled_back')
         self.timeline.rollouts.append(rollout)
         runs = [self._run(worker='new-1', kind='draft') for _ in range(40)]
         self.assertEqual({'exposure'}, self._violations(runs=runs))
 
     def test_rollout_without_a_final_state(self):
-        rollout = soakrules.Rollout(['new-1'], False, 90.0, 110.0, 'running')
+        rollout = self._rollout(False, 'running')
         self.timeline.rollouts.append(rollout)
         self.assertEqual({'rollout'}, self._violations())
 
