Let the mean pace follow a version in service that slows down

Since slow streams count before their end, those of the old version were not learned: had all its streams become twice as slow, in a burst say, the mean would have stayed and every later stream of either version would have counted as slow. A slow stream that is counted early is now learned as the others are.

--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -218,11 +218,11 @@
             return False
         rollout, arm = self._arm(listed.upstream)
         kind = (listed.upstream.service, model)
+        learn = arm is canary.Arm.OLD
         if events >= canary.PACE_EVENTS or is_end:
-            learn = arm is canary.Arm.OLD
             slow = self._durations.record_pace(kind, seconds, events, learn)
         else:
-            slow = self._durations.is_slow_already(kind, seconds) or None
+            slow = self._durations.record_if_slow(kind, seconds, learn) or None
         if slow is not None:
             self._count_response(rollout, arm, canary.pace_route(route), slow)
         return slow is not None
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -334,17 +334,22 @@
         value = math.log(max(seconds / events, MIN_PACE_S))
         return self._compare(kind, value, learn, SLOW_PACE_FACTOR)
 
-    def is_slow_already(self, kind: tuple, seconds: float) -> bool:
-        """Tells whether a stream with less than PACE_EVENTS events is slow.
+    def record_if_slow(self, kind: tuple, seconds: float, learn: bool) -> bool:
+        """Records a stream with less than PACE_EVENTS events if it is slow.
 
         It is if even these events, coming now, would make a slow pace.
 
         Args:
           kind: The service and model.
           seconds: Time since the head of the stream.
+          learn: Whether the version in service makes it, so that it counts
+            in the mean.
         """
         value = math.log(max(seconds / PACE_EVENTS, MIN_PACE_S))
-        return self._compare(kind, value, False, SLOW_PACE_FACTOR)
+        if not self._compare(kind, value, False, SLOW_PACE_FACTOR):
+            return False
+        # The mean must follow the version in service when it slows down.
+        return self._compare(kind, value, learn, SLOW_PACE_FACTOR)
 
     def record_head_time(
         self, kind: tuple, seconds: float, prefill_s: float, learn: bool
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -195,9 +195,21 @@
     def test_stream_is_slow_before_its_events_have_come(self):
         durations = canary.Durations()
         durations.record_pace(('route',), 8 * 0.03, 8, True)
-        self.assertFalse(durations.is_slow_already(('route',), 8 * 0.06))
-        self.assertTrue(durations.is_slow_already(('route',), 8 * 0.07))
-        self.assertFalse(durations.is_slow_already(('other',), 8 * 0.07))
+        for seconds, slow in ((8 * 0.06, False), (8 * 0.07, True)):
+            self.assertEqual(
+                slow, durations.record_if_slow(('route',), seconds, False)
+            )
+        self.assertFalse(durations.record_if_slow(('other',), 8.0, False))
+
+    def test_mean_follows_a_version_in_service_whose_streams_slow_down(self):
+        durations = canary.Durations()
+        durations.record_pace(('route',), 8 * 0.03, 8, True)
+        slow = [
+            durations.record_if_slow(('route',), 8 * 0.09, True)
+            for _ in range(20)
+        ]
+        self.assertTrue(slow[0])
+        self.assertFalse(slow[-1])
 
     def _is_pace_rejected(self, seed: int, factor: float) -> bool:
         source = random.Random(seed)
