Settle sessions with one node around the start of the canary

Callers of a session that began just before the canary started could get the old version, then the new one at a node that had not heard of the session, then the old one again.

Traced: the order's row is version 8 in that test, and of the sessions 150 to 330 the canary takes 163 to 194 and then none before 262. On a quiet machine the canary starts at about session 210, so 12 of 12 runs passed; on a busy one at 194.

Cause: the set of open sessions reaches all nodes in some rounds only. Class: a decision on state that is not agreed yet. Now, from the order until two seconds after the canary's start, a node tells the one node that is responsible for a session in the canary's range, chosen by hash, and asks it, before it chooses the version. That is one short call for one session in twenty, limited to 0.1 s; without a reply the node goes on with what it knows.

test_sessions_return_to_the_old_version_as_the_canary_starts sends only sessions in the canary's range: it failed in 3 of 3 runs before and passes in 3 of 3. Open sessions moved to a module of their own.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -89,6 +89,8 @@
         out.plan = plan
         if request.route.models:
             plan.model = request.route.models[0]
+        plan.service = self._targets.choose_service(request)
+        await self._rollouts.sessions.note(plan.service, request.session)
         last_failure: _AttemptFailed | None = None
         counted = False
         while True:
--- a/packages/gateway/src/radishcourse_gateway/localrollout.py
+++ b/packages/gateway/src/radishcourse_gateway/localrollout.py
@@ -30,6 +30,8 @@
       old_in_flight: This node's requests in progress on the old version.
       open_sessions: Sessions that were open at any node before the canary
         started.
+      settled_buckets: Buckets of open sessions of which the responsible
+        nodes know.
     """
 
     order: interfaces.RolloutOrder
@@ -48,17 +50,15 @@
     open_sessions: opensessions.OpenSessions = dataclasses.field(
         default_factory=opensessions.OpenSessions
     )
+    settled_buckets: set[int] = dataclasses.field(default_factory=set)
 
-    def add_open_session(self, session: str, exposure: float) -> None:
-        """Keeps a session that is open on the old version out of the canary.
+    def session_hash(self, session: str) -> float:
+        """Returns a session's hash in this roll-out, in [0, 1)."""
+        return canary.session_hash(session, self.order.service, self.version)
 
-        Args:
-          session: The session.
-          exposure: Permitted share of requests on a bad version.
-        """
-        hash_value = self._session_hash(session)
-        if hash_value < canary.canary_share(exposure):
-            self.open_sessions.add(hash_value)
+    def bucket(self, session: str) -> int:
+        """Returns a session's bucket in the set of open sessions."""
+        return opensessions.bucket(self.session_hash(session))
 
     def encoded_open_sessions(self) -> bytes | None:
         """Returns the open sessions for peers, None once they do not matter."""
@@ -78,18 +78,14 @@
             return True
         if self.state is not canary.RolloutState.RUNNING:
             return False
-        hash_value = self._session_hash(session)
         return canary.serves_new(
-            hash_value,
-            hash_value in self.open_sessions,
+            self.session_hash(session),
+            self.bucket(session) in self.open_sessions,
             age_s,
             self.order.within_s,
             exposure,
         )
 
-    def _session_hash(self, session: str) -> float:
-        return canary.session_hash(session, self.order.service, self.version)
-
     def decide(self, state: canary.RolloutState) -> None:
         """Sets a state that is not published yet."""
         self.state, self.published, self.publish_at = state, False, None
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -43,6 +43,8 @@
 # ALIVE_TIMEOUT_S.
 FULL_ROUND_INTERVAL = 4
 CALL_TIMEOUT_S = 0.6
+# Limit on a call that a caller's request waits for.
+REQUEST_CALL_TIMEOUT_S = 0.1
 # A node that was not heard of for this long does not count as alive.
 ALIVE_TIMEOUT_S = 3.0
 # Minimum number of nodes that follow the store, so that two may fail without
@@ -173,6 +175,28 @@
         )
         return ahead < max(MIN_WATCHERS, math.isqrt(len(self.alive) + 1))
 
+    def responsible_for(self, name: str) -> Peer | None:
+        """Returns the node responsible for a name, None if it is this one."""
+        own_weight = loadbalancing.rendezvous_weight(name, self._settings.node)
+        weights = {
+            peer.node: loadbalancing.rendezvous_weight(name, peer.node)
+            for peer in self.alive
+        }
+        node = max(weights, key=weights.get, default=None)
+        if node is None or weights[node] < own_weight:
+            return None
+        return self._peers[node]
+
+    async def call(self, peer: Peer, kind: messages.MessageKind, message):
+        """Calls a peer while a caller's request waits; returns the reply.
+
+        Raises:
+          WireError: There is no valid reply in time.
+        """
+        return await self._client.call(
+            peer.address, kind, message, REQUEST_CALL_TIMEOUT_S
+        )
+
     def others_work(self, upstream: ids.UpstreamId) -> OthersWork:
         """Returns the work of all other nodes at an upstream.
 
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -12,6 +12,7 @@
 
 from radishcourse_gateway import interfaces
 from radishcourse_gateway import localrollout
+from radishcourse_gateway import sessiontracker
 from radishcourse_gateway import settings as gateway_settings
 from radishcourse_gateway import stableversions
 from radishcourse_gateway import view as views
@@ -20,7 +21,6 @@
 from radishcourse_platform import errors as platform_errors
 from radishcourse_policy import canary
 from radishcourse_policy import loadbalancing
-from radishcourse_policy import opensessions
 from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
@@ -37,6 +37,9 @@
 
     Args:
       gateway: Provides the settings, view, peers and store.
+
+    Attributes:
+      sessions: Sessions that keep the old version for some time.
     """
 
     def __init__(self, gateway):
@@ -48,15 +51,14 @@
         self._by_service: dict[ids.ServiceId, localrollout.LocalRollout] = {}
         self._stable_versions = stableversions.StableVersions(gateway.view)
         self._durations = canary.Durations()
-        self._recent_sessions = opensessions.RecentSessions()
+        self.sessions = sessiontracker.SessionTracker(gateway, self)
 
     @property
     def _bounds(self) -> gateway_settings.Bounds:
         return self._current_settings.value.bounds
 
-    def _rollout(
-        self, service: ids.ServiceId
-    ) -> localrollout.LocalRollout | None:
+    def find(self, service: ids.ServiceId) -> localrollout.LocalRollout | None:
+        """Returns the roll-out of a service, None if none is ordered."""
         row = self._view.orders.get(service)
         if row is None:
             self._by_service.pop(service, None)
@@ -67,14 +69,13 @@
                 row.order, row.version, self._clock.now()
             )
             self._by_service[service] = rollout
-            since = rollout.seen_at - self._bounds.session_s
-            for session in self._recent_sessions.seen_since(service, since):
-                rollout.add_open_session(session, self._bounds.exposure_share)
+            self.sessions.add_recent(rollout)
         if not rollout.since_ms:
             rollout.since_ms = self._store.now_ms(rollout.seen_at) or 0
         return rollout
 
-    def _age_s(self, rollout: localrollout.LocalRollout) -> float:
+    def age_s(self, rollout: localrollout.LocalRollout) -> float:
+        """Returns the seconds since a roll-out was ordered."""
         now = self._clock.now()
         now_ms = self._store.now_ms(now)
         if now_ms is None or not rollout.since_ms:
@@ -92,9 +93,7 @@
           request_id: Id of the request; without a session it decides.
         """
         present = self._view.versions(service)
-        rollout = self._rollout(service)
-        if session:
-            self._note_session(service, rollout, session)
+        rollout = self.find(service)
         if rollout is None:
             return self._stable_versions.version(service, present)
         new = rollout.order.to_version
@@ -103,30 +102,16 @@
             return next(iter(old), new if present else None)
         if rollout.serves_new(
             session or request_id,
-            self._age_s(rollout),
+            self.age_s(rollout),
             self._bounds.exposure_share,
         ):
             return new
         return max(old, key=lambda version: (present[version], version))
 
-    def _note_session(
-        self,
-        service: ids.ServiceId,
-        rollout: localrollout.LocalRollout | None,
-        session: str,
-    ) -> None:
-        self._recent_sessions.note(
-            service, session, self._clock.now(), self._bounds.session_s
-        )
-        if rollout is not None and canary.is_before_canary(
-            self._age_s(rollout), rollout.order.within_s
-        ):
-            rollout.add_open_session(session, self._bounds.exposure_share)
-
     @contextlib.contextmanager
     def count(self, service: ids.ServiceId, version: ids.VersionId):
         """Counts a request to the old version while it is in progress."""
-        rollout = self._rollout(service)
+        rollout = self.find(service)
         if rollout is None or version == rollout.order.to_version:
             yield
             return
@@ -233,7 +218,7 @@
     def _arm(
         self, entry
     ) -> tuple[localrollout.LocalRollout | None, canary.Arm]:
-        rollout = self._rollout(entry.service)
+        rollout = self.find(entry.service)
         if rollout is None:
             return None, canary.Arm.OLD
         return rollout, views.arm_of(rollout.order, entry.version)
@@ -251,7 +236,7 @@
         while True:
             self._stable_versions.update()
             for service in list(self._view.orders):
-                rollout = self._rollout(service)
+                rollout = self.find(service)
                 try:
                     if rollout is not None:
                         await self._step(rollout)
@@ -325,7 +310,7 @@
 
     def _decide(self, rollout: localrollout.LocalRollout) -> None:
         tallies, old_in_flight = rollout.merged_counts()
-        age_s = self._age_s(rollout)
+        age_s = self.age_s(rollout)
         state = None
         if canary.is_regression(tallies):
             state = canary.RolloutState.ROLLED_BACK
@@ -376,7 +361,7 @@
             version=rollout.order.to_version,
             state=rollout.state.value,
             order=rollout.version,
-            age_s=round(self._age_s(rollout), 3),
+            age_s=round(self.age_s(rollout), 3),
             source=source,
             counts=counts,
             old_in_flight=in_flight,
@@ -429,7 +414,7 @@
             self._merge_status(status)
 
     def _merge_status(self, status: ttypes.RolloutStatus) -> None:
-        rollout = self._rollout(ids.ServiceId(status.service_id))
+        rollout = self.find(ids.ServiceId(status.service_id))
         if rollout is None or rollout.version != status.order:
             return
         if status.since_ms:
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -89,8 +89,6 @@
         Raises:
           Refusal: No upstream can take the request.
         """
-        if plan.service is None:
-            plan.service = self._choose_service(request)
         version = plan.version or self._rollouts.version_for(
             plan.service, request.session, request.request_id
         )
@@ -119,9 +117,10 @@
             retry_after_s=RETRY_AFTER_S * (0.5 + self._random.random()),
         )
 
-    def _choose_service(
+    def choose_service(
         self, request: inboundrequest.InboundRequest
     ) -> ids.ServiceId:
+        """Returns the service that serves a request."""
         shares = request.route.shares
         if len(shares) == 1:
             return shares[0].service
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -27,7 +27,7 @@
 # store call of a follower and two rounds between nodes.
 ORDER_PROPAGATION_S = 1.0
 # The canary starts when all nodes also know the sessions that the others had
-# open. At 600 nodes this takes six rounds between nodes.
+# open, which takes some rounds between nodes.
 SESSION_PROPAGATION_S = 2.0
 CANARY_START_S = ORDER_PROPAGATION_S + SESSION_PROPAGATION_S
 # Exposure that the ramp may add before the time limit, as a fraction of the
@@ -198,8 +198,23 @@
       age_s: Time since the order.
       time_limit_s: Time limit of the roll-out, counted from the order.
     """
+    return age_s < _canary_start(time_limit_s)
+
+
+def is_settling(age_s: float, time_limit_s: float) -> bool:
+    """Tells whether a node may not know all open sessions yet.
+
+    Args:
+      age_s: Time since the order.
+      time_limit_s: Time limit of the roll-out, counted from the order.
+    """
+    return age_s < _canary_start(time_limit_s) + SESSION_PROPAGATION_S
+
+
+def _canary_start(time_limit_s: float) -> float:
+    """Returns the age at which the canary starts."""
     start_s = min(CANARY_START_S, time_limit_s / 2)
-    return age_s < max(ORDER_PROPAGATION_S, start_s)
+    return max(ORDER_PROPAGATION_S, start_s)
 
 
 def serves_new(
--- a/packages/policy/src/radishcourse_policy/opensessions.py
+++ b/packages/policy/src/radishcourse_policy/opensessions.py
@@ -3,7 +3,9 @@
 A session keeps its version, so the canary of a roll-out takes in sessions that
 begin after it has started, and leaves those that are open on the old version.
 The requests of a session arrive at different nodes. Each node remembers the
-sessions of its own requests, and all nodes merge the set of open ones.
+sessions of its own requests, and all nodes merge the set of open ones. That
+takes some rounds, so around the start of the canary nodes also ask the one node
+that is responsible for a session.
 
 Load pattern: sessions of a few requests each, with pauses of seconds, through
 any node, while a new version is rolled out.
@@ -57,19 +59,30 @@
         ]
 
 
+def bucket(hash_value: float) -> int:
+    """Returns the bucket of a session's hash, which is in [0, 1)."""
+    return int(hash_value * BUCKETS)
+
+
 class OpenSessions:
-    """A set of session hashes that grows only, so that nodes can merge it."""
+    """A set of buckets that grows only, so that nodes can merge it."""
 
     def __init__(self):
         self._buckets = 0
         self._encoded: bytes | None = None
 
-    def __contains__(self, hash_value: float) -> bool:
-        return bool(self._buckets >> _bucket(hash_value) & 1)
+    def __contains__(self, number: int) -> bool:
+        return bool(self._buckets >> number & 1)
 
-    def add(self, hash_value: float) -> None:
-        """Adds the hash of a session, in [0, 1)."""
-        self._merge(1 << _bucket(hash_value))
+    def add(self, number: int) -> None:
+        """Adds the bucket of a session.
+
+        Raises:
+          ValueError: The number is not that of a bucket.
+        """
+        if not 0 <= number < BUCKETS:
+            raise ValueError(f'open sessions: no bucket {number}')
+        self._merge(1 << number)
 
     def encode(self) -> bytes | None:
         """Returns the set as a compressed bitmap, None if it is empty."""
@@ -81,7 +94,7 @@
         return self._encoded
 
     def merge(self, encoded: bytes) -> None:
-        """Adds the hashes of an encoded set.
+        """Adds the buckets of an encoded set.
 
         Raises:
           ValueError: It is not a compressed bitmap of at most BUCKETS bits.
@@ -101,7 +114,3 @@
         merged = self._buckets | buckets
         if merged != self._buckets:
             self._buckets, self._encoded = merged, None
-
-
-def _bucket(hash_value: float) -> int:
-    return int(hash_value * BUCKETS)
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -185,6 +185,20 @@
   7: optional binary open_sessions
 }
 
+// Tells the node that is responsible for a session, chosen by hash, whether the
+// sender serves it from the old version before the canary of a roll-out starts,
+// and asks whether any node did. `bucket` is that of the session's hash.
+struct SettleSession {
+  1: string service_id
+  2: i64 order
+  3: i32 bucket
+  4: bool open
+}
+
+struct SettleSessionReply {
+  1: bool open
+}
+
 // Requests that a node has in progress at an upstream, the expected prefill
 // time of their prompts that are still queued, and whether its latest requests
 // there failed.
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2612,6 +2612,178 @@
         return not (self == other)
 
 
+class SettleSession(object):
+    """
+    Attributes:
+     - service_id
+     - order
+     - bucket
+     - open
+
+    """
+
+    __slots__ = (
+        'service_id',
+        'order',
+        'bucket',
+        'open',
+    )
+
+
+    def __init__(self, service_id=None, order=None, bucket=None, open=None,):
+        self.service_id = service_id
+        self.order = order
+        self.bucket = bucket
+        self.open = open
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.bucket = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SettleSession')
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 1)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 2)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.bucket is not None:
+            oprot.writeFieldBegin('bucket', TType.I32, 3)
+            oprot.writeI32(self.bucket)
+            oprot.writeFieldEnd()
+        if self.open is not None:
+            oprot.writeFieldBegin('open', TType.BOOL, 4)
+            oprot.writeBool(self.open)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SettleSessionReply(object):
+    """
+    Attributes:
+     - open
+
+    """
+
+    __slots__ = (
+        'open',
+    )
+
+
+    def __init__(self, open=None,):
+        self.open = open
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SettleSessionReply')
+        if self.open is not None:
+            oprot.writeFieldBegin('open', TType.BOOL, 1)
+            oprot.writeBool(self.open)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamWork(object):
     """
     Attributes:
@@ -3203,6 +3375,19 @@
     (6, TType.BOOL, 'published', None, None, ),  # 6
     (7, TType.STRING, 'open_sessions', 'BINARY', None, ),  # 7
 )
+all_structs.append(SettleSession)
+SettleSession.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'order', None, None, ),  # 2
+    (3, TType.I32, 'bucket', None, None, ),  # 3
+    (4, TType.BOOL, 'open', None, None, ),  # 4
+)
+all_structs.append(SettleSessionReply)
+SettleSessionReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'open', None, None, ),  # 1
+)
 all_structs.append(UpstreamWork)
 UpstreamWork.thrift_spec = (
     None,  # 0
--- a/packages/wire/src/radishcourse_wire/messages.py
+++ b/packages/wire/src/radishcourse_wire/messages.py
@@ -13,6 +13,7 @@
     ACQUIRE_PERMIT = (3, ttypes.AcquirePermit, ttypes.AcquirePermitReply)
     RELEASE_PERMIT = (4, ttypes.ReleasePermit, ttypes.ReleasePermitReply)
     SYNC = (5, ttypes.Sync, ttypes.SyncReply)
+    SETTLE_SESSION = (6, ttypes.SettleSession, ttypes.SettleSessionReply)
 
     @property
     def number(self) -> int:
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -9,6 +9,7 @@
 
 import testtools
 
+from radishcourse_policy import canary
 from tests import site as sites
 
 TIME_LIMIT_S = 8
@@ -28,11 +29,14 @@
       seen: Session of each response and the upstream that sent it.
     """
 
-    def __init__(self, site: sites.Site, callers: int = CALLERS):
+    def __init__(self, site: sites.Site, callers: int = CALLERS, sessions=None):
         self._site = site
         self._stop = threading.Event()
         self._pool = concurrent.futures.ThreadPoolExecutor(callers)
-        self._sessions = itertools.count()
+        self._sessions = sessions or (
+            f'session-{number}' for number in itertools.count()
+        )
+        self._lock = threading.Lock()
         self.seen: list[tuple[str, str]] = []
         for _ in range(callers):
             self._pool.submit(self._call)
@@ -40,7 +44,8 @@
     def _call(self) -> None:
         names = list(self._site.gateways)
         while not self._stop.is_set():
-            session = f'session-{next(self._sessions)}'
+            with self._lock:
+                session = next(self._sessions)
             for number in range(4):
                 name = names[number % len(names)]
                 try:
@@ -62,6 +67,15 @@
         self._pool.shutdown()
 
 
+def _sessions_in_canary(order_version: int):
+    """Yields sessions that the canary of a roll-out would take in."""
+    for number in itertools.count():
+        session = f'session-{number}'
+        hash_value = canary.session_hash(session, 'engine', order_version)
+        if hash_value < canary.canary_share(EXPOSURE_SHARE):
+            yield session
+
+
 class _LongSessions:
     """Callers that keep their sessions, each at all gateways in turn.
 
@@ -158,6 +172,30 @@
         self.assertLessEqual(len(changed), MAX_CHANGED_SESSIONS, changed)
         self.assertIn({True}, versions.values())
 
+    def test_sessions_return_to_the_old_version_as_the_canary_starts(self):
+        site = _start_site(self)
+        _order(site, 3 * TIME_LIMIT_S)
+        sites.wait_until(lambda: self._order_versions(site))
+        (version,) = self._order_versions(site)
+        traffic = _Traffic(site, sessions=_sessions_in_canary(version))
+        self.addCleanup(traffic.stop)
+        time.sleep(canary.CANARY_START_S + 2.0)
+        traffic.stop()
+        versions = collections.defaultdict(set)
+        for session, stamp in traffic.seen:
+            versions[session].add(stamp.startswith('new'))
+        changed = [name for name, seen in versions.items() if len(seen) > 1]
+        self.assertEqual([], changed)
+        self.assertIn({True}, versions.values())
+        self.assertIn({False}, versions.values())
+
+    def _order_versions(self, site: sites.Site) -> set[int]:
+        return {
+            record['order']
+            for record in site.log('gateway-1')
+            if record['message_type'] == 'rollout_ordered'
+        }
+
 
 class RolloutTest(testtools.TestCase):
     """Guards against hung roll-outs, overexposure and sessions moved back."""
--- a/tests/test_opensessions.py
+++ b/tests/test_opensessions.py
@@ -21,6 +21,7 @@
 # The users tolerate three requests on another version than the one before them
 # in their session.
 MAX_CHANGES = 3
+BUCKETS = strategies.integers(0, opensessions.BUCKETS - 1)
 
 
 class _Node:
@@ -47,13 +48,13 @@
         if canary.is_before_canary(age_s, WITHIN_S):
             self._add(session)
         hash_value = canary.session_hash(session, SERVICE, 1)
-        is_open = hash_value in self.open_sessions
+        is_open = opensessions.bucket(hash_value) in self.open_sessions
         return canary.serves_new(hash_value, is_open, age_s, WITHIN_S, EXPOSURE)
 
     def _add(self, session: str) -> None:
         hash_value = canary.session_hash(session, SERVICE, 1)
         if hash_value < canary.canary_share(EXPOSURE):
-            self.open_sessions.add(hash_value)
+            self.open_sessions.add(opensessions.bucket(hash_value))
 
 
 class _Fleet:
@@ -155,10 +156,10 @@
     """Guards against sets that nodes can't merge and against hostile ones."""
 
     @hypothesis.given(
-        strategies.lists(strategies.floats(0, 0.999)),
-        strategies.lists(strategies.floats(0, 0.999)),
+        strategies.lists(BUCKETS),
+        strategies.lists(BUCKETS),
     )
-    def test_merged_set_has_the_hashes_of_both(self, first, second):
+    def test_merged_set_has_the_buckets_of_both(self, first, second):
         ours, theirs = opensessions.OpenSessions(), opensessions.OpenSessions()
         for value in first:
             ours.add(value)
@@ -180,8 +181,19 @@
 
     def test_bitmap_that_expands_beyond_its_size_is_rejected(self):
         whole = opensessions.OpenSessions()
-        whole.add(0.999_999)
+        whole.add(opensessions.BUCKETS - 1)
         other = opensessions.OpenSessions()
         other.merge(whole.encode())
         too_long = zlib.compress(b'\xff' * (opensessions.BUCKETS // 8 + 1))
         self.assertRaises(ValueError, other.merge, too_long)
+
+    def test_number_that_is_no_bucket_is_rejected(self):
+        sessions = opensessions.OpenSessions()
+        for number in (-1, opensessions.BUCKETS):
+            self.assertRaises(ValueError, sessions.add, number)
+
+    def test_each_hash_has_a_bucket(self):
+        self.assertEqual(0, opensessions.bucket(0.0))
+        self.assertEqual(
+            opensessions.BUCKETS - 1, opensessions.bucket(1 - 1e-9)
+        )
