--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -189,7 +189,7 @@
     def test_members_through_wrong_address_stop_and_restart(self):
         with clusters.running(3, peer_routes={}) as cluster:
             restarted = cluster.names[2]
-            # A node is ready before it has heard of the others.
+            # A ready node may not list the other members yet.
             self._await_state(cluster, 'entry-1', 'alive')
             cluster.nodes[restarted].kill()
             neighbour_address = next(
