--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -331,42 +331,36 @@
     def test_few_failures_keep_the_old_version(self):
         self.assertFalse(self._may_complete(WITHIN_S - 0.6, 0, bad=3))
 
-    def test_version_with_few_but_slow_streams_is_not_completed(self):
-        # Counts from the own day hasty: heads, then paces of streams.
-        for slow_streams in (3, 2):
-            tallies = {
-                (canary.Arm.OLD, 'route'): canary.Tally(343, 0, 20),
-                (canary.Arm.NEW, 'route'): canary.Tally(21, 0, 0),
-                (canary.Arm.OLD, canary.pace_route('route')): canary.Tally(
-                    227, 0, 27
-                ),
-                (canary.Arm.NEW, canary.pace_route('route')): canary.Tally(
-                    3, 0, slow_streams
-                ),
-            }
-            self.assertFalse(
-                canary.may_complete(
-                    WITHIN_S - 0.6, WITHIN_S, EXPOSURE, 0, tallies
-                )
-            )
+    def _may_complete_with(
+        self, heads: canary.Tally, paces: canary.Tally
+    ) -> bool:
+        """Tells whether a version with these counts may be completed.
 
-    def test_version_with_as_many_slow_streams_as_the_old_one_is_completed(
-        self,
-    ):
+        The old version's counts are from the own day hasty.
+        """
+        pace = canary.pace_route('route')
         tallies = {
             (canary.Arm.OLD, 'route'): canary.Tally(343, 0, 20),
-            (canary.Arm.NEW, 'route'): canary.Tally(40, 0, 4),
-            (canary.Arm.OLD, canary.pace_route('route')): canary.Tally(
-                227, 0, 27
-            ),
-            (canary.Arm.NEW, canary.pace_route('route')): canary.Tally(
-                20, 0, 4
-            ),
+            (canary.Arm.OLD, pace): canary.Tally(227, 0, 27),
+            (canary.Arm.NEW, 'route'): heads,
+            (canary.Arm.NEW, pace): paces,
         }
-        self.assertTrue(
-            canary.may_complete(WITHIN_S - 0.6, WITHIN_S, EXPOSURE, 0, tallies)
+        return canary.may_complete(
+            WITHIN_S - 0.6, WITHIN_S, EXPOSURE, 0, tallies
         )
 
+    def test_version_with_few_but_slow_streams_is_not_completed(self):
+        heads = canary.Tally(21, 0, 0)
+        for slow in (3, 2):
+            paces = canary.Tally(3, 0, slow)
+            self.assertFalse(self._may_complete_with(heads, paces))
+
+    def test_version_with_as_many_slow_streams_as_the_old_one_is_completed(
+        self,
+    ):
+        heads, paces = canary.Tally(40, 0, 4), canary.Tally(20, 0, 4)
+        self.assertTrue(self._may_complete_with(heads, paces))
+
     def test_version_that_answered_nobody_is_not_completed(self):
         # Soak seed 16 completed a bad version that had answered no request.
         self.assertFalse(self._may_complete(WITHIN_S - 0.6, 0, total=0))
