Log framing and end of answers in attempts and summaries

Cause: neither attempt_failed nor request_answered said how an answer was framed, how its connection ended or how much had come, so an end that was taken for the answer's (hypothesis 1) and a break that was noticed and passed over (2) looked alike.

--- a/packages/gateway/src/radishcourse_gateway/attemptlog.py
+++ b/packages/gateway/src/radishcourse_gateway/attemptlog.py
@@ -59,4 +59,15 @@
         begun=plan.begun,
         parts=request.parts.shared,
         answering_s=answering_s,
+        **arrival_fields(plan),
     )
+
+
+def arrival_fields(plan: targets.Plan) -> dict[str, object]:
+    """Returns log fields on what arrived of the latest attempt's answer."""
+    arrival = plan.arrival
+    return {
+        'framing': arrival.framing and arrival.framing.value,
+        'received': arrival.received,
+        'end': arrival.end.value,
+    }
--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -156,7 +156,10 @@
         """
         if splitter.partial:
             raise errors.UpstreamError('closed within an event', True)
-        if head.is_framed:
+        if not (
+            head.get(b'content-length') is None
+            and head.get(b'transfer-encoding') is None
+        ):
             return
         is_empty = not splitter.count and not plan.begun
         if is_empty or await self.has_ended(listed):
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -15,6 +15,7 @@
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
 from radishcourse_node import events
+from radishcourse_policy import answers
 from radishcourse_policy import modelchoice
 
 # A full upstream has a free slot after about the time of one request.
@@ -260,7 +261,7 @@
             with self._attempt_timeout.for_answer(request, plan, listed):
                 response = await responses.read_start(request, connection, head)
             await responses.forward(request, plan, connection, response, out)
-        if head.is_framed:
+        if plan.arrival.framing is not answers.Framing.CLOSE:
             self._crashes.note_completed(plan)
         return NextStep.DONE
 
@@ -287,9 +288,14 @@
 
     async def _receive_head(self, request, plan, listed, connection):
         headers = self._request_headers(request, plan, listed)
+        plan.arrival = upstreamconnections.Arrival()
         with self._attempt_timeout.for_answer(request, plan, listed):
             return await connection.request(
-                request.method, request.target, headers, request.body
+                request.method,
+                request.target,
+                headers,
+                request.body,
+                plan.arrival,
             )
 
     async def _raise_failure(
--- a/packages/gateway/src/radishcourse_gateway/requesthandler.py
+++ b/packages/gateway/src/radishcourse_gateway/requesthandler.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from radishcourse_gateway import attemptlog
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import errors
 from radishcourse_gateway import headernames
@@ -348,6 +349,7 @@
             first_s=round(out.started_at - request.arrived_at, 3)
             if out.started_at
             else None,
+            **(attemptlog.arrival_fields(plan) if plan else {}),
         )
 
 
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -7,6 +7,7 @@
 
 from radishcourse_gateway import errors
 from radishcourse_gateway import inboundrequest
+from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
 from radishcourse_policy import canary
@@ -44,6 +45,7 @@
       head_at: When the head of the latest attempt's response arrived, on this
         node's clock in seconds; None before.
       answer: Identifies the prompt in evidence of crashes.
+      arrival: What has arrived of the latest attempt's answer.
     """
 
     attempts: int = 0
@@ -58,6 +60,9 @@
     retry_paid: bool = False
     head_at: float | None = None
     answer: crashevidence.Answer = crashevidence.Answer((), 0)
+    arrival: upstreamconnections.Arrival = dataclasses.field(
+        default_factory=upstreamconnections.Arrival
+    )
 
 
 class ServiceLoad(typing.NamedTuple):
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -14,6 +14,7 @@
 import h11
 
 from radishcourse_gateway import errors
+from radishcourse_policy import answers
 
 # Connecting takes one round trip and about a millisecond; a longer wait means
 # that the upstream is gone or packets are lost.
@@ -50,19 +51,26 @@
     status: int
     headers: Headers
 
-    @property
-    def is_framed(self) -> bool:
-        """Whether a length or chunks mark the end of the body."""
-        return (
-            self.get(b'content-length') is not None
-            or self.get(b'transfer-encoding') is not None
-        )
-
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header."""
         return next((value for key, value in self.headers if key == name), None)
 
 
+@dataclasses.dataclass
+class Arrival:
+    """What has arrived of an answer.
+
+    Attributes:
+      framing: What marks the end of its body, None before its head.
+      received: Bytes of its body.
+      end: How its body ended.
+    """
+
+    framing: answers.Framing | None = None
+    received: int = 0
+    end: answers.End = answers.End.OPEN
+
+
 class Connection:
     """A connection to an upstream, for one request at a time.
 
@@ -77,8 +85,10 @@
         )
         self._send_pending = False
         self._closed = False
+        self._method = ''
         self._idle_timeout_s = UPSTREAM_IDLE_TIMEOUT_S
         self.last_used_at = now
+        self._arrival = Arrival()
 
     @property
     def reusable(self) -> bool:
@@ -102,18 +112,32 @@
         return not poll.poll(0)
 
     async def request(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        arrival: Arrival,
     ) -> Head:
         """Sends a request and returns the head of the response.
 
         An upstream may respond before it has read the whole body. The rest of
         the body is then not sent, and the connection is not reused.
 
+        Args:
+          method: HTTP method.
+          target: Path and query.
+          headers: Request headers.
+          body: Request body.
+          arrival: Records what arrives of the answer.
+
         Raises:
           UpstreamError: There is no valid response.
         """
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
+        self._method = method.decode('latin-1')
+        self._arrival = arrival
         request = h11.Request(method=method, target=target, headers=headers)
         data = self._parser.send(request)
         if body:
@@ -155,6 +179,12 @@
             if isinstance(event, h11.Response):
                 head = Head(event.status_code, list(event.headers))
                 self._read_idle_timeout(head)
+                self._arrival.framing = answers.framing(
+                    self._method,
+                    head.status,
+                    head.get(b'content-length') is not None,
+                    head.get(b'transfer-encoding') is not None,
+                )
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.UpstreamError('closed without a response', True)
@@ -169,8 +199,13 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                self._arrival.received += len(event.data)
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                closed = self._arrival.framing is answers.Framing.CLOSE
+                self._arrival.end = (
+                    answers.End.CLOSED if closed else answers.End.FRAMED
+                )
                 return None
             if isinstance(event, h11.ConnectionClosed):
                 raise errors.UpstreamError('closed within the response', True)
@@ -190,11 +225,13 @@
                 self._parser.receive_data(data)
         except h11.RemoteProtocolError as error:
             self._closed = True
+            self._arrival.end = answers.End.BROKEN
             raise errors.UpstreamError(
                 f'malformed response: {error}', True
             ) from error
         except _STREAM_ERRORS as error:
             self._closed = True
+            self._arrival.end = answers.End.BROKEN
             raise errors.UpstreamError(
                 f'receive failed: {error!r}', True
             ) from error
--- /dev/null
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -0,0 +1,128 @@
+"""Decides from what arrived what an upstream's answer is worth.
+
+An answer is judged twice: when its head has arrived, and when its body has
+ended. Framing follows RFC 9112, section 6.3; the ids of events follow the HTML
+standard, section 9.2.
+"""
+
+import enum
+import typing
+
+# Statuses that tell a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+MISDIRECTED_REQUEST = 421
+EVENT_STREAM = 'text/event-stream'
+_STATUSES_WITHOUT_BODY = (204, 304)
+
+
+class State(enum.Enum):
+    """What an answer is to the request that waits for it.
+
+    ARRIVING: its head belongs to the request, its body has not ended.
+    WHOLE: all of it has arrived.
+    BROKEN: it ended early, or nothing shows that it did not.
+    NOT_RUN: the upstream has not run the request.
+    FAILED: the upstream ran the request without success.
+    FOREIGN: it belongs to another request, or can't be attributed to one.
+    UNUSABLE: it must not reach the caller, and the request may have run.
+    """
+
+    ARRIVING = 'arriving'
+    WHOLE = 'whole'
+    BROKEN = 'broken'
+    NOT_RUN = 'not_run'
+    FAILED = 'failed'
+    FOREIGN = 'foreign'
+    UNUSABLE = 'unusable'
+
+
+class Framing(enum.Enum):
+    """What marks the end of a body; with CLOSE, the end of the connection."""
+
+    NO_BODY = 'no_body'
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'
+
+
+class End(enum.Enum):
+    """How a body ended.
+
+    OPEN: it has not ended.
+    FRAMED: where its framing says.
+    CLOSED: it is framed by its connection, which the upstream closed.
+    BROKEN: reset, malformed, or closed before the end that its framing says.
+    """
+
+    OPEN = 'open'
+    FRAMED = 'framed'
+    CLOSED = 'closed'
+    BROKEN = 'broken'
+
+
+class Sender(enum.Enum):
+    """What is known of the process that sent an answer, after its end.
+
+    RUNNING: it has answered since.
+    LEAVING: it had announced that it would end.
+    ENDED: nothing, or another process, listens at its address.
+    UNKNOWN: its address does not respond.
+    """
+
+    RUNNING = 'running'
+    LEAVING = 'leaving'
+    ENDED = 'ended'
+    UNKNOWN = 'unknown'
+
+
+class Expectation(typing.NamedTuple):
+    """The request that waits for an answer.
+
+    Attributes:
+      request_id: Its id, empty if the caller set none.
+      fresh: Whether no other request was sent on the connection before.
+      resumed: Whether the answer continues a stream that the caller has begun
+        to receive.
+    """
+
+    request_id: str
+    fresh: bool
+    resumed: bool
+
+
+class Head(typing.NamedTuple):
+    """Status and headers that decide.
+
+    Attributes:
+      status: HTTP status.
+      request_id: Id of the request that it names, None if it names none.
+      stamped: Whether the upstream itself produced the answer.
+      marked_not_run: Whether a header says that the request was not run.
+      encoded: Whether the body has a content encoding.
+      media_type: Media type without parameters in lower case, empty if unset.
+    """
+
+    status: int
+    request_id: str | None
+    stamped: bool
+    marked_not_run: bool
+    encoded: bool
+    media_type: str
+
+
+def framing(
+    method: str, status: int, has_length: bool, has_coding: bool
+) -> Framing:
+    """Returns what marks the end of a body.
+
+    Args:
+      method: Method of the request.
+      status: Status of the answer.
+      has_length: Whether the answer has a Content-Length header.
+      has_coding: Whether it has a Transfer-Encoding header.
+    """
+    if method == 'HEAD' or status in _STATUSES_WITHOUT_BODY:
+        return Framing.NO_BODY
+    if has_coding:
+        return Framing.CHUNKED
+    return Framing.LENGTH if has_length else Framing.CLOSE
