--- a/tests/site.py
+++ b/tests/site.py
@@ -31,6 +31,7 @@
       link_workers: Whether workers are also reached through links of the proxy.
       events: Number of events in each streamed response.
       crash_part: Shared part of a prompt that crashes workers; empty for none.
+      retry_slack: Bound of the gateways' settings with this meaning.
 
     Attributes:
       store: The row store.
@@ -45,11 +46,13 @@
         link_workers: bool = False,
         events: int = 3,
         crash_part: str = '',
+        retry_slack: int = sitefiles.RETRY_SLACK,
     ):
         self._processes = started_processes
         self._link_workers = link_workers
         self._events = events
         self._crash_part = crash_part
+        self._retry_slack = retry_slack
         self._addresses: dict[str, str] = {}
         self._launches: dict[str, tuple] = {}
         self.store = started_processes.stand_in('rowstore')
@@ -141,7 +144,7 @@
         """Writes a worker's entry to the table of servers."""
         entry = {
             'service': service,
-            'address': self._addresses[name],
+            'address': self._addresses.get(name),
             'zone': sitefiles.ZONES[0],
             'version': 'v1',
             'slots': 8,
@@ -152,6 +155,17 @@
         }
         self.put('servers', name, entry)
 
+    def entries(self) -> list[dict]:
+        """Returns key and decoded value of each row in the table of servers."""
+        return [
+            {
+                'key': row['key'],
+                'value': json.loads(base64.b64decode(row['value'])),
+            }
+            for row in self.control(self.store, 'rows')['rows']
+            if row['table'] == 'servers' and row.get('value')
+        ]
+
     def rollout_status(self, service: str) -> dict:
         """Returns the published status of a service's roll-out."""
         for row in self.control(self.store, 'rows')['rows']:
@@ -197,6 +211,7 @@
             len(self.gateways),
             self._seeds,
             store,
+            self._retry_slack,
         )
         self._launches[name] = (host, front, settings)
         process = self._processes.gateway(name, host, front, settings)
@@ -378,6 +393,7 @@
     link_workers: bool = False,
     events: int = 3,
     crash_part: str = '',
+    retry_slack: int = sitefiles.RETRY_SLACK,
     **fields,
 ):
     """Yields a running site with two desks, two engines and gateways."""
@@ -385,7 +401,9 @@
         tempfile.TemporaryDirectory() as folder,
         processes.started(pathlib.Path(folder)) as started_processes,
     ):
-        site = Site(started_processes, link_workers, events, crash_part)
+        site = Site(
+            started_processes, link_workers, events, crash_part, retry_slack
+        )
         site.configure(**fields)
         for name in ('desk-1', 'desk-2'):
             site.start_worker(name, 'desk')
--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -9,6 +9,7 @@
 ZONES = ('zone-a', 'zone-b')
 BUDGET_MS = 5000
 GRACE_S = 6
+RETRY_SLACK = 56
 
 
 class Ports(typing.NamedTuple):
@@ -92,6 +93,7 @@
     gateway_index: int,
     seeds: list[str],
     store: str,
+    retry_slack: int = RETRY_SLACK,
 ) -> str:
     """Returns the settings file of a gateway.
 
@@ -102,6 +104,7 @@
       gateway_index: Index of the gateway; zones are assigned in turn.
       seeds: Addresses of other nodes.
       store: Address of the store.
+      retry_slack: Retries of all gateways beyond their share of the requests.
     """
     return f"""
 node = "{name}"
@@ -121,7 +124,7 @@
 [bounds]
 graceS = {GRACE_S}
 budgetRatio = 0.9
-retrySlack = 56
+retrySlack = {retry_slack}
 exposeShare = 0.15
 coldExcess = 1.5
 coldSlack = 5
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -11,11 +11,12 @@
     """Base of tests that share one site for each class."""
 
     gateways = 1
+    retry_slack = sitefiles.RETRY_SLACK
 
     @classmethod
     def setUpClass(cls):
         super().setUpClass()
-        cls._running = sites.running(cls.gateways)
+        cls._running = sites.running(cls.gateways, retry_slack=cls.retry_slack)
         cls.site = cls._running.__enter__()
 
     @classmethod
