Ask for the upstream where only a closed connection ends its answer (ORDER)

What callers saw (ORDER): an answer that had been broken off was framed as complete. Cause: an answer without length or chunks ends with its connection, and a process that crashes closes its connections like one that has sent all. The end of the connection was taken for the answer's: for bodies, long bodies, orders and errors always; for streams unless their upstream refused connections, so also where its address is silent, mute or another worker's.

Change: policy/answers.py judges the end of each answer in one place, by its framing, how the connection ended and what is known of the sender; gateway/verifier.py finds the latter. Whole is only what its framing ends, or what a process has sent that has announced its end or answers a probe which no other may answer (expected instance). In doubt an answer is broken: streams resume, lookups are retried, orders get 502.

Why it works: the probe is sent after the end was seen, so a process that answers it had closed the connection on purpose.

--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -5,7 +5,6 @@
 import anyio
 
 from radishcourse_gateway import errors
-from radishcourse_gateway import eventstream
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
@@ -116,57 +115,37 @@
         """
         if listed.incarnation not in self._plans or self._is_leaving(listed):
             return
-        await self.has_ended(listed)
+        await self._check_ended(listed)
 
-    async def has_ended(self, listed: views.ListedUpstream) -> bool:
-        """Tells whether an upstream's process has ended, by connecting to it.
+    async def _check_ended(self, listed: views.ListedUpstream) -> None:
+        """Records whether an upstream's process has ended, by connecting to it.
 
         One that does not respond at all may be cut off and does not count.
         """
         key = listed.incarnation
         if key in self._ended:
-            return True
+            return
         if key in self._checks:
             await self._checks[key].wait()
-            return key in self._ended
+            return
         self._checks[key] = checked = anyio.Event()
         try:
             address = listed.upstream.address
             if await upstreamconnections.is_refused(address):
-                self._note_ended(listed)
+                self.note_ended(listed)
         finally:
             del self._checks[key]
             checked.set()
-        return key in self._ended
-
-    async def verify_end(
-        self,
-        plan: targets.Plan,
-        listed: views.ListedUpstream,
-        head: upstreamconnections.Head,
-        splitter: eventstream.Splitter,
-    ) -> None:
-        """Checks that a stream is complete.
 
-        One without a length ends like a connection that breaks.
+    def is_known_ended(self, listed: views.ListedUpstream) -> bool:
+        """Tells whether an upstream's process is known to have ended."""
+        return listed.incarnation in self._ended
 
-        Raises:
-          UpstreamError: It ended within an event, before the first one, or with
-            its upstream.
-        """
-        if splitter.partial:
-            raise errors.UpstreamError('closed within an event', True)
-        if not (
-            head.get(b'content-length') is None
-            and head.get(b'transfer-encoding') is None
-        ):
-            return
-        is_empty = not splitter.count and not plan.begun
-        if is_empty or await self.has_ended(listed):
-            raise errors.UpstreamError('closed without the end', True)
-
-    def _note_ended(self, listed: views.ListedUpstream) -> None:
+    def note_ended(self, listed: views.ListedUpstream) -> None:
+        """Records that an upstream's address refuses connections."""
         key = listed.incarnation
+        if key in self._ended:
+            return
         self._ended[key] = None
         if len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
--- a/packages/gateway/src/radishcourse_gateway/directory.py
+++ b/packages/gateway/src/radishcourse_gateway/directory.py
@@ -102,12 +102,14 @@
       cold_per_s: Requests per second that a cold upstream can serve; 0 if the
         rate is not limited.
       engine: Properties of its model engines, None for other services.
+      probe_path: Path at which its upstreams answer probes, None if unknown.
     """
 
     name: ids.ServiceId
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
     engine: Engine | None = None
+    probe_path: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -13,6 +13,7 @@
 from radishcourse_gateway import retrybudgets
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
+from radishcourse_gateway import verifier
 from radishcourse_gateway import view as views
 from radishcourse_node import events
 from radishcourse_policy import answers
@@ -68,6 +69,7 @@
         self._limits = gateway.limits
         self._crashes: crashes.Crashes = gateway.crashes
         self._targets = gateway.targets
+        self._verifier: verifier.Verifier = gateway.verifier
         self._pool: upstreamconnections.Pool = gateway.pool
         self._retry_budgets = retrybudgets.RetryBudgets(gateway)
         self._attempt_timeout = attempttimeout.AttemptTimeout(
@@ -258,9 +260,9 @@
                 request, plan, listed, connection, head, out
             )
         else:
-            with self._attempt_timeout.for_answer(request, plan, listed):
-                response = await responses.read_start(request, connection, head)
-            await responses.forward(request, plan, connection, response, out)
+            await self._forward_body(
+                request, plan, listed, connection, head, out
+            )
         if plan.arrival.framing is not answers.Framing.CLOSE:
             self._crashes.note_completed(plan)
         return NextStep.DONE
@@ -319,6 +321,7 @@
         )
         if not not_run:
             responses.verify_head(request, head, self._header_names)
+            await self._verifier.verify_end(plan, listed)
         raise _AttemptFailed(reason, not_run, response)
 
     def _escalate(self, request, plan, head) -> bool:
@@ -364,6 +367,20 @@
         plan.model = larger
         return True
 
+    async def _forward_body(
+        self, request, plan, listed, connection, head, out
+    ) -> None:
+        """Forwards a body; a short one only once it is known to be whole."""
+        with self._attempt_timeout.for_answer(request, plan, listed):
+            response = await responses.read_start(request, connection, head)
+        if response.complete:
+            await self._verifier.verify_end(plan, listed)
+            await responses.send_buffered(request, plan, response, out)
+            return
+        await responses.forward_long(plan, connection, response, out)
+        await self._verifier.verify_end(plan, listed)
+        await out.end()
+
     async def _forward_stream(
         self, request, plan, listed, connection, head, out
     ) -> None:
@@ -386,7 +403,7 @@
                     await out.start(head.status, headers)
                 await out.write(complete)
                 plan.last_event = splitter.last_id
-        await self._crashes.verify_end(plan, listed, head, splitter)
+        await self._verifier.verify_end(plan, listed, splitter)
         if not plan.begun:
             plan.begun = True
             await out.start(head.status, headers)
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -25,6 +25,7 @@
 from radishcourse_gateway import settings as gateway_settings
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
+from radishcourse_gateway import verifier
 from radishcourse_gateway import view
 from radishcourse_node import connections
 from radishcourse_node import environment as environments
@@ -115,6 +116,7 @@
         self.peers.limits = self.limits
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
+        self.verifier = verifier.Verifier(self)
         self.pool = upstreamconnections.Pool(clock)
         self.targets = targets.Targets(self)
         self.forwarder = forwarder.Forwarder(self)
--- a/packages/gateway/src/radishcourse_gateway/headernames.py
+++ b/packages/gateway/src/radishcourse_gateway/headernames.py
@@ -28,6 +28,7 @@
       time_budget_ms: Milliseconds for which the sender waits for a response.
       organisation: Name of the organisation, for upstreams.
       expected_upstream: Id of the only upstream that may run the request.
+      upstream: Id of the upstream, in its answers to probes.
       expected_version: The only version that may run the request.
       priority: Priority for upstreams, 0 (most urgent) to 9.
       model: Name of the model to use.
@@ -49,6 +50,7 @@
     time_budget_ms: bytes
     organisation: bytes
     expected_upstream: bytes
+    upstream: bytes
     expected_version: bytes
     priority: bytes
     model: bytes
--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -91,28 +91,23 @@
     return BufferedResponse(head, b''.join(parts), complete)
 
 
-async def forward(
-    request: inboundrequest.InboundRequest,
+async def forward_long(
     plan,
     connection: upstreamconnections.Connection,
     response: BufferedResponse,
     out,
 ) -> None:
-    """Forwards a response of which at least the start was read.
+    """Forwards a response of which the start was read, but not its end.
 
     Raises:
       UpstreamError: The rest is truncated.
     """
-    if response.complete:
-        await send_buffered(request, plan, response, out)
-        return
     plan.begun = True
     head = response.head
     await out.start(head.status, inboundrequest.caller_headers(head.headers))
     await out.write(response.body)
     while (part := await connection.receive()) is not None:
         await out.write(part)
-    await out.end()
 
 
 async def send_buffered(
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -71,6 +71,12 @@
     end: answers.End = answers.End.OPEN
 
 
+class ConnectionRefused(errors.UpstreamError):
+    """No process listens at an upstream's address."""
+
+    code = 'upstream_refused'
+
+
 class Connection:
     """A connection to an upstream, for one request at a time.
 
@@ -265,9 +271,9 @@
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
-        raise errors.UpstreamError(
-            f'connect failed: {error!r}', False
-        ) from error
+        refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+        failure = ConnectionRefused if refused else errors.UpstreamError
+        raise failure(f'connect failed: {error!r}', False) from error
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     for level, option, value in (
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -286,15 +292,13 @@
 
     An address that does not respond within CONNECT_TIMEOUT_S does not refuse.
     """
-    host, _, port = address.rpartition(':')
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port))
-    except TimeoutError:
+        connection = await connect(address, 0.0)
+    except ConnectionRefused:
+        return True
+    except errors.UpstreamError:
         return False
-    except (OSError, ValueError) as error:
-        return isinstance(error.__cause__ or error, ConnectionRefusedError)
-    await anyio.aclose_forcefully(stream)
+    await connection.aclose()
     return False
 
 
--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -126,3 +126,33 @@
     if has_coding:
         return Framing.CHUNKED
     return Framing.LENGTH if has_length else Framing.CLOSE
+
+
+def judge_end(
+    framing: Framing | None,
+    end: End,
+    sender: Sender | None = None,
+    unfinished: bool = False,
+    empty: bool = False,
+) -> State:
+    """Returns WHOLE or BROKEN for an answer whose body has ended.
+
+    A process that crashes closes its connections like one that has sent all.
+
+    Args:
+      framing: What marks the end of the body, None before the head.
+      end: How the body ended.
+      sender: What is known of the upstream's process after the end; only
+        needed with `Framing.CLOSE`.
+      unfinished: Whether a stream ended within an event.
+      empty: Whether a stream ended before its first event.
+    """
+    if framing is Framing.NO_BODY:
+        return State.WHOLE
+    if unfinished or end not in (End.FRAMED, End.CLOSED):
+        return State.BROKEN
+    if framing is not Framing.CLOSE:
+        return State.WHOLE
+    if empty or sender not in (Sender.RUNNING, Sender.LEAVING):
+        return State.BROKEN
+    return State.WHOLE
