Believe a refusal only if it is this request's and says so (REFUSED)

What callers saw: 'not run, try again' for requests that a worker had run or was running, and such requests sent to a second worker. Cause: the id in an answer was compared for answers, not for refusals; a 503, 429 or 408 without the mark of a request that was not run was passed on with its status, which promises as much; a connection with another request's refusal could be kept.

Change: answers.judge_head decides by id, mark, stamp, encoding and status before anything else reads the head (named limits and counts of versions as well). A refusal needs the request's own id. An answer without an id is taken only on a fresh connection. A connection on which an attempt failed is discarded. The choice of larger models moves to escalations.py, unchanged, to keep the forwarder short.

Evidence: three tests of RefusalTest failed before and pass: refusals with another id or none, by four statuses and three framings; statuses without the mark; a refusal written again on a kept connection. The last test now allows the retry of the refused request itself on its connection, which is sound; it still fails without the change of the program (run). 83 passed, 0 failed in the modules of the gateway's answers, path, crashes, limits and roll-outs.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -7,6 +7,7 @@
 from radishcourse_gateway import crashes
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import errors
+from radishcourse_gateway import escalations
 from radishcourse_gateway import eventstream
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import responses
@@ -14,14 +15,10 @@
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import verifier
-from radishcourse_gateway import view as views
-from radishcourse_node import events
 from radishcourse_policy import answers
-from radishcourse_policy import modelchoice
 
 # A full upstream has a free slot after about the time of one request.
 OVERLOADED_RETRY_S = 0.5
-MISDIRECTED_REQUEST = 421
 
 
 class NextStep(enum.Enum):
@@ -62,8 +59,6 @@
         self._clock = gateway.environment.clock
         self._random = gateway.environment.random
         self._header_names = gateway.header_names
-        self._current_settings = gateway.current_settings
-        self._view: views.View = gateway.view
         self._load = gateway.load
         self._rollouts = gateway.rollouts
         self._limits = gateway.limits
@@ -75,6 +70,9 @@
         self._attempt_timeout = attempttimeout.AttemptTimeout(
             gateway, self._retry_budgets
         )
+        self._escalations = escalations.Escalations(
+            gateway, self._retry_budgets, self._attempt_timeout
+        )
 
     async def forward(
         self, request: inboundrequest.InboundRequest, out
@@ -229,31 +227,32 @@
     async def _handle_head(
         self, request, plan, listed, connection, head, seconds, out
     ) -> NextStep:
-        not_run = (
-            head.status == MISDIRECTED_REQUEST
-            or head.get(self._header_names.not_run) is not None
-        )
-        if head.status != MISDIRECTED_REQUEST:
+        state = self._verifier.judge_head(request, connection, head)
+        if state is answers.State.FOREIGN:
+            raise errors.UpstreamError('answer to another request', True)
+        not_run = state is answers.State.NOT_RUN
+        if head.status != answers.MISDIRECTED_REQUEST:
             self._limits.note_answer(listed, head, plan.head_at - seconds)
-        failed = head.status >= 500 and not not_run
-        model = plan.model or ''
         if not not_run and head.get(self._header_names.stamp) is not None:
             self._rollouts.counts.note_response(
                 listed,
                 request.route.name,
-                model,
+                plan.model or '',
                 seconds,
                 self._targets.prefill_s(request, plan),
-                failed,
+                state is not answers.State.ARRIVING,
             )
-        if not_run or head.status >= 500:
+        if state is answers.State.UNUSABLE:
+            raise errors.UpstreamError(
+                f'unusable answer with status {head.status}', True
+            )
+        if state is not answers.State.ARRIVING:
             await self._raise_failure(
                 request, plan, listed, connection, head, not_run
             )
-        responses.verify_head(request, head, self._header_names)
         self._load.note_response(listed.upstream.upstream_id, failed=False)
         self._targets.note_head(request, plan, seconds)
-        if self._escalate(request, plan, head):
+        if self._escalations.escalate(request, plan, head):
             return NextStep.AGAIN
         if request.route.kind is directories.RequestKind.STREAM:
             await self._forward_stream(
@@ -304,7 +303,7 @@
         self, request, plan, listed, connection, head, not_run
     ):
         upstream = listed.upstream.upstream_id
-        if head.status == MISDIRECTED_REQUEST:
+        if head.status == answers.MISDIRECTED_REQUEST:
             # The address now belongs to another upstream.
             self._load.note_broken(upstream, 'misdirected')
         elif not_run:
@@ -320,53 +319,9 @@
             request, plan, listed, self._clock.now(), reason, not_run
         )
         if not not_run:
-            responses.verify_head(request, head, self._header_names)
             await self._verifier.verify_end(plan, listed)
         raise _AttemptFailed(reason, not_run, response)
 
-    def _escalate(self, request, plan, head) -> bool:
-        """Chooses a larger model if the answer is likely poor.
-
-        Returns:
-          Whether the request is to be repeated on that model.
-        """
-        models = request.route.models
-        confidence = head.get(self._header_names.confidence)
-        if confidence is not None:
-            plan.confidence = float(confidence)
-        if not models or plan.begun or request.size is None:
-            return False
-        if (
-            not self._attempt_timeout.can_retry(request, plan)
-            or confidence is None
-        ):
-            return False
-        service = self._view.directory.services.get(plan.service)
-        costs = service.engine.costs if service and service.engine else {}
-        larger = modelchoice.choose_larger(
-            models,
-            plan.model,
-            float(confidence),
-            request.size,
-            costs,
-            self._current_settings.value.value_per_1k_tokens,
-            self._targets.prefill_s(request, plan, models[-1]),
-            *self._targets.service_load(plan.service),
-        )
-        if larger is None or not self._retry_budgets.spend(plan.service):
-            return False
-        events.log(
-            events.Event.STEP_ESCALATED,
-            request=request.request_id,
-            model=plan.model,
-            larger=larger,
-            confidence=float(confidence),
-            prompt=request.size.prompt,
-            output=request.size.output,
-        )
-        plan.model = larger
-        return True
-
     async def _forward_body(
         self, request, plan, listed, connection, head, out
     ) -> None:
--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from radishcourse_gateway import errors
-from radishcourse_gateway import headernames
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import upstreamconnections
 
@@ -33,26 +32,6 @@
     return method != b'HEAD' and status not in _WITHOUT_BODY
 
 
-def verify_head(
-    request: inboundrequest.InboundRequest,
-    head: upstreamconnections.Head,
-    header_names: headernames.HeaderNames,
-) -> None:
-    """Checks that a response belongs to the request.
-
-    Raises:
-      UpstreamError: It has another request's id, lacks the upstream's stamp
-        or has a content encoding.
-    """
-    response_id = head.get(header_names.request_id)
-    if response_id is not None and response_id.decode() != request.request_id:
-        raise errors.UpstreamError('response to another request', True)
-    if head.get(header_names.stamp) is None:
-        raise errors.UpstreamError('response without a stamp header', True)
-    if head.get(b'content-encoding') is not None:
-        raise errors.UpstreamError('response with a content encoding', True)
-
-
 async def read_error_response(
     request: inboundrequest.InboundRequest,
     connection: upstreamconnections.Connection,
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -92,10 +92,16 @@
         self._send_pending = False
         self._closed = False
         self._method = ''
+        self._requests = 0
         self._idle_timeout_s = UPSTREAM_IDLE_TIMEOUT_S
         self.last_used_at = now
         self._arrival = Arrival()
 
+    @property
+    def fresh(self) -> bool:
+        """Whether at most one request was sent on it."""
+        return self._requests <= 1
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can take another request."""
@@ -144,6 +150,7 @@
             self._parser.start_next_cycle()
         self._method = method.decode('latin-1')
         self._arrival = arrival
+        self._requests += 1
         request = h11.Request(method=method, target=target, headers=headers)
         data = self._parser.send(request)
         if body:
@@ -242,6 +249,10 @@
                 f'receive failed: {error!r}', True
             ) from error
 
+    def discard(self) -> None:
+        """Prevents that it is used for another request."""
+        self._closed = True
+
     def _read_idle_timeout(self, head: Head) -> None:
         value = head.get(b'keep-alive') or b''
         for item in value.lower().split(b','):
@@ -337,6 +348,9 @@
             connection = await connect(address, self._clock.now())
         try:
             yield connection
+        except errors.UpstreamError:
+            connection.discard()
+            raise
         finally:
             await self._release(key, connection)
 
--- a/packages/gateway/src/radishcourse_gateway/verifier.py
+++ b/packages/gateway/src/radishcourse_gateway/verifier.py
@@ -4,6 +4,7 @@
 
 from radishcourse_gateway import errors
 from radishcourse_gateway import eventstream
+from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import upstreams
@@ -27,6 +28,28 @@
         self._view: views.View = gateway.view
         self._crashes = gateway.crashes
 
+    def judge_head(
+        self,
+        request: inboundrequest.InboundRequest,
+        connection: upstreamconnections.Connection,
+        head: upstreamconnections.Head,
+    ) -> answers.State:
+        """Returns what an answer is to a request by its head."""
+        names = self._header_names
+        request_id = head.get(names.request_id)
+        media_type, _, _ = (head.get(b'content-type') or b'').partition(b';')
+        return answers.judge_head(
+            answers.Expectation(request.request_id, connection.fresh),
+            answers.Head(
+                status=head.status,
+                request_id=request_id and request_id.decode('latin-1'),
+                stamped=head.get(names.stamp) is not None,
+                marked_not_run=head.get(names.not_run) is not None,
+                encoded=head.get(b'content-encoding') is not None,
+                media_type=media_type.strip().lower().decode('latin-1'),
+            ),
+        )
+
     async def verify_end(
         self,
         plan: targets.Plan,
--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -81,13 +81,10 @@
     Attributes:
       request_id: Its id, empty if the caller set none.
       fresh: Whether no other request was sent on the connection before.
-      resumed: Whether the answer continues a stream that the caller has begun
-        to receive.
     """
 
     request_id: str
     fresh: bool
-    resumed: bool
 
 
 class Head(typing.NamedTuple):
@@ -128,6 +125,31 @@
     return Framing.LENGTH if has_length else Framing.CLOSE
 
 
+def judge_head(expected: Expectation, head: Head) -> State:
+    """Returns what an answer is by its head; ARRIVING if its body decides."""
+    refused = head.status == MISDIRECTED_REQUEST or head.marked_not_run
+    if not _is_own(expected, head, refused):
+        return State.FOREIGN
+    if refused:
+        return State.NOT_RUN
+    if not head.stamped or head.encoded:
+        return State.UNUSABLE
+    if head.status in NOT_RUN_STATUSES:
+        # Passed on, it would promise what the upstream did not say.
+        return State.UNUSABLE
+    return State.FAILED if head.status >= 500 else State.ARRIVING
+
+
+def _is_own(expected: Expectation, head: Head, refused: bool) -> bool:
+    if head.request_id is not None:
+        return head.request_id == expected.request_id
+    if not expected.request_id:
+        return expected.fresh
+    # Nothing else can have been answered on a fresh connection, but the promise
+    # that a request has not run needs its id.
+    return expected.fresh and not refused
+
+
 def judge_end(
     framing: Framing | None,
     end: End,
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -406,7 +406,11 @@
             for answer in answers:
                 self.assert_not_served(answer, 'repeated')
             # No connection is used after a refusal of another request on it.
-            used = [item.connection for item in script.requests[1:]]
+            used = [
+                item.connection
+                for item in script.requests
+                if item.request_id != refused[0].request_id
+            ]
             self.assertEqual(len(set(used)), len(used))
 
     def test_sound_refusal_is_believed(self):
