Continue a stream only with the events that follow its last one (ORDER)

What callers saw: the text of the next worker's error in the middle of a stream, a stream that ended as complete after it, or events of two runs joined. Cause: any answer below 500 was taken for the continuation of a stream that had begun: its body went through the splitter, and its end ended the stream. Nothing compared the first event with the last one that had been sent.

Change: a continuation is an event stream with status 200, and its first event is the next by the ids of those sent (answers.EventIds). A stream whose events have no ids is not begun again. An answer that is no event stream is passed on as a body.

The test of an answer instead of a stream has a 200 and a type now, and its name says so.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -131,6 +131,9 @@
             return False
         if plan.begun and not request.route.resumable:
             return False
+        if plan.begun and plan.last_event is None:
+            # Without ids, another upstream can't be told where to go on.
+            return False
         if not failure.not_run and not request.route.retryable:
             return False
         if not plan.attempts:
@@ -227,7 +230,7 @@
     async def _handle_head(
         self, request, plan, listed, connection, head, seconds, out
     ) -> NextStep:
-        state = self._verifier.judge_head(request, connection, head)
+        state = self._verifier.judge_head(request, plan, connection, head)
         if state is answers.State.FOREIGN:
             raise errors.UpstreamError('answer to another request', True)
         not_run = state is answers.State.NOT_RUN
@@ -254,7 +257,7 @@
         self._targets.note_head(request, plan, seconds)
         if self._escalations.escalate(request, plan, head):
             return NextStep.AGAIN
-        if request.route.kind is directories.RequestKind.STREAM:
+        if _is_stream(request, head):
             await self._forward_stream(
                 request, plan, listed, connection, head, out
             )
@@ -340,7 +343,7 @@
         self, request, plan, listed, connection, head, out
     ) -> None:
         """Forwards the complete events of a stream, so that it can resume."""
-        splitter = eventstream.Splitter(plan.last_event)
+        splitter = eventstream.Splitter(plan.event_ids, resumed=plan.begun)
         if not plan.begun:
             plan.version = listed.upstream.version
             headers = inboundrequest.caller_headers(head.headers)
@@ -357,9 +360,16 @@
                     plan.begun = True
                     await out.start(head.status, headers)
                 await out.write(complete)
-                plan.last_event = splitter.last_id
         await self._verifier.verify_end(plan, listed, splitter)
         if not plan.begun:
             plan.begun = True
             await out.start(head.status, headers)
         await out.end()
+
+
+def _is_stream(request, head: upstreamconnections.Head) -> bool:
+    return (
+        request.route.kind is directories.RequestKind.STREAM
+        and head.status < 300
+        and head.media_type in ('', answers.EVENT_STREAM)
+    )
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -10,6 +10,7 @@
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
+from radishcourse_policy import answers
 from radishcourse_policy import canary
 from radishcourse_policy import coldrate
 from radishcourse_policy import crashevidence
@@ -38,7 +39,7 @@
       service: The service that serves it, once chosen.
       version: The version that sends its stream, None before its head; a
         resumed stream stays with it.
-      last_event: Id of the last event that the caller has received.
+      event_ids: Ids of the events that the caller has received.
       begun: Whether the caller was sent the start of a response.
       confidence: Confidence of the last model in its answer, 0 to 100.
       retry_paid: Whether the retry budget has paid for the next attempt.
@@ -54,7 +55,9 @@
     model: ids.ModelId | None = None
     service: ids.ServiceId | None = None
     version: ids.VersionId | None = None
-    last_event: bytes | None = None
+    event_ids: answers.EventIds = dataclasses.field(
+        default_factory=answers.EventIds
+    )
     begun: bool = False
     confidence: float | None = None
     retry_paid: bool = False
@@ -64,6 +67,11 @@
         default_factory=upstreamconnections.Arrival
     )
 
+    @property
+    def last_event(self) -> bytes | None:
+        """Id of the last event that the caller has received."""
+        return self.event_ids.last
+
 
 class ServiceLoad(typing.NamedTuple):
     """Mean load of a service's upstreams.
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -51,6 +51,12 @@
     status: int
     headers: Headers
 
+    @property
+    def media_type(self) -> str:
+        """Media type of the body, in lower case; empty if it is not named."""
+        value, _, _ = (self.get(b'content-type') or b'').partition(b';')
+        return value.strip().lower().decode('latin-1')
+
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header."""
         return next((value for key, value in self.headers if key == name), None)
--- a/packages/gateway/src/radishcourse_gateway/verifier.py
+++ b/packages/gateway/src/radishcourse_gateway/verifier.py
@@ -31,22 +31,24 @@
     def judge_head(
         self,
         request: inboundrequest.InboundRequest,
+        plan: targets.Plan,
         connection: upstreamconnections.Connection,
         head: upstreamconnections.Head,
     ) -> answers.State:
         """Returns what an answer is to a request by its head."""
         names = self._header_names
         request_id = head.get(names.request_id)
-        media_type, _, _ = (head.get(b'content-type') or b'').partition(b';')
         return answers.judge_head(
-            answers.Expectation(request.request_id, connection.fresh),
+            answers.Expectation(
+                request.request_id, connection.fresh, resumed=plan.begun
+            ),
             answers.Head(
                 status=head.status,
                 request_id=request_id and request_id.decode('latin-1'),
                 stamped=head.get(names.stamp) is not None,
                 marked_not_run=head.get(names.not_run) is not None,
                 encoded=head.get(b'content-encoding') is not None,
-                media_type=media_type.strip().lower().decode('latin-1'),
+                media_type=head.media_type,
             ),
         )
 
--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -81,10 +81,13 @@
     Attributes:
       request_id: Its id, empty if the caller set none.
       fresh: Whether no other request was sent on the connection before.
+      resumed: Whether the answer continues a stream that the caller has begun
+        to receive.
     """
 
     request_id: str
     fresh: bool
+    resumed: bool = False
 
 
 class Head(typing.NamedTuple):
@@ -134,6 +137,9 @@
         return State.NOT_RUN
     if not head.stamped or head.encoded:
         return State.UNUSABLE
+    if expected.resumed and head.status < 500:
+        continues = head.status == 200 and head.media_type == EVENT_STREAM
+        return State.ARRIVING if continues else State.UNUSABLE
     if head.status in NOT_RUN_STATUSES:
         # Passed on, it would promise what the upstream did not say.
         return State.UNUSABLE
@@ -150,6 +156,48 @@
     return expected.fresh and not refused
 
 
+class EventIds:
+    """Ids of the events of a stream that the caller has received.
+
+    Attributes:
+      last: The last id as it was sent, None before the first.
+    """
+
+    def __init__(self):
+        self.last: bytes | None = None
+        self._first: int | None = None
+        self._last_number: int | None = None
+        self._count = 0
+
+    def note(self, event_ids: list[bytes]) -> None:
+        """Records the ids of further events, in order."""
+        for event_id in event_ids:
+            self.last = event_id
+            self._last_number = _to_number(event_id)
+            if self._count == 0:
+                self._first = self._last_number
+            self._count += 1
+
+    def may_precede(self, event_id: bytes | None) -> bool:
+        """Tells whether an event may be the next one.
+
+        Ids increase. Where they have done so by the same step, the next one
+        does, too. Ids that are no numbers can't be judged.
+        """
+        number = None if event_id is None else _to_number(event_id)
+        first, last = self._first, self._last_number
+        if number is None or first is None or last is None:
+            return False
+        if self._count == 1:
+            return number == last + 1
+        step, remainder = divmod(last - first, self._count - 1)
+        return number > last if remainder else number == last + step
+
+
+def _to_number(event_id: bytes) -> int | None:
+    return int(event_id) if event_id.isdigit() else None
+
+
 def judge_end(
     framing: Framing | None,
     end: End,
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -336,12 +336,15 @@
         with self.workers(first, sound_stream):
             self.assert_stream_served('empty rest')
 
-    def test_error_of_an_upstream_before_a_stream_is_passed_on(self):
-        for status, framing in itertools.product((400, 404, 500), FRAMINGS):
+    def test_answer_instead_of_a_stream_is_passed_on(self):
+        for status, framing in itertools.product(
+            (200, 400, 404, 500), FRAMINGS
+        ):
 
             def first(request, status=status, framing=framing):
+                extra = {'Content_Type': 'text/plain'}
                 return rawworker.Reply(
-                    rawworker.message(request, status, b'no', framing),
+                    rawworker.message(request, status, b'no', framing, **extra),
                     rawworker.End.CLOSE,
                 )
 
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -9,6 +9,7 @@
 from radishcourse_gateway import eventstream
 from radishcourse_gateway import records
 from radishcourse_model import ids
+from radishcourse_policy import answers
 from radishcourse_policy import coldrate
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import modelchoice
@@ -296,7 +297,8 @@
             b'id: %d' % number + end + b'data: x' + end + end
             for number in range(events)
         )
-        splitter, passed, rest = eventstream.Splitter(), b'', data
+        event_ids = answers.EventIds()
+        splitter, passed, rest = eventstream.Splitter(event_ids), b'', data
         for size in [*cuts, len(data)]:
             part, rest = rest[:size], rest[size:]
             complete = splitter.feed(part)
@@ -305,4 +307,4 @@
                 self.assertTrue(complete.endswith(end))
         self.assertEqual(data, passed + splitter.partial)
         if events:
-            self.assertEqual(b'%d' % (events - 1), splitter.last_id)
+            self.assertEqual(b'%d' % (events - 1), event_ids.last)
