--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -9,12 +9,11 @@
 from radishcourse_node import events
 from radishcourse_node import guard
 from radishcourse_node import job as jobs
+from radishcourse_policy import answers
 
 MAX_ATTEMPTS = 3
 MAX_ANSWER_BYTES = 16 * 2**20
 _FORWARDED_HEADERS = ('content-type', 'accept', 'idempotency-key')
-_FRAMING_HEADERS = {b'content-length', b'transfer-encoding'}
-_BODILESS_STATUSES = (204, 304)
 _RETURNED_HEADERS = (b'content-type', b'etag', b'location', b'cache-control')
 
 
@@ -69,6 +68,7 @@
                     upstream.trace,
                 ),
             ) as response:
+                _check_owner(job, response)
                 upstream.note_engine_headers(
                     engines.read_engine_headers(response)
                 )
@@ -120,6 +120,19 @@
         )
 
 
+def _check_owner(job: jobs.Job, response: httpcore.Response) -> None:
+    """Checks that a response does not name another request.
+
+    Raises:
+      AttemptError: It does.
+    """
+    for name, value in response.headers:
+        if name.lower() == b'x-request-id' and value != job.request_id.encode():
+            raise errors.AttemptError(
+                'response carries the id of another request', sent=True
+            )
+
+
 async def _read_body(response: httpcore.Response, method: str) -> bytes:
     """Returns the complete response body.
 
@@ -128,8 +141,13 @@
         chunked framing, so that a truncated body would go unnoticed.
     """
     names = {name.lower() for name, _ in response.headers}
-    bodiless = method == 'HEAD' or response.status in _BODILESS_STATUSES
-    if not bodiless and not names & _FRAMING_HEADERS:
+    framing = answers.framing(
+        method,
+        response.status,
+        b'content-length' in names,
+        b'transfer-encoding' in names,
+    )
+    if framing is answers.Framing.CLOSE:
         raise errors.AttemptError(
             'response body has neither content-length nor chunked encoding',
             sent=True,
--- a/tests/rawworker.py
+++ b/tests/rawworker.py
@@ -51,11 +51,13 @@
       target: Its path and query.
       headers: Header values by lower-case name.
       connection: Number of its connection at the worker.
+      body: Its body.
     """
 
     target: str
     headers: dict[str, str]
     connection: int
+    body: bytes
 
     @property
     def request_id(self) -> str:
@@ -233,7 +235,7 @@
         if not part:
             return None
         body += part
-    return Request(lines[0].split(' ')[1], headers, number)
+    return Request(lines[0].split(' ')[1], headers, number, body)
 
 
 def head(
--- /dev/null
+++ b/tests/test_node_answers.py
@@ -0,0 +1,177 @@
+"""Answers to radishcourse-node that are not what their last byte suggests."""
+
+import contextlib
+import json
+import pathlib
+import tempfile
+
+import httpcore
+import testtools
+
+from radishcourse_standins import processes
+from tests import cluster as clusters
+from tests import rawworker
+from tests import streaming
+
+ORDERS = '/v1/services/order-desk/orders'
+STOCK = '/v1/services/order-desk/stock/1'
+TOKENS = 4
+BOOT = {'X_Engine_Boot': 'raw', 'X_Engine_State': 'warm'}
+STREAM = {'Content_Type': 'text/event-stream', **BOOT}
+
+
+@contextlib.contextmanager
+def running(*replies):
+    """Yields a cluster of one node, and the script of its desk and engine."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        processes.started(pathlib.Path(folder)) as started,
+    ):
+        cluster = clusters.Cluster(started, 1)
+        script = rawworker.Script(*replies)
+        workers = {
+            name: rawworker.RawWorker(name, script)
+            for name in ('desk-1', 'small-1')
+        }
+        for name, worker in workers.items():
+            cluster.upstreams[name] = None
+            cluster.link(f'all>{name}', worker.address)
+        cluster.apply(clusters.make_document(cluster))
+        cluster.start_nodes()
+        cluster.wait_ready()
+        try:
+            yield cluster, script
+        finally:
+            for worker in workers.values():
+                worker.stop()
+
+
+def _call(cluster, method: str, path: str) -> clusters.Reply | None:
+    try:
+        return cluster.request(method, 'entry-0', path, b'{"order": "a"}')
+    except httpcore.RemoteProtocolError:
+        return None
+
+
+def _event(request: rawworker.Request, index: int) -> bytes:
+    request_id = json.loads(request.body)['request_id']
+    reason = 'stop' if index == TOKENS else None
+    event = {
+        'request_id': request_id,
+        'index': index,
+        'choices': [
+            {'delta': {'content': str(index)}, 'finish_reason': reason}
+        ],
+        'usage': {'completion_tokens': TOKENS},
+    }
+    return b'data: ' + json.dumps(event).encode() + b'\n\n'
+
+
+def _begin_stream(request: rawworker.Request) -> rawworker.Reply:
+    data = rawworker.head(request, 200, chunked=True, **STREAM)
+    for index in range(2):
+        data += rawworker.chunk(_event(request, index))
+    return rawworker.Reply(data, rawworker.End.CLOSE)
+
+
+class ServiceAnswerTest(testtools.TestCase):
+    """Guards against a service's answers that belong to another request."""
+
+    def test_refusal_of_a_service_is_never_taken_for_not_run(self):
+        answers = []
+
+        def refuse(request):
+            status, request_id, marked = answers[-1]
+            extra = {'X_Request_Id': request_id}
+            if marked:
+                extra['X_Not_Executed'] = '1'
+            data = rawworker.message(request, status, b'', 'length', **extra)
+            return rawworker.Reply(data, rawworker.End.CLOSE)
+
+        with running(refuse) as (cluster, script):
+            for status in (503, 500):
+                for request_id in ('another', None):
+                    for marked in (True, False):
+                        answers.append((status, request_id, marked))
+                        reply = _call(cluster, 'POST', ORDERS)
+                        outcome = reply.headers['x-radish-outcome']
+                        self.assertEqual('unknown', outcome, answers[-1])
+            self.assertEqual(len(answers), len(script.requests))
+
+    def test_answer_with_the_id_of_another_request_is_not_passed_on(self):
+        def answer(request):
+            extra = {'X_Request_Id': 'another'}
+            data = rawworker.message(request, 200, b'{}', 'length', **extra)
+            return rawworker.Reply(data)
+
+        with running(answer) as (cluster, _):
+            for method, path in (('POST', ORDERS), ('GET', STOCK)):
+                self.assertGreaterEqual(
+                    _call(cluster, method, path).status, 500
+                )
+
+    def test_answer_that_breaks_off_in_its_head_is_not_passed_on(self):
+        cuts = []
+
+        def cut(request):
+            data = rawworker.message(request, 200, b'{}', 'length')
+            return rawworker.Reply(data[: cuts[-1]], rawworker.End.CLOSE)
+
+        with running(cut) as (cluster, _):
+            for size in range(1, 60, 7):
+                cuts.append(size)
+                reply = _call(cluster, 'POST', ORDERS)
+                self.assertGreaterEqual(reply.status, 500, size)
+
+    def test_answer_without_length_is_not_passed_on(self):
+        def answer(request):
+            data = rawworker.message(request, 200, b'{}', 'close')
+            return rawworker.Reply(data, rawworker.End.CLOSE)
+
+        with running(answer) as (cluster, _):
+            for method, path in (('POST', ORDERS), ('GET', STOCK)):
+                self.assertGreaterEqual(
+                    _call(cluster, method, path).status, 500
+                )
+
+
+class EngineStreamTest(testtools.TestCase):
+    """Guards against answers that are taken for the rest of a stream."""
+
+    def _assert_interrupted(self, second) -> None:
+        with running(_begin_stream, second) as (cluster, _):
+            node = cluster.nodes['entry-0']
+            answer = streaming.stream(node, max_tokens=TOKENS, kind='tag')
+        self.assertTrue(answer.interrupted, answer.body)
+        self.assertNotIn(b'no such', answer.body)
+        self.assertEqual([0, 1], [event['index'] for event in answer.events])
+
+    def test_error_of_the_engine_does_not_continue_a_stream(self):
+        for status, framing in (
+            (404, 'length'),
+            (200, 'close'),
+            (500, 'close'),
+        ):
+
+            def second(request, status=status, framing=framing):
+                data = rawworker.message(
+                    request, status, b'no such stream', framing, **BOOT
+                )
+                return rawworker.Reply(data, rawworker.End.CLOSE)
+
+            self._assert_interrupted(second)
+
+    def test_stream_that_ends_early_without_length_is_not_whole(self):
+        def second(request):
+            body = b'' if 'from_index' in request.body.decode() else b'no such'
+            data = rawworker.message(request, 200, body, 'close', **STREAM)
+            return rawworker.Reply(data, rawworker.End.CLOSE)
+
+        self._assert_interrupted(second)
+
+    def test_resumption_that_breaks_off_in_its_head_is_not_whole(self):
+        def second(request):
+            data = rawworker.head(request, 200, chunked=True, **STREAM)
+            return rawworker.Reply(data[:40], rawworker.End.CLOSE)
+
+        self._assert_interrupted(second)
