--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -25,6 +25,8 @@
         self._configuration = node.configuration
         self._upstreams = node.upstreams
         self._guard = guard.Guard(node)
+        # A surplus answer on a kept connection would be read as that of the
+        # next call, as services need not name the call that they answer.
         self._single_use_pools = engines.Pools(keep_alive=False)
 
     async def run(self, job: jobs.Job) -> jobs.Answer:
@@ -52,11 +54,8 @@
             tried.add(upstream.upstream_id)
             self._guard.check_view(job)
             query = f'?{job.query}' if job.query else ''
-            pool = upstream.pool
-            if not job.safe_to_retry:
-                pool = self._single_use_pools.get(upstream.address)
             async with engines.open_response(
-                pool,
+                self._single_use_pools.get(upstream.address),
                 job.method,
                 f'http://{upstream.address}{job.call.path}{query}',
                 _make_headers(job),
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -110,6 +110,24 @@
                     _call(cluster, method, path).status, 500
                 )
 
+    def test_second_answer_on_a_connection_reaches_no_other_request(self):
+        bodies = iter(range(100))
+
+        def answer_twice(request):
+            number = next(bodies)
+            data = b''.join(
+                rawworker.message(
+                    request, 200, body, 'length', X_Request_Id=None
+                )
+                for body in (b'"own %d"' % number, b'"surplus"')
+            )
+            return rawworker.Reply(data)
+
+        with running(answer_twice) as (cluster, _):
+            for number in range(4):
+                reply = _call(cluster, 'GET', STOCK)
+                self.assertEqual(f'own {number}', reply.json)
+
     def test_answer_that_breaks_off_in_its_head_is_not_passed_on(self):
         cuts = []
 
