Log what arrived of the attempt at hand, not of the one before

Cause: the record of what arrived was made when the request was sent, not when the attempt began. Change: it is made at the start of each attempt.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -181,6 +181,7 @@
         prefill_s = self._targets.prefill_s(request, plan)
         started_at = self._clock.now()
         plan.head_at = None
+        plan.arrival = upstreamconnections.Arrival()
         attemptlog.log_start(request, plan, listed, started_at)
         with (
             self._load.count(entry.upstream_id, prefill_s) as finish_prefill,
@@ -292,7 +293,6 @@
 
     async def _receive_head(self, request, plan, listed, connection):
         headers = self._request_headers(request, plan, listed)
-        plan.arrival = upstreamconnections.Arrival()
         with self._attempt_timeout.for_answer(request, plan, listed):
             return await connection.request(
                 request.method,
