--- a/packages/standins/src/radishcourse_standins/worker.py
+++ b/packages/standins/src/radishcourse_standins/worker.py
@@ -29,8 +29,13 @@
     running it, HANG runs it and never answers, CLOSE runs it and closes the
     connection, TRUNCATE sends less than the announced body, CUT closes a
     stream within an event, EXTRA sends a second response, FOREIGN answers
-    with another request's id, UNFRAMED ends a stream by closing its connection
-    and UNFRAMED_CUT does so within an event, UNSTAMPED omits the server stamp,
+    with another request's id, UNFRAMED ends an answer by closing its connection
+    and UNFRAMED_CUT does so within an event, UNFRAMED_CRASH ends the process
+    after a part of such an answer, HALF_HEAD closes within the head, UNSAID
+    refuses after running a request, without saying that it has not, STALE sends
+    an earlier refusal once more after running a request, NO_STREAM answers 404
+    where a stream is to be resumed and RESTARTED begins it again at its first
+    event (both cut other streams), UNSTAMPED omits the server stamp,
     EARLY answers before reading the body, SILENT stops sending in the middle of
     a stream.
 
@@ -53,13 +58,22 @@
     SILENT = 'silent'
     UNFRAMED = 'unframed'
     UNFRAMED_CUT = 'unframed_cut'
+    UNFRAMED_CRASH = 'unframed_crash'
+    HALF_HEAD = 'half_head'
+    UNSAID = 'unsaid'
+    STALE = 'stale'
+    NO_STREAM = 'no_stream'
+    RESTARTED = 'restarted'
     ENDLESS_HEAD = 'endless_head'
     ENDLESS_INTERIM = 'endless_interim'
     ENDLESS_BODY = 'endless_body'
     ENDLESS_ERROR = 'endless_error'
 
 
-_UNFRAMED_FAULTS = (Fault.UNFRAMED, Fault.UNFRAMED_CUT)
+_UNFRAMED_FAULTS = (Fault.UNFRAMED, Fault.UNFRAMED_CUT, Fault.UNFRAMED_CRASH)
+# Faults that cut a stream, and change the answer that is to continue it.
+_RESUMED_FAULTS = (Fault.NO_STREAM, Fault.RESTARTED)
+_PROBES = ('/health', '/v1/report')
 _ENDLESS_FAULTS = (
     Fault.ENDLESS_HEAD,
     Fault.ENDLESS_INTERIM,
@@ -133,6 +147,7 @@
         self._runs: list[Run] = []
         self._disconnects: collections.Counter[str] = collections.Counter()
         self._connections = 0
+        self._refused = ''
 
     async def serve(self, port: int) -> None:
         """Serves on a loopback port until cancelled."""
@@ -221,7 +236,14 @@
                 stream, run.headers, 421, b'', stamp=False
             )
             return True
+        if run.target in _PROBES:
+            extra = {'x-instance-id': self._name}
+            await self._send_response(
+                stream, run.headers, 200, b'', extra=extra
+            )
+            return True
         if fault is Fault.SHED:
+            self._refused = run.request
             await self._send_response(
                 stream,
                 run.headers,
@@ -239,6 +261,13 @@
         await anyio.sleep(self._settings.delay_ms / 1000)
         if fault is Fault.CLOSE:
             return False
+        if fault is Fault.HALF_HEAD:
+            head = self._head(run.headers, 200, 10)
+            await stream.send(head[: len(head) // 2])
+            return False
+        if fault in (Fault.UNSAID, Fault.STALE):
+            await self._send_false_refusal(stream, run, fault)
+            return True
         if fault is Fault.ERROR:
             await self._send_response(stream, run.headers, 500, b'failed')
             return True
@@ -258,6 +287,17 @@
         }
         print(msgspec.json.encode(line).decode(), flush=True)
 
+    async def _send_false_refusal(self, stream, run: Run, fault: Fault) -> None:
+        """Sends a refusal though the request has run."""
+        if fault is Fault.UNSAID:
+            await self._send_response(stream, run.headers, 503, b'')
+            return
+        headers = {'x-request-id': self._refused or 'another'}
+        extra = {NOT_EXECUTED_HEADER: '1'}
+        await self._send_response(
+            stream, headers, 503, b'', stamp=False, extra=extra
+        )
+
     async def _send_service_answer(
         self, stream, run: Run, fault: Fault
     ) -> bool:
@@ -265,6 +305,17 @@
         headers = dict(run.headers)
         if fault is Fault.FOREIGN:
             headers['x-request-id'] = 'another'
+        if fault in _UNFRAMED_FAULTS:
+            head = self._head(headers, 200, None)
+            await stream.send(
+                head.replace(b'Transfer-Encoding: chunked\r\n', b'')
+            )
+            if fault is Fault.UNFRAMED:
+                await stream.send(body)
+                return False
+            await stream.send(body[: len(body) // 2])
+            await anyio.sleep(CRASH_DELAY_S)
+            os._exit(1)
         if fault is Fault.TRUNCATE:
             await stream.send(self._head(headers, 200, len(body) + 10))
             await stream.send(body)
@@ -285,6 +336,11 @@
             extra['server-limit'] = self._settings.limit
         if fault in _UNFRAMED_FAULTS:
             return await self._send_unframed(stream, headers, fault, extra)
+        if fault is Fault.NO_STREAM and 'last-event-id' in headers:
+            await self._send_response(stream, headers, 404, b'no such stream')
+            return True
+        if fault is Fault.RESTARTED:
+            headers.pop('last-event-id', None)
         await stream.send(self._head(headers, 200, None, extra=extra))
         if self._crash_part in _shared_parts(headers):
             await anyio.sleep(CRASH_DELAY_S)
@@ -293,7 +349,8 @@
         try:
             for number in range(first, self._settings.events + 1):
                 event = f'id: {number}\ndata: {model} {number}\n\n'.encode()
-                if fault is Fault.CUT and number == first + 1:
+                cuts = fault is Fault.CUT or fault in _RESUMED_FAULTS
+                if cuts and number == first + 1:
                     half = event[: len(event) // 2]
                     await stream.send(b'%x\r\n' % len(half) + half + b'\r\n')
                     return False
@@ -316,6 +373,9 @@
         model = headers.get('x-model', '')
         for number in range(first, self._settings.events + 1):
             event = f'id: {number}\ndata: {model} {number}\n\n'.encode()
+            if fault is Fault.UNFRAMED_CRASH and number == first + 1:
+                await anyio.sleep(CRASH_DELAY_S)
+                os._exit(1)
             if fault is Fault.UNFRAMED_CUT and number == first + 1:
                 event = event[: len(event) // 2]
             await stream.send(event)
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -154,14 +154,40 @@
 def worker_behaviour(soak: Soak, rng: random.Random, name: str):
     """A worker fails, truncates, mixes up or withholds some answers."""
     faults = 'error shed hang close truncate cut extra foreign unstamped silent'
+    _change_behaviour(soak, rng, name, faults)
+    yield
+    soak.site.set_behaviour(name, events=EVENTS_PER_STREAM)
+
+
+@_exclusive_fault(_permanent_workers)
+def worker_answers(soak: Soak, rng: random.Random, name: str):
+    """A worker's answers are not what their last byte suggests."""
+    faults = 'unframed half_head unsaid stale no_stream restarted'
+    _change_behaviour(soak, rng, name, faults)
+    yield
+    soak.site.set_behaviour(name, events=EVENTS_PER_STREAM)
+
+
+@_exclusive_fault(_permanent_workers)
+def worker_crash(soak: Soak, rng: random.Random, name: str):
+    """A worker crashes within an answer that only its connection ends."""
+    _change_behaviour(soak, rng, name, 'unframed_crash')
+    yield
+    process = soak.site.workers[name]
+    if process.popen.poll() is None:
+        process.kill()
+    soak.site.restart_worker(name, name.partition('-')[0])
+    soak.site.wait_workers(name)
+
+
+def _change_behaviour(soak, rng: random.Random, name: str, faults: str) -> None:
+    """Sets one of the faults for some answers of a worker."""
     soak.site.set_behaviour(
         name,
         fault=rng.choice(faults.split()),
         count=rng.randrange(1, 12),
         events=EVENTS_PER_STREAM,
     )
-    yield
-    soak.site.set_behaviour(name, events=EVENTS_PER_STREAM)
 
 
 @_exclusive_fault(_permanent_workers)
