Serve answers without length of upstreams that only remove their entry

What callers would see: 502 for an order whose upstream had answered it in whole, without length, and left in order without announcing it. Cause: only a draining entry counted as leaving; some upstreams remove their entry instead and go on for a while. A crashed one's entry expires, too, but after its connections ended.

Change: an upstream whose entry was removed counts as leaving if its answer's end was still being waited for a tenth of a second after the removal, and the store had not just come back. Ids of events that grow by no regular step are told from regular ones by each step, not by the mean of all.

--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -70,11 +70,14 @@
       framing: What marks the end of its body, None before its head.
       received: Bytes of its body.
       end: How its body ended.
+      waited: Whether nothing had arrived when the last part or the end of the
+        connection was waited for; only set with `Framing.CLOSE`.
     """
 
     framing: answers.Framing | None = None
     received: int = 0
     end: answers.End = answers.End.OPEN
+    waited: bool = False
 
 
 class ConnectionRefused(errors.UpstreamError):
@@ -123,11 +126,14 @@
         """Tells whether the upstream most likely still keeps it open."""
         if self._closed or now - self.last_used_at > self._idle_timeout_s / 2:
             return False
+        # Readable while idle: closed, or bytes that belong to no request.
+        return not self._is_readable()
+
+    def _is_readable(self) -> bool:
         raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
         poll = select.poll()
         poll.register(raw.fileno(), select.POLLIN)
-        # Readable while idle: closed, or bytes that belong to no request.
-        return not poll.poll(0)
+        return bool(poll.poll(0))
 
     async def request(
         self,
@@ -237,6 +243,8 @@
                     raise errors.UpstreamError('bytes after the response', True)
                 if event is not h11.NEED_DATA:
                     return event
+                if self._arrival.framing is answers.Framing.CLOSE:
+                    self._arrival.waited = not self._is_readable()
                 try:
                     data = await self._stream.receive(READ_BYTES)
                 except anyio.EndOfStream:
--- a/packages/gateway/src/radishcourse_gateway/verifier.py
+++ b/packages/gateway/src/radishcourse_gateway/verifier.py
@@ -13,6 +13,9 @@
 
 # A probe may wait for a slot of the upstream, about as long as a request.
 PROBE_TIMEOUT_S = 1.0
+# A node that was suspended learns of an upstream's end and of the removal of
+# its entry within less than this time, in any order.
+SUSPENSION_MARGIN_S = 0.1
 
 
 class Verifier:
@@ -77,7 +80,7 @@
             and not unfinished
             and not empty
         ):
-            sender = await self._find_sender(listed)
+            sender = await self._find_sender(listed, arrival)
         state = answers.judge_end(
             arrival.framing, arrival.end, sender, unfinished, empty
         )
@@ -92,10 +95,12 @@
         )
 
     async def _find_sender(
-        self, listed: views.ListedUpstream
+        self,
+        listed: views.ListedUpstream,
+        arrival: upstreamconnections.Arrival,
     ) -> answers.Sender:
         """Asks for an upstream's process at its address."""
-        if self._is_draining(listed):
+        if self._is_leaving(listed, arrival):
             return answers.Sender.LEAVING
         if self._crashes.is_known_ended(listed):
             return answers.Sender.ENDED
@@ -108,13 +113,25 @@
         except (errors.UpstreamError, TimeoutError):
             return answers.Sender.UNKNOWN
 
-    def _is_draining(self, listed: views.ListedUpstream) -> bool:
+    def _is_leaving(
+        self,
+        listed: views.ListedUpstream,
+        arrival: upstreamconnections.Arrival,
+    ) -> bool:
+        """Tells whether an upstream had to end after it had answered.
+
+        Some announce it, others only remove their entry. The entry of one that
+        has crashed expires as well, but after its connections have ended.
+        """
         known = self._view.upstreams.get(listed.upstream.upstream_id)
-        return (
-            known is not None
-            and known.incarnation == listed.incarnation
-            and known.upstream.state is upstreams.ListedState.DRAINING
-        )
+        if known is None or known.incarnation != listed.incarnation:
+            return False
+        if known.upstream.state is upstreams.ListedState.DRAINING:
+            return True
+        if known.gone_at is None or self._view.may_have_expired(known):
+            return False
+        gone_s = self._clock.now() - known.gone_at
+        return arrival.waited and gone_s > SUSPENSION_MARGIN_S
 
     async def _probe(self, listed: views.ListedUpstream) -> answers.Sender:
         """Sends a request that only the upstream itself may answer.
--- a/packages/gateway/src/radishcourse_gateway/view.py
+++ b/packages/gateway/src/radishcourse_gateway/view.py
@@ -226,14 +226,14 @@
         ]
         present = [listed for listed in ready if listed.gone_at is None]
         return present or [
-            item for item in ready if self._may_have_expired(item)
+            item for item in ready if self.may_have_expired(item)
         ]
 
     def note_store_recovered(self) -> None:
         """Starts the grace period for entries that expired in an outage."""
         self._store_recovered_at = self._clock.now()
 
-    def _may_have_expired(self, listed: ListedUpstream) -> bool:
+    def may_have_expired(self, listed: ListedUpstream) -> bool:
         """Tells whether an entry may have expired in an outage of the store."""
         recovered_at = self._store_recovered_at
         if (
--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -64,7 +64,7 @@
     """What is known of the process that sent an answer, after its end.
 
     RUNNING: it has answered since.
-    LEAVING: it had announced that it would end.
+    LEAVING: it had announced that it would end, or outlived its entry.
     ENDED: nothing, or another process, listens at its address.
     UNKNOWN: its address does not respond.
     """
@@ -165,18 +165,20 @@
 
     def __init__(self):
         self.last: bytes | None = None
-        self._first: int | None = None
         self._last_number: int | None = None
-        self._count = 0
+        self._step: int | None = None
+        self._regular = True
 
     def note(self, event_ids: list[bytes]) -> None:
         """Records the ids of further events, in order."""
         for event_id in event_ids:
-            self.last = event_id
-            self._last_number = _to_number(event_id)
-            if self._count == 0:
-                self._first = self._last_number
-            self._count += 1
+            number, before = _to_number(event_id), self._last_number
+            self.last, self._last_number = event_id, number
+            if number is None or before is None:
+                continue
+            if self._step not in (None, number - before):
+                self._regular = False
+            self._step = number - before
 
     def may_precede(self, event_id: bytes | None) -> bool:
         """Tells whether an event may be the next one.
@@ -185,13 +187,12 @@
         does, too. Ids that are no numbers can't be judged.
         """
         number = None if event_id is None else _to_number(event_id)
-        first, last = self._first, self._last_number
-        if number is None or first is None or last is None:
+        if number is None or self._last_number is None:
             return False
-        if self._count == 1:
-            return number == last + 1
-        step, remainder = divmod(last - first, self._count - 1)
-        return number > last if remainder else number == last + step
+        growth = number - self._last_number
+        if not self._regular:
+            return growth > 0
+        return growth > 0 and growth == (self._step or 1)
 
 
 def _to_number(event_id: bytes) -> int | None:
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -3,7 +3,9 @@
 import contextlib
 import http.client
 import itertools
+import time
 
+from radishcourse_gateway import verifier
 from tests import rawworker
 from tests import site as sites
 from tests import sitefiles
@@ -185,20 +187,24 @@
 class SoundUnframedAnswerTest(RawSiteTest):
     """Guards against sound answers without length that are not served."""
 
-    def _leave(self) -> None:
-        """Lists the workers as draining, which they do before they end."""
+    def _drain(self) -> None:
+        """Lists the workers as draining, which most do before they end."""
         for name, address in self._addresses.items():
             self.site.write_entry(
                 name, 'raw', address=address, state='draining'
             )
-        sites.wait_until(
-            lambda: (
-                self.send(
-                    'GET', f'/raw-stock{rawworker.UNSCRIPTED_ITEM}'
-                ).status
-                == 503
-            )
-        )
+        self._wait_left()
+
+    def _remove(self) -> None:
+        """Removes the workers' entries, as the others do."""
+        for name in self._addresses:
+            self.site.put('servers', name, None)
+        self._wait_left()
+        time.sleep(verifier.SUSPENSION_MARGIN_S)
+
+    def _wait_left(self) -> None:
+        path = f'/raw-stock{rawworker.UNSCRIPTED_ITEM}'
+        sites.wait_until(lambda: self.send('GET', path).status == 503)
 
     def test_answer_of_a_running_upstream_is_served_once(self):
         worker = rawworker.Listener.WORKER
@@ -221,7 +227,9 @@
                 self.assertEqual(1, len(script.requests))
 
     def test_answer_of_an_upstream_that_leaves_in_order_is_served_once(self):
-        for listener in AFTER_A_CRASH:
+        for leave, listener in itertools.product(
+            (self._drain, self._remove), AFTER_A_CRASH
+        ):
             for method, path, body, extra in (
                 ('POST', '/raw-order/1', b'whole', {}),
                 ('GET', '/raw-stock/1', b'whole', {}),
@@ -230,14 +238,14 @@
             ):
                 reply = unframed(body, listener, **extra)
 
-                def leave(request, reply=reply):
+                def leave_after(request, reply=reply, leave=leave):
                     made = reply(request)
-                    made.before_end = self._leave
+                    made.before_end = leave
                     return made
 
-                with self.workers(leave, count=1) as script:
+                with self.workers(leave_after, count=1) as script:
                     response = self.call(method, path)
-                    case = (listener, path)
+                    case = (leave.__name__, listener, path)
                     self.assertTrue(response.whole, case)
                     self.assertEqual(200, response.status, case)
                     self.assertEqual(body, response.body, case)
