--- a/packages/standins/src/radishcourse_standins/worker.py
+++ b/packages/standins/src/radishcourse_standins/worker.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import enum
 import os
 import time
 
@@ -14,98 +13,15 @@
 import h11
 import msgspec
 
+from radishcourse_standins import workerfaults
+
 HANG_S = 60.0
 READ_BYTES = 64 * 1024
 # Time from the head of an answer to the crash that its prompt causes.
 CRASH_DELAY_S = 0.05
 STAMP_HEADER = 'x-server-stamp'
 NOT_EXECUTED_HEADER = 'x-not-executed'
-
-
-class Fault(enum.Enum):
-    """Fault of a response.
-
-    ERROR answers 500 after running the request, SHED answers 503 without
-    running it, HANG runs it and never answers, CLOSE runs it and closes the
-    connection, TRUNCATE sends less than the announced body, CUT closes a
-    stream within an event, EXTRA sends a second response, FOREIGN answers
-    with another request's id, UNFRAMED ends an answer by closing its connection
-    and UNFRAMED_CUT does so within an event, UNFRAMED_CRASH ends the process
-    after a part of such an answer, HALF_HEAD closes within the head, UNSAID
-    refuses after running a request, without saying that it has not, STALE sends
-    an earlier refusal once more after running a request, NO_STREAM answers 404
-    where a stream is to be resumed and RESTARTED begins it again at its first
-    event (both cut other streams), UNSTAMPED omits the server stamp,
-    EARLY answers before reading the body, SILENT stops sending in the middle of
-    a stream.
-
-    ENDLESS_HEAD sends a header without end, ENDLESS_INTERIM interim responses,
-    ENDLESS_BODY a body and ENDLESS_ERROR the body of an error, each until the
-    caller disconnects.
-    """
-
-    NONE = 'none'
-    ERROR = 'error'
-    SHED = 'shed'
-    HANG = 'hang'
-    CLOSE = 'close'
-    TRUNCATE = 'truncate'
-    CUT = 'cut'
-    EXTRA = 'extra'
-    FOREIGN = 'foreign'
-    UNSTAMPED = 'unstamped'
-    EARLY = 'early'
-    SILENT = 'silent'
-    UNFRAMED = 'unframed'
-    UNFRAMED_CUT = 'unframed_cut'
-    UNFRAMED_CRASH = 'unframed_crash'
-    HALF_HEAD = 'half_head'
-    UNSAID = 'unsaid'
-    STALE = 'stale'
-    NO_STREAM = 'no_stream'
-    RESTARTED = 'restarted'
-    ENDLESS_HEAD = 'endless_head'
-    ENDLESS_INTERIM = 'endless_interim'
-    ENDLESS_BODY = 'endless_body'
-    ENDLESS_ERROR = 'endless_error'
-
-
-_UNFRAMED_FAULTS = (Fault.UNFRAMED, Fault.UNFRAMED_CUT, Fault.UNFRAMED_CRASH)
-# Faults that cut a stream, and change the answer that is to continue it.
-_RESUMED_FAULTS = (Fault.NO_STREAM, Fault.RESTARTED)
 _PROBES = ('/health', '/v1/report')
-_ENDLESS_FAULTS = (
-    Fault.ENDLESS_HEAD,
-    Fault.ENDLESS_INTERIM,
-    Fault.ENDLESS_BODY,
-    Fault.ENDLESS_ERROR,
-)
-
-
-class Settings(msgspec.Struct):
-    """Behaviour that `POST /control/settings` sets.
-
-    Attributes:
-      fault: Fault of the responses.
-      count: Number of responses with the fault; later ones are correct.
-      delay_ms: Time until a response starts.
-      events: Events of a stream.
-      event_ms: Time between two events.
-      piece_bytes: Bytes in each piece of an endless response.
-      piece_ms: Time between two pieces.
-      confidence: Value of the `x-confidence` header of streams by model.
-      limit: Value of the `server-limit` header of streams; empty for none.
-    """
-
-    fault: Fault = Fault.NONE
-    count: int = 1_000_000
-    delay_ms: float = 1.0
-    events: int = 3
-    event_ms: float = 1.0
-    piece_bytes: int = 16 * 1024
-    piece_ms: float = 0.0
-    confidence: dict[str, int] = {}
-    limit: str = ''
 
 
 class Run(msgspec.Struct):
@@ -143,7 +59,7 @@
         self._name = name
         self._crash_part = crash_part
         self._stream = stream
-        self._settings = Settings(events=events)
+        self._settings = workerfaults.Settings(events=events)
         self._runs: list[Run] = []
         self._disconnects: collections.Counter[str] = collections.Counter()
         self._connections = 0
@@ -188,7 +104,7 @@
             name.decode(): value.decode() for name, value in request.headers
         }
         fault = self._next_fault(request)
-        if fault is Fault.EARLY:
+        if fault is workerfaults.Fault.EARLY:
             await self._send_response(stream, headers, 413, b'too long')
         body = b''
         while isinstance(
@@ -197,7 +113,7 @@
             body += bytes(event.data)
         parser.send(h11.Response(status_code=200, headers=[]))
         parser.send(h11.EndOfMessage())
-        if fault is Fault.EARLY:
+        if fault is workerfaults.Fault.EARLY:
             return True
         target = request.target.decode()
         if target.startswith('/control/'):
@@ -212,16 +128,18 @@
         )
         return await self._run(stream, run, fault)
 
-    def _next_fault(self, request: h11.Request) -> Fault:
+    def _next_fault(self, request: h11.Request) -> workerfaults.Fault:
         settings = self._settings
         if request.target.startswith(b'/control/') or settings.count <= 0:
-            return Fault.NONE
+            return workerfaults.Fault.NONE
         settings.count -= 1
         return settings.fault
 
     async def _control(self, stream, target: str, body: bytes) -> None:
         if target == '/control/settings':
-            self._settings = msgspec.json.decode(body, type=Settings)
+            self._settings = msgspec.json.decode(
+                body, type=workerfaults.Settings
+            )
         state = {
             'runs': self._runs,
             'left': self._disconnects,
@@ -229,7 +147,7 @@
         }
         await self._send_response(stream, {}, 200, msgspec.json.encode(state))
 
-    async def _run(self, stream, run: Run, fault: Fault) -> bool:
+    async def _run(self, stream, run: Run, fault: workerfaults.Fault) -> bool:
         expected = run.headers.get('x-expect-instance', self._name)
         if expected != self._name:
             await self._send_response(
@@ -242,7 +160,7 @@
                 stream, run.headers, 200, b'', extra=extra
             )
             return True
-        if fault is Fault.SHED:
+        if fault is workerfaults.Fault.SHED:
             self._refused = run.request
             await self._send_response(
                 stream,
@@ -255,23 +173,23 @@
             return True
         self._runs.append(run)
         self._log_run(run)
-        if fault is Fault.HANG:
+        if fault is workerfaults.Fault.HANG:
             await self._wait_for_disconnect(stream, run.request)
             return False
         await anyio.sleep(self._settings.delay_ms / 1000)
-        if fault is Fault.CLOSE:
+        if fault is workerfaults.Fault.CLOSE:
             return False
-        if fault is Fault.HALF_HEAD:
+        if fault is workerfaults.Fault.HALF_HEAD:
             head = self._head(run.headers, 200, 10)
             await stream.send(head[: len(head) // 2])
             return False
-        if fault in (Fault.UNSAID, Fault.STALE):
+        if fault in (workerfaults.Fault.UNSAID, workerfaults.Fault.STALE):
             await self._send_false_refusal(stream, run, fault)
             return True
-        if fault is Fault.ERROR:
+        if fault is workerfaults.Fault.ERROR:
             await self._send_response(stream, run.headers, 500, b'failed')
             return True
-        if fault in _ENDLESS_FAULTS:
+        if fault in workerfaults.ENDLESS_FAULTS:
             await self._send_endless(stream, run, fault)
         if self._stream:
             return await self._send_stream(stream, run, fault)
@@ -287,9 +205,11 @@
         }
         print(msgspec.json.encode(line).decode(), flush=True)
 
-    async def _send_false_refusal(self, stream, run: Run, fault: Fault) -> None:
+    async def _send_false_refusal(
+        self, stream, run: Run, fault: workerfaults.Fault
+    ) -> None:
         """Sends a refusal though the request has run."""
-        if fault is Fault.UNSAID:
+        if fault is workerfaults.Fault.UNSAID:
             await self._send_response(stream, run.headers, 503, b'')
             return
         headers = {'x-request-id': self._refused or 'another'}
@@ -299,34 +219,36 @@
         )
 
     async def _send_service_answer(
-        self, stream, run: Run, fault: Fault
+        self, stream, run: Run, fault: workerfaults.Fault
     ) -> bool:
         body = f'{self._name} {run.method} {run.target}'.encode()
         headers = dict(run.headers)
-        if fault is Fault.FOREIGN:
+        if fault is workerfaults.Fault.FOREIGN:
             headers['x-request-id'] = 'another'
-        if fault in _UNFRAMED_FAULTS:
+        if fault in workerfaults.UNFRAMED_FAULTS:
             head = self._head(headers, 200, None)
             await stream.send(
                 head.replace(b'Transfer-Encoding: chunked\r\n', b'')
             )
-            if fault is Fault.UNFRAMED:
+            if fault is workerfaults.Fault.UNFRAMED:
                 await stream.send(body)
                 return False
             await stream.send(body[: len(body) // 2])
             await anyio.sleep(CRASH_DELAY_S)
             os._exit(1)
-        if fault is Fault.TRUNCATE:
+        if fault is workerfaults.Fault.TRUNCATE:
             await stream.send(self._head(headers, 200, len(body) + 10))
             await stream.send(body)
             return False
-        stamp = fault is not Fault.UNSTAMPED
+        stamp = fault is not workerfaults.Fault.UNSTAMPED
         await self._send_response(stream, headers, 200, body, stamp)
-        if fault is Fault.EXTRA:
+        if fault is workerfaults.Fault.EXTRA:
             await self._send_response(stream, headers, 200, body)
         return True
 
-    async def _send_stream(self, stream, run: Run, fault: Fault) -> bool:
+    async def _send_stream(
+        self, stream, run: Run, fault: workerfaults.Fault
+    ) -> bool:
         headers = dict(run.headers)
         model = headers.get('x-model', '')
         extra = {'content-type': 'text/event-stream'}
@@ -334,12 +256,12 @@
             extra['x-confidence'] = str(self._settings.confidence[model])
         if self._settings.limit:
             extra['server-limit'] = self._settings.limit
-        if fault in _UNFRAMED_FAULTS:
+        if fault in workerfaults.UNFRAMED_FAULTS:
             return await self._send_unframed(stream, headers, fault, extra)
-        if fault is Fault.NO_STREAM and 'last-event-id' in headers:
+        if fault is workerfaults.Fault.NO_STREAM and 'last-event-id' in headers:
             await self._send_response(stream, headers, 404, b'no such stream')
             return True
-        if fault is Fault.RESTARTED:
+        if fault is workerfaults.Fault.RESTARTED:
             headers.pop('last-event-id', None)
         await stream.send(self._head(headers, 200, None, extra=extra))
         if self._crash_part in _shared_parts(headers):
@@ -349,12 +271,15 @@
         try:
             for number in range(first, self._settings.events + 1):
                 event = f'id: {number}\ndata: {model} {number}\n\n'.encode()
-                cuts = fault is Fault.CUT or fault in _RESUMED_FAULTS
+                cuts = (
+                    fault is workerfaults.Fault.CUT
+                    or fault in workerfaults.RESUMED_FAULTS
+                )
                 if cuts and number == first + 1:
                     half = event[: len(event) // 2]
                     await stream.send(b'%x\r\n' % len(half) + half + b'\r\n')
                     return False
-                if fault is Fault.SILENT and number == first + 1:
+                if fault is workerfaults.Fault.SILENT and number == first + 1:
                     await self._wait_for_disconnect(stream, run.request)
                     return False
                 await stream.send(b'%x\r\n' % len(event) + event + b'\r\n')
@@ -373,10 +298,13 @@
         model = headers.get('x-model', '')
         for number in range(first, self._settings.events + 1):
             event = f'id: {number}\ndata: {model} {number}\n\n'.encode()
-            if fault is Fault.UNFRAMED_CRASH and number == first + 1:
+            if (
+                fault is workerfaults.Fault.UNFRAMED_CRASH
+                and number == first + 1
+            ):
                 await anyio.sleep(CRASH_DELAY_S)
                 os._exit(1)
-            if fault is Fault.UNFRAMED_CUT and number == first + 1:
+            if fault is workerfaults.Fault.UNFRAMED_CUT and number == first + 1:
                 event = event[: len(event) // 2]
             await stream.send(event)
             if not event.endswith(b'\n\n'):
@@ -384,15 +312,17 @@
             await anyio.sleep(self._settings.event_ms / 1000)
         return False
 
-    async def _send_endless(self, stream, run: Run, fault: Fault) -> None:
+    async def _send_endless(
+        self, stream, run: Run, fault: workerfaults.Fault
+    ) -> None:
         """Sends a response without end until the caller disconnects."""
         data = b'x' * self._settings.piece_bytes
         start, piece = b'HTTP/1.1 200 X\r\nX-Endless: ', data
-        if fault is Fault.ENDLESS_INTERIM:
+        if fault is workerfaults.Fault.ENDLESS_INTERIM:
             start = b''
             piece = b'HTTP/1.1 103 X\r\n\r\n' * max(1, len(data) // 18)
-        elif fault is not Fault.ENDLESS_HEAD:
-            status = 500 if fault is Fault.ENDLESS_ERROR else 200
+        elif fault is not workerfaults.Fault.ENDLESS_HEAD:
+            status = 500 if fault is workerfaults.Fault.ENDLESS_ERROR else 200
             start = self._head(run.headers, status, None)
             piece = b'%x\r\n' % len(data) + data + b'\r\n'
         try:
