--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -132,7 +132,7 @@
         if plan.begun and not request.route.resumable:
             return False
         if plan.begun and plan.last_event is None:
-            # Without ids, another upstream can't be told where to go on.
+            # Without ids, another upstream does not know where to go on.
             return False
         if not failure.not_run and not request.route.retryable:
             return False
--- a/tests/site.py
+++ b/tests/site.py
@@ -155,17 +155,6 @@
         }
         self.put('servers', name, entry)
 
-    def entries(self) -> list[dict]:
-        """Returns key and decoded value of each row in the table of servers."""
-        return [
-            {
-                'key': row['key'],
-                'value': json.loads(base64.b64decode(row['value'])),
-            }
-            for row in self.control(self.store, 'rows')['rows']
-            if row['table'] == 'servers' and row.get('value')
-        ]
-
     def rollout_status(self, service: str) -> dict:
         """Returns the published status of a service's roll-out."""
         for row in self.control(self.store, 'rows')['rows']:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -149,7 +149,7 @@
 
 
 class HeadTest(testtools.TestCase):
-    """Guards against answers of other requests and promises nobody made."""
+    """Guards against answers of other requests and false 'not run'."""
 
     @hypothesis.given(_heads(), strategies.booleans(), strategies.booleans())
     def test_state_claims_no_more_than_the_head_says(
