Complete a roll-out only on evidence that the new version is as good

Attempts that were given up before their head counted for neither version.

Change: answers that can't tell are counted apart (untimed, also between nodes); attempts without a head count as slow as soon as they are, also when they are given up; a version is completed only if the counts speak against one that is too slow, and is rolled back at its limit otherwise. Nodes that lack evidence roll back for themselves and tell others only once it is published. The log of a decision has the timed answers of each route.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -186,6 +186,9 @@
         with (
             self._load.count(entry.upstream_id, prefill_s) as finish_prefill,
             self._rollouts.count(entry.service, entry.version),
+            self._rollouts.counts.wait_head(
+                listed, request.route.name, plan.model or '', prefill_s
+            ) as wait,
             self._crashes.watch(plan, listed),
         ):
             try:
@@ -203,15 +206,8 @@
                         )
                         finish_prefill()
                         plan.head_at = self._clock.now()
-                        seconds = plan.head_at - started_at
                         return await self._handle_head(
-                            request,
-                            plan,
-                            listed,
-                            connection,
-                            head,
-                            seconds,
-                            out,
+                            request, plan, listed, connection, head, wait, out
                         )
                     except _AttemptFailed as failure:
                         if failure.not_run:
@@ -229,22 +225,19 @@
                 ) from error
 
     async def _handle_head(
-        self, request, plan, listed, connection, head, seconds, out
+        self, request, plan, listed, connection, head, wait, out
     ) -> NextStep:
+        seconds = plan.head_at - wait.sent_at
+        self._rollouts.counts.note_head(wait)
         state = self._verifier.judge_head(request, plan, connection, head)
         if state is answers.State.FOREIGN:
             raise errors.UpstreamError('answer to another request', True)
         not_run = state is answers.State.NOT_RUN
         if head.status != answers.MISDIRECTED_REQUEST:
-            self._limits.note_answer(listed, head, plan.head_at - seconds)
+            self._limits.note_answer(listed, head, wait.sent_at)
         if not not_run and head.get(self._header_names.stamp) is not None:
             self._rollouts.counts.note_response(
-                listed,
-                request.route.name,
-                plan.model or '',
-                seconds,
-                self._targets.prefill_s(request, plan),
-                state is not answers.State.ARRIVING,
+                wait, state is not answers.State.ARRIVING
             )
         if state is answers.State.UNUSABLE:
             raise errors.UpstreamError(
--- a/packages/gateway/src/radishcourse_gateway/localrollout.py
+++ b/packages/gateway/src/radishcourse_gateway/localrollout.py
@@ -22,6 +22,8 @@
         milliseconds; 0 while unknown.
       state: Published or decided state, None until the status row was read.
       published: Whether the state is in the store.
+      unproven: Whether this node rolled back for want of evidence. Others may
+        have it, so they do not follow until the state is published.
       status_read_at: When the status row was last read.
       publish_at: When this node publishes the decision, unless another node
         has done so by then.
@@ -40,6 +42,7 @@
     since_ms: int = 0
     state: canary.RolloutState | None = None
     published: bool = False
+    unproven: bool = False
     status_read_at: float | None = None
     publish_at: float | None = None
     tallies: canary.Tallies = dataclasses.field(default_factory=dict)
@@ -86,9 +89,19 @@
             exposure,
         )
 
-    def decide(self, state: canary.RolloutState) -> None:
+    @property
+    def reported_state(self) -> canary.RolloutState | None:
+        """The state for peers."""
+        if self.unproven and not self.published:
+            return canary.RolloutState.RUNNING
+        return self.state
+
+    def decide(
+        self, state: canary.RolloutState, unproven: bool = False
+    ) -> None:
         """Sets a state that is not published yet."""
         self.state, self.published, self.publish_at = state, False, None
+        self.unproven = unproven
 
     def merged_counts(self) -> tuple[canary.Tallies, int]:
         """Returns the sums over all nodes.
@@ -105,7 +118,9 @@
             old_in_flight += report.old_in_flight
             for item in report.tallies:
                 key = (canary.Arm(item.arm), item.route)
-                tally = canary.Tally(item.total, item.bad, item.slow)
+                tally = canary.Tally(
+                    item.total, item.bad, item.slow, item.untimed or 0
+                )
                 merged.setdefault(key, canary.Tally()).add(tally)
         return merged, old_in_flight
 
@@ -119,7 +134,12 @@
         """
         tallies = [
             ttypes.RouteTally(
-                arm.value, route, tally.total, tally.bad, tally.slow
+                arm.value,
+                route,
+                tally.total,
+                tally.bad,
+                tally.slow,
+                tally.untimed,
             )
             for (arm, route), tally in self.tallies.items()
         ]
--- a/packages/gateway/src/radishcourse_gateway/responsecounts.py
+++ b/packages/gateway/src/radishcourse_gateway/responsecounts.py
@@ -9,6 +9,32 @@
 from radishcourse_policy import durations
 
 
+@dataclasses.dataclass(eq=False)
+class Wait:
+    """An attempt that waits for the head of its answer.
+
+    Attributes:
+      listed: The upstream.
+      route: Name of the request's route.
+      model: The request's model, or an empty string.
+      prefill_s: Expected prefill time of the prompt in seconds.
+      sent_at: When it was sent, on this node's clock in seconds.
+      counted: Whether it was counted as slow before its head came.
+    """
+
+    listed: views.ListedUpstream
+    route: str
+    model: str
+    prefill_s: float
+    sent_at: float
+    counted: bool = False
+
+    @property
+    def kind(self) -> tuple:
+        """Identifies the requests whose times are compared."""
+        return (self.listed.upstream.service, self.route, self.model)
+
+
 @dataclasses.dataclass
 class _Stream:
     listed: views.ListedUpstream
@@ -32,35 +58,71 @@
         self._clock = gateway.environment.clock
         self._rollouts = rollouts
         self._durations = durations.Durations()
+        self._waits: set[Wait] = set()
 
-    def note_response(
-        self,
-        listed: views.ListedUpstream,
-        route: str,
-        model: str,
-        seconds: float,
-        prefill_s: float,
-        failed: bool,
-    ) -> None:
-        """Counts a response.
+    @contextlib.contextmanager
+    def wait_head(
+        self, listed: views.ListedUpstream, route: str, model: str, prefill_s
+    ):
+        """Yields the record of an attempt that waits for its head.
+
+        One that is slow is counted as soon as that is known, also if it is
+        given up: what takes long is given up more often.
 
         Args:
-          listed: The upstream that responded.
+          listed: The upstream.
           route: Name of the request's route.
           model: The request's model, or an empty string.
-          seconds: Time from sending the request to the head of the response.
           prefill_s: Expected prefill time of the prompt in seconds.
+        """
+        wait = Wait(listed, route, model, prefill_s, self._clock.now())
+        self._waits.add(wait)
+        try:
+            yield wait
+        except BaseException:
+            if wait in self._waits:
+                self._count_if_overdue(wait)
+            raise
+        finally:
+            self._waits.discard(wait)
+
+    def count_overdue(self) -> None:
+        """Counts the attempts that have waited too long for their head."""
+        for wait in self._waits:
+            self._count_if_overdue(wait)
+
+    def _count_if_overdue(self, wait: Wait) -> None:
+        if wait.counted or not self._is_warm(wait.listed):
+            return
+        seconds = self._clock.now() - wait.sent_at
+        if self._durations.is_overdue(wait.kind, seconds, wait.prefill_s):
+            wait.counted = True
+            rollout, arm = self._arm(wait.listed.upstream)
+            self._count_response(rollout, arm, wait.route, True)
+
+    def note_head(self, wait: Wait) -> None:
+        """Records that the head of an answer has come."""
+        self._waits.discard(wait)
+
+    def note_response(self, wait: Wait, failed: bool) -> None:
+        """Counts a response of the version that an attempt was sent to.
+
+        Args:
+          wait: The attempt.
           failed: Whether the response is a failure.
         """
-        rollout, arm = self._arm(listed.upstream)
-        slow = False
-        if not failed and self._is_warm(listed):
-            kind = (listed.upstream.service, route, model)
+        rollout, arm = self._arm(wait.listed.upstream)
+        slow = None
+        if not failed and self._is_warm(wait.listed):
+            seconds = self._clock.now() - wait.sent_at
             learn = arm is canary.Arm.OLD
             slow = self._durations.record_head_time(
-                kind, seconds, prefill_s, learn
+                wait.kind, seconds, wait.prefill_s, learn
             )
-        self._count_response(rollout, arm, route, slow, failed)
+        if wait.counted:
+            self._count_failure(rollout, arm, wait.route, failed)
+            return
+        self._count_response(rollout, arm, wait.route, slow, failed)
 
     @contextlib.contextmanager
     def measure_pace(
@@ -122,10 +184,16 @@
             return None, canary.Arm.OLD
         return rollout, views.arm_of(rollout.order, entry.version)
 
-    def _count_response(self, rollout, arm, route, slow, failed=False) -> None:
-        if rollout is None or rollout.state in localrollout.FINAL_STATES:
-            return
-        tally = rollout.tallies.setdefault((arm, route), canary.Tally())
-        tally.total += 1
-        tally.bad += failed
-        tally.slow += slow
+    def _count_response(
+        self, rollout, arm, route, slow: bool | None, failed=False
+    ) -> None:
+        if rollout is not None and rollout.state not in (
+            localrollout.FINAL_STATES
+        ):
+            tally = rollout.tallies.setdefault((arm, route), canary.Tally())
+            tally.count(slow, failed)
+
+    def _count_failure(self, rollout, arm, route, failed: bool) -> None:
+        """Adds a failure of an answer that was counted as slow before."""
+        if failed and rollout is not None:
+            rollout.tallies.setdefault((arm, route), canary.Tally()).bad += 1
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -127,6 +127,7 @@
         """Decides roll-outs and publishes the decisions until cancelled."""
         while True:
             self._stable_versions.update()
+            self.counts.count_overdue()
             for service in list(self._view.orders):
                 rollout = self.find(service)
                 try:
@@ -202,24 +203,27 @@
 
     def _decide(self, rollout: localrollout.LocalRollout) -> None:
         tallies, old_in_flight = rollout.merged_counts()
-        age_s = self.age_s(rollout)
-        state = None
+        age_s, within_s = self.age_s(rollout), rollout.order.within_s
         if canary.is_regression(tallies):
-            state = canary.RolloutState.ROLLED_BACK
+            rollout.decide(canary.RolloutState.ROLLED_BACK)
+            source = 'regression'
         elif rollout.order.to_version in self._view.versions(
             rollout.order.service
         ) and canary.may_complete(
             age_s,
-            rollout.order.within_s,
+            within_s,
             self._bounds.exposure_share,
             old_in_flight,
             tallies,
         ):
-            state = canary.RolloutState.COMPLETED
-        if state is None:
+            rollout.decide(canary.RolloutState.COMPLETED)
+            source = 'decided'
+        elif canary.must_roll_back(age_s, within_s):
+            rollout.decide(canary.RolloutState.ROLLED_BACK, unproven=True)
+            source = 'unproven'
+        else:
             return
-        rollout.decide(state)
-        self._log(rollout, 'decided', tallies, old_in_flight)
+        self._log(rollout, source, tallies, old_in_flight)
 
     async def _publish(self, rollout: localrollout.LocalRollout) -> None:
         row = await self._read_status(rollout)
@@ -244,7 +248,12 @@
 
     def _log(self, rollout, source: str, tallies=None, in_flight=None) -> None:
         counts = {
-            f'{arm.value}/{route}': [tally.total, tally.bad, tally.slow]
+            f'{arm.value}/{route}': [
+                tally.total,
+                tally.bad,
+                tally.slow,
+                tally.timed,
+            ]
             for (arm, route), tally in (tallies or {}).items()
         }
         events.log(
@@ -279,7 +288,7 @@
             ttypes.RolloutStatus(
                 service,
                 rollout.order.to_version,
-                rollout.state.value,
+                rollout.reported_state.value,
                 rollout.version,
                 rollout.since_ms,
                 rollout.published,
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -50,9 +50,13 @@
 SETTLE_S = 0.7
 # Fewer failures than this can be a fault of a single upstream.
 MIN_BAD = 4
-# With fewer good answers of the new version, the old one is not stopped and
-# the roll-out misses its time limit.
-MIN_GOOD = 3
+# A roll-out that is not completed this long before its time limit is rolled
+# back: the evidence did not suffice. Nodes with less evidence than others learn
+# of a completion until then.
+ROLLBACK_MARGIN_S = 0.3
+# With fewer good answers of the new version it is not completed, nor with fewer
+# that show by their time that it is not slow.
+MIN_GOOD = 6
 # Increase of the share of slow answers above which the version is not completed
 # before more answers decide, and number of slow ones that may be chance.
 DOUBTFUL_SLOW_EXCESS = 0.1
@@ -70,6 +74,9 @@
 # sessions move to upstreams without a cached prompt must not reject a version.
 MIN_EVIDENCE = 4.0
 BASELINE_MARGIN = 0.05
+# The same for so low counts at a share that would reject the version: it is
+# completed only with this much evidence that it is none of those.
+MIN_APPROVAL_EVIDENCE = 1.0
 _PACE_SUFFIX = ' (pace)'
 
 
@@ -115,17 +122,37 @@
       total: All answers.
       bad: Failures.
       slow: Answers that took several times as long as the old version's.
+      untimed: Answers whose time does not tell whether the version is slow.
     """
 
     total: int = 0
     bad: int = 0
     slow: int = 0
+    untimed: int = 0
+
+    @property
+    def timed(self) -> int:
+        """Answers whose time tells whether the version is slow."""
+        return max(0, self.total - self.untimed)
+
+    def count(self, slow: bool | None, failed: bool = False) -> None:
+        """Counts an answer.
+
+        Args:
+          slow: Whether it was slow, None if its time does not tell.
+          failed: Whether it is a failure.
+        """
+        self.total += 1
+        self.bad += failed
+        self.slow += bool(slow)
+        self.untimed += slow is None
 
     def add(self, other: 'Tally') -> None:
         """Adds the counts of another tally."""
         self.total += other.total
         self.bad += other.bad
         self.slow += other.slow
+        self.untimed += other.untimed
 
 
 Tallies = dict[tuple[Arm, str], Tally]
@@ -216,6 +243,9 @@
       time_limit_s: Time limit of the roll-out, counted from the order.
       exposure: Permitted share of requests on a bad version.
     """
+    if age_s >= time_limit_s:
+        # A completed roll-out does not ask.
+        return False
     if is_open and age_s < _ramp_ages(time_limit_s, exposure)[0]:
         return False
     return hash_value < new_version_share(age_s, time_limit_s, exposure)
@@ -285,9 +315,7 @@
     new = heads[0]
     if new.bad > MAX_BAD_EXCESS * new.total or new.total - new.bad < MIN_GOOD:
         return False
-    if _is_doubtful(*heads) or _is_doubtful(*paces):
-        return False
-    if paces[1].total and paces[0].total - paces[0].slow < MIN_GOOD:
+    if not all(_is_as_fast(*arms) for arms in (heads, paces)):
         return False
     if age_s >= time_limit_s - COMPLETION_MARGIN_S:
         return True
@@ -295,18 +323,47 @@
     return settled and old_in_flight == 0
 
 
+def must_roll_back(age_s: float, time_limit_s: float) -> bool:
+    """Tells whether a version that is not completed is to be rolled back.
+
+    Args:
+      age_s: Time since the order.
+      time_limit_s: Time limit of the roll-out, counted from the order.
+    """
+    return age_s >= time_limit_s - ROLLBACK_MARGIN_S
+
+
 def pace_route(route: str) -> str:
     """Returns the route name under which the pace of streams is counted."""
     return route + _PACE_SUFFIX
 
 
-def _is_doubtful(new: Tally, old: Tally) -> bool:
-    """Tells whether a version had more slow answers than the old one."""
-    if new.slow <= MAX_CHANCE_SLOW:
+def _is_as_fast(new: Tally, old: Tally) -> bool:
+    """Tells whether the answers show that a version is as fast as the old one.
+
+    That can't be told where the old version has no answers of the sort.
+    """
+    if not old.timed:
+        return True
+    if new.timed - new.slow < MIN_GOOD:
+        return False
+    baseline = _slow_share(old)
+    observed = new.slow / new.timed
+    if (
+        new.slow > MAX_CHANCE_SLOW
+        and observed > baseline + DOUBTFUL_SLOW_EXCESS
+    ):
+        return False
+    too_high = min(0.99, baseline + MAX_SLOW_EXCESS + BASELINE_MARGIN)
+    if observed >= too_high:
         return False
-    baseline = old.slow / old.total if old.total else 0.0
-    baseline = max(baseline, BASELINE_SLOW_SHARE)
-    return new.slow > (baseline + DOUBTFUL_SLOW_EXCESS) * new.total
+    return new.timed * _divergence(observed, too_high) >= MIN_APPROVAL_EVIDENCE
+
+
+def _slow_share(old: Tally) -> float:
+    """Returns the share of slow answers that a good version may have."""
+    share = old.slow / old.timed if old.timed else 0.0
+    return max(share, BASELINE_SLOW_SHARE)
 
 
 def _is_worse(new: Tally, old: Tally) -> bool:
@@ -314,11 +371,16 @@
         new.bad, new.total, old.bad, old.total, MIN_BAD, MAX_BAD_EXCESS
     ):
         return True
-    baseline = max(old.slow, BASELINE_SLOW_SHARE * old.total)
-    if not old.total:
-        baseline, old = BASELINE_SLOW_SHARE, Tally(1)
+    if not new.timed:
+        return False
+    baseline = _slow_share(old) * max(1, old.timed)
     return _exceeds(
-        new.slow, new.total, baseline, old.total, MIN_SLOW, MAX_SLOW_EXCESS
+        new.slow,
+        new.timed,
+        baseline,
+        max(1, old.timed),
+        MIN_SLOW,
+        MAX_SLOW_EXCESS,
     )
 
 
@@ -343,7 +405,9 @@
 
 def _divergence(observed: float, expected: float) -> float:
     """Returns the relative entropy of two shares, as in Chernoff's bound."""
-    value = observed * math.log(observed / expected)
+    value = 0.0
+    if observed > 0:
+        value = observed * math.log(observed / expected)
     if observed < 1:
         value += (1 - observed) * math.log((1 - observed) / (1 - expected))
     return value
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -157,13 +157,14 @@
 }
 
 // Counts of one node's responses in a roll-out; `arm` is the old or the new
-// version.
+// version. `untimed` counts those whose time does not tell whether it is slow.
 struct RouteTally {
   1: string arm
   2: string route
   3: i32 total
   4: i32 bad
   5: i32 slow
+  6: optional i32 untimed
 }
 
 struct RolloutReport {
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2239,6 +2239,7 @@
      - total
      - bad
      - slow
+     - untimed
 
     """
 
@@ -2248,15 +2249,17 @@
         'total',
         'bad',
         'slow',
+        'untimed',
     )
 
 
-    def __init__(self, arm=None, route=None, total=None, bad=None, slow=None,):
+    def __init__(self, arm=None, route=None, total=None, bad=None, slow=None, untimed=None,):
         self.arm = arm
         self.route = route
         self.total = total
         self.bad = bad
         self.slow = slow
+        self.untimed = untimed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2292,6 +2295,11 @@
                     self.slow = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.untimed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2322,6 +2330,10 @@
             oprot.writeFieldBegin('slow', TType.I32, 5)
             oprot.writeI32(self.slow)
             oprot.writeFieldEnd()
+        if self.untimed is not None:
+            oprot.writeFieldBegin('untimed', TType.I32, 6)
+            oprot.writeI32(self.untimed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3761,6 +3773,7 @@
     (3, TType.I32, 'total', None, None, ),  # 3
     (4, TType.I32, 'bad', None, None, ),  # 4
     (5, TType.I32, 'slow', None, None, ),  # 5
+    (6, TType.I32, 'untimed', None, None, ),  # 6
 )
 all_structs.append(RolloutReport)
 RolloutReport.thrift_spec = (
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -1,14 +1,21 @@
 """Canary decisions, simulated without processes."""
 
+import contextlib
 import itertools
 import random
+import types
 
 import hypothesis
 from hypothesis import strategies
 import testtools
 
+from radishcourse_gateway import interfaces
+from radishcourse_gateway import localrollout
+from radishcourse_gateway import responsecounts
+from radishcourse_gateway import view
 from radishcourse_model import ids
 from radishcourse_policy import canary
+from radishcourse_policy import clock as clocks
 from radishcourse_policy import durations
 
 SERVICE = ids.ServiceId('assistant')
@@ -158,6 +165,77 @@
         self.assertTrue(canary.is_regression(tallies))
 
 
+class ApprovalTest(testtools.TestCase):
+    """Guards against a version that is approved while the evidence is open."""
+
+    LIMIT_S = 18.0
+
+    def _may_complete(self, tallies: canary.Tallies) -> bool:
+        return canary.may_complete(
+            self.LIMIT_S - 0.5, self.LIMIT_S, EXPOSURE, 0, tallies
+        )
+
+    def test_answers_that_tell_nothing_do_not_hide_slow_ones(self):
+        # Counts from the own day slow_version_disturbed, seed 4: failures come
+        # at once, and so do answers of the routes c and d.
+        tallies = {
+            (canary.Arm.OLD, 'a'): canary.Tally(155, 0, 6),
+            (canary.Arm.OLD, 'b'): canary.Tally(74, 26, 1, 26),
+            (canary.Arm.OLD, 'c'): canary.Tally(64, 0, 0, 64),
+            (canary.Arm.OLD, 'd'): canary.Tally(4, 0, 0, 4),
+            (canary.Arm.NEW, 'a'): canary.Tally(15, 0, 4),
+            (canary.Arm.NEW, 'b'): canary.Tally(7, 4, 0, 4),
+            (canary.Arm.NEW, 'c'): canary.Tally(8, 0, 0, 8),
+            (canary.Arm.NEW, 'd'): canary.Tally(2, 0, 0, 2),
+        }
+        self.assertFalse(self._may_complete(tallies))
+
+    def test_few_good_answers_approve_nothing(self):
+        tallies = {(canary.Arm.OLD, 'a'): canary.Tally(300, 0, 3)}
+        for total, slow, approved in (
+            (0, 0, False),
+            (5, 0, False),
+            (6, 0, True),
+            (8, 1, False),
+            (10, 1, True),
+            (18, 4, False),
+            (40, 4, True),
+        ):
+            tallies[(canary.Arm.NEW, 'a')] = canary.Tally(total, 0, slow)
+            self.assertIs(approved, self._may_complete(tallies), (total, slow))
+
+    @hypothesis.given(
+        strategies.integers(0, 60),
+        strategies.integers(0, 60),
+        strategies.integers(1, 400),
+        strategies.integers(0, 400),
+    )
+    def test_no_counts_both_reject_and_approve(
+        self, total, slow, old, old_slow
+    ):
+        hypothesis.assume(slow <= total and old_slow <= old)
+        tallies = {
+            (canary.Arm.OLD, 'a'): canary.Tally(old, 0, old_slow),
+            (canary.Arm.NEW, 'a'): canary.Tally(total, 0, slow),
+        }
+        self.assertFalse(
+            canary.is_regression(tallies) and self._may_complete(tallies)
+        )
+
+    def test_version_that_is_not_approved_is_rolled_back_in_time(self):
+        self.assertFalse(canary.must_roll_back(17.0, self.LIMIT_S))
+        self.assertTrue(canary.must_roll_back(17.8, self.LIMIT_S))
+
+    def test_no_session_moves_after_the_time_limit(self):
+        for hash_value in (0.0, 0.5, 0.99):
+            for age_s in (self.LIMIT_S, self.LIMIT_S + 60.0):
+                self.assertFalse(
+                    canary.serves_new(
+                        hash_value, False, age_s, self.LIMIT_S, EXPOSURE
+                    )
+                )
+
+
 class DurationTest(testtools.TestCase):
     """Guards against a slow version that long prompts hide."""
 
@@ -182,9 +260,7 @@
             slow = recorded.record_head_time(
                 ('route',), seconds, prefill_s, arm is canary.Arm.OLD
             )
-            tally = tallies[(arm, 'route')]
-            tally.total += 1
-            tally.slow += slow
+            tallies[(arm, 'route')].count(slow)
             if canary.is_regression(tallies):
                 return True
         return False
@@ -285,8 +361,9 @@
             self.assertFalse(
                 canary.serves_new(hash_value, True, age_s, within_s, EXPOSURE)
             )
+        end_s = within_s - 0.001
         self.assertTrue(
-            canary.serves_new(hash_value, True, within_s, within_s, EXPOSURE)
+            canary.serves_new(hash_value, True, end_s, within_s, EXPOSURE)
             or hash_value >= 1.0
         )
 
@@ -303,7 +380,7 @@
     """Guards against stopped upstreams that still have requests."""
 
     def _may_complete(
-        self, age_s: float, in_flight: int, bad: int = 0, total: int = 3
+        self, age_s: float, in_flight: int, bad: int = 0, total: int = 12
     ) -> bool:
         tallies = {(canary.Arm.NEW, 'route'): canary.Tally(total, bad)}
         return canary.may_complete(
@@ -364,4 +441,89 @@
 
     def test_version_that_answered_nobody_is_not_completed(self):
         # Soak seed 16 completed a bad version that had answered no request.
-        self.assertFalse(self._may_complete(WITHIN_S - 0.6, 0, total=0))
+        for total in (0, 3, canary.MIN_GOOD - 1):
+            self.assertFalse(self._may_complete(WITHIN_S - 0.6, 0, total=total))
+
+    def test_answers_that_come_at_once_tell_nothing(self):
+        for seconds, tells in ((0.01, False), (0.09, True)):
+            recorded = durations.Durations()
+            for _ in range(20):
+                recorded.record_head_time(('route',), seconds, 0.0, True)
+            slow = recorded.record_head_time(
+                ('route',), 8 * seconds, 0.0, False
+            )
+            self.assertIs(True if tells else None, slow)
+            self.assertIs(
+                tells, recorded.is_overdue(('route',), 8 * seconds, 0.0)
+            )
+
+    def test_nothing_is_told_before_an_answer_is_known(self):
+        recorded = durations.Durations()
+        self.assertIsNone(
+            recorded.record_head_time(('route',), 3.0, 0.0, False)
+        )
+        self.assertFalse(recorded.is_overdue(('route',), 3.0, 0.0))
+
+
+class LostSampleTest(testtools.TestCase):
+    """Guards against slow answers that are given up and then count nowhere."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = clocks.ManualClock(100.0)
+        order = interfaces.RolloutOrder(SERVICE, ids.VersionId('v2'), 20.0)
+        self.rollout = localrollout.LocalRollout(order, 1, 100.0)
+        self.rollout.state = canary.RolloutState.RUNNING
+        gateway = types.SimpleNamespace(
+            environment=types.SimpleNamespace(clock=self.clock)
+        )
+        rollouts = types.SimpleNamespace(find=lambda service: self.rollout)
+        self.counts = responsecounts.ResponseCounts(gateway, rollouts)
+        for _ in range(20):
+            self._answer('v1', 0.1)
+
+    def _listed(self, version: str) -> view.ListedUpstream:
+        entry = types.SimpleNamespace(
+            service=SERVICE, version=ids.VersionId(version)
+        )
+        return view.ListedUpstream(entry)
+
+    def _answer(self, version: str, seconds: float, **ending) -> None:
+        """Waits some time for an answer that then comes, or is given up."""
+        listed = self._listed(version)
+        with contextlib.suppress(TimeoutError):
+            with self.counts.wait_head(listed, 'route', '', 0.0) as wait:
+                self.clock.advance(seconds)
+                if ending.get('overdue'):
+                    self.counts.count_overdue()
+                if ending.get('lost'):
+                    raise TimeoutError
+                self.counts.note_head(wait)
+                self.counts.note_response(wait, ending.get('failed', False))
+
+    def _new(self) -> tuple[int, int, int]:
+        tally = self.rollout.tallies.get(
+            (canary.Arm.NEW, 'route'), canary.Tally()
+        )
+        return tally.total, tally.bad, tally.slow
+
+    def test_attempt_that_is_given_up_late_counts_as_slow(self):
+        self._answer('v2', 0.8, lost=True)
+        self.assertEqual((1, 0, 1), self._new())
+
+    def test_attempt_that_is_given_up_early_counts_nothing(self):
+        self._answer('v2', 0.1, lost=True)
+        self.assertEqual((0, 0, 0), self._new())
+
+    def test_slow_answer_counts_once_and_before_it_has_come(self):
+        self._answer('v2', 0.8, overdue=True)
+        self.assertEqual((1, 0, 1), self._new())
+
+    def test_failure_after_a_long_wait_counts_as_slow_and_bad(self):
+        self._answer('v2', 0.8, overdue=True, failed=True)
+        self.assertEqual((1, 1, 1), self._new())
+
+    def test_both_versions_count_alike(self):
+        self._answer('v1', 0.8, lost=True)
+        tally = self.rollout.tallies[(canary.Arm.OLD, 'route')]
+        self.assertEqual(1, tally.slow)
