--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -53,7 +53,7 @@
 # A roll-out that is not completed this long before its time limit is rolled
 # back: the evidence did not suffice. Nodes with less evidence than others learn
 # of a completion until then.
-ROLLBACK_MARGIN_S = 0.3
+ROLLBACK_MARGIN_S = 0.5
 # With fewer good answers of the new version it is not completed, nor with fewer
 # that show by their time that it is not slow.
 MIN_GOOD = 6
