Count prompts that have no answer yet as evidence of a crash

Cause: only answers with a head were evidence. An attempt that was given up, or whose upstream was back before it could refuse a connection, was forgotten, and a refused connection was not taken for an end. So no crash was on record. Class: the absence of a sign (a head, a refusal) is taken for the absence of the event.

Change: attempts without a head are evidence of less weight, as an upstream works on many of them; attempts that broke off or were given up are kept for 10 s. An end is noticed by a refused connection of any attempt, an entry of another run at the id or the address, or a 421. Who was leaving at the break is no evidence, as before. Parts are compared by crashes first, and then by whether they were at the same stage each time, as victims are not. Nodes tell each other the stage (waiting, an optional field).

--- a/packages/gateway/src/radishcourse_gateway/crashcodec.py
+++ b/packages/gateway/src/radishcourse_gateway/crashcodec.py
@@ -15,7 +15,8 @@
                 crash.crash_id,
                 _age_ms(crash.ended_at, now),
                 crash.prompt,
-                crash.fresh,
+                crash.stage is crashevidence.Stage.FRESH,
+                crash.stage is crashevidence.Stage.WAITING or None,
             )
             for crash in item.unresolved
         ],
@@ -42,7 +43,7 @@
                 ids.CrashId(crash.crash or 0),
                 now - (crash.age_ms or 0) / 1000,
                 crash.prompt or 0,
-                bool(crash.fresh),
+                _stage(crash),
             )
             for crash in record.crashes[: crashevidence.MAX_CRASHES]
         ],
@@ -51,5 +52,13 @@
     )
 
 
+def _stage(record: ttypes.CrashRecord) -> crashevidence.Stage:
+    if record.waiting:
+        return crashevidence.Stage.WAITING
+    if record.fresh:
+        return crashevidence.Stage.FRESH
+    return crashevidence.Stage.BEGUN
+
+
 def _age_ms(at: float, now: float) -> int:
     return max(0, int(1000 * (now - at)))
--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -1,6 +1,7 @@
 """Crashes of upstreams, and the prompts that are quarantined for them."""
 
 import contextlib
+import dataclasses
 
 import anyio
 
@@ -19,11 +20,49 @@
 MAX_ENDED = 256
 # A node that may try a quarantined prompt tries one in this time.
 TRIAL_INTERVAL_S = 30.0
+# An upstream whose end is noticed may have ended under an answer that broke off
+# or was given up less than this time before: one that is silent for a while
+# before it ends, or is back at once, is noticed by its next entry.
+BROKEN_TTL_S = 10.0
+# Such answers that are kept of one upstream.
+MAX_BROKEN = 64
 _UINT31 = 0x7FFFFFFF
 
 
+@dataclasses.dataclass(eq=False)
+class Attempt:
+    """An attempt at an upstream that has no complete answer.
+
+    Attributes:
+      plan: The state of its request.
+      answer: Identifies the prompt.
+      head_at: When the head of its answer had come, None before.
+      broke_at: When it broke off or was given up, None while in progress.
+    """
+
+    plan: targets.Plan
+    answer: crashevidence.Answer
+    head_at: float | None = None
+    broke_at: float | None = None
+
+    def break_off(self, now: float) -> None:
+        """Records that it ends now without a complete answer."""
+        self.head_at, self.broke_at = self.plan.head_at, now
+
+    def evidence(self, now: float) -> crashevidence.Answer:
+        """Returns it as evidence of a crash that is noticed now."""
+        until = now if self.broke_at is None else self.broke_at
+        head_at = self.plan.head_at if self.broke_at is None else self.head_at
+        stage = crashevidence.Stage.BEGUN
+        if head_at is None:
+            stage = crashevidence.Stage.WAITING
+        elif until - head_at < quarantine.FRESH_S:
+            stage = crashevidence.Stage.FRESH
+        return self.answer._replace(stage=stage, broke_at=self.broke_at)
+
+
 class Crashes:
-    """Notes crashes under answers that had begun, and refuses prompts.
+    """Notes crashes under answers, and refuses prompts that cause them.
 
     Args:
       gateway: Provides the view and peers.
@@ -37,7 +76,7 @@
         self._view: views.View = gateway.view
         self._peers = gateway.peers
         self.quarantine = quarantine.Quarantine()
-        self._plans: dict[tuple, dict[int, targets.Plan]] = {}
+        self._attempts: dict[tuple, list[Attempt]] = {}
         self._checks: dict[tuple, anyio.Event] = {}
         self._ended: dict[tuple, None] = {}
         self._tried_at: dict[ids.PartId, float] = {}
@@ -86,18 +125,47 @@
 
     @contextlib.contextmanager
     def watch(self, plan: targets.Plan, listed: views.ListedUpstream):
-        """Returns a context in which an attempt is in progress."""
+        """Yields the record of an attempt that is in progress."""
+        attempt = Attempt(plan, plan.answer)
         if not plan.answer.parts:
-            yield
+            yield attempt
             return
-        plans = self._plans.setdefault(listed.incarnation, {})
-        plans[id(plan)] = plan
+        key = listed.incarnation
+        self._attempts.setdefault(key, []).append(attempt)
         try:
-            yield
+            yield attempt
+        except anyio.get_cancelled_exc_class():
+            # The caller has left, or the deadline has passed.
+            if not self._is_leaving(listed):
+                attempt.break_off(self._clock.now())
+            raise
         finally:
-            del plans[id(plan)]
-            if not plans:
-                self._plans.pop(listed.incarnation, None)
+            self._drop_old(key, attempt)
+
+    def _drop_old(self, key: tuple, ended: Attempt) -> None:
+        """Drops an attempt unless it broke off, and those that did long ago."""
+        now = self._clock.now()
+        kept = [
+            item
+            for item in self._attempts.get(key, ())
+            if (item.broke_at is None and item is not ended)
+            or (
+                item.broke_at is not None and now - item.broke_at < BROKEN_TTL_S
+            )
+        ]
+        if len(kept) > MAX_BROKEN:
+            broken = [item for item in kept if item.broke_at is not None]
+            surplus = broken[: len(kept) - MAX_BROKEN]
+            kept = [item for item in kept if item not in surplus]
+        if kept:
+            self._attempts[key] = kept
+        else:
+            self._attempts.pop(key, None)
+
+    def forget(self, present: set[tuple]) -> None:
+        """Drops attempts that broke off, at upstreams that are not present."""
+        for key in [key for key in self._attempts if key not in present]:
+            self._drop_old(key, None)
 
     def note_completed(self, plan: targets.Plan) -> None:
         """Records that an answer is complete."""
@@ -108,15 +176,27 @@
         if released:
             events.log(events.Event.QUARANTINE_ENDED, parts=released)
 
-    async def note_failure(self, listed: views.ListedUpstream) -> None:
+    async def note_failure(
+        self, listed: views.ListedUpstream, attempt: Attempt
+    ) -> None:
         """Records a crash if an upstream that failed an attempt has ended.
 
         One that is leaving ends for another reason than its prompts.
         """
-        if listed.incarnation not in self._plans or self._is_leaving(listed):
+        if not attempt.answer.parts or self._is_leaving(listed):
             return
+        attempt.break_off(self._clock.now())
         await self._check_ended(listed)
 
+    def note_replaced(self, listed: views.ListedUpstream) -> None:
+        """Records that another run of an upstream has its id or address.
+
+        Only one that was lost with answers counts: others left in order.
+        """
+        attempts = self._attempts.get(listed.incarnation, ())
+        if any(item.broke_at is not None for item in attempts):
+            self.note_ended(listed)
+
     async def _check_ended(self, listed: views.ListedUpstream) -> None:
         """Records whether an upstream's process has ended, by connecting to it.
 
@@ -142,39 +222,34 @@
         return listed.incarnation in self._ended
 
     def note_ended(self, listed: views.ListedUpstream) -> None:
-        """Records that an upstream's address refuses connections."""
+        """Records that an upstream's process has ended."""
         key = listed.incarnation
         if key in self._ended:
             return
         self._ended[key] = None
         if len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
-        begun = sorted(
-            (
-                plan
-                for plan in self._plans.get(key, {}).values()
-                if plan.head_at is not None
-            ),
-            key=lambda plan: -plan.head_at,
-        )
-        leaving = self._is_leaving(listed)
+        now, leaving = self._clock.now(), self._is_leaving(listed)
+        # What broke off before the upstream was leaving is evidence still.
+        lost = [
+            item.evidence(now)
+            for item in reversed(self._attempts.get(key, ()))
+            if (item.broke_at is None and not leaving)
+            or (
+                item.broke_at is not None and now - item.broke_at < BROKEN_TTL_S
+            )
+        ]
         crash_id = ids.CrashId(crashevidence.digest(*map(str, key)) & _UINT31)
         events.log(
             events.Event.UPSTREAM_CRASHED,
             upstream=listed.upstream.upstream_id,
             crash=crash_id,
             leaving=leaving,
-            answers=[plan.answer.parts for plan in begun],
+            answers=[answer.parts for answer in lost],
+            stages=[answer.stage.value for answer in lost],
         )
-        if not leaving:
-            now = self._clock.now()
-            answers = [
-                plan.answer._replace(
-                    fresh=now - plan.head_at < quarantine.FRESH_S
-                )
-                for plan in begun
-            ]
-            self.quarantine.note_crash(now, crash_id, answers)
+        if lost:
+            self.quarantine.note_crash(now, crash_id, lost)
 
     def _is_leaving(self, listed: views.ListedUpstream) -> bool:
         known = self._view.upstreams.get(listed.upstream.upstream_id)
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -189,7 +189,7 @@
             self._rollouts.counts.wait_head(
                 listed, request.route.name, plan.model or '', prefill_s
             ) as wait,
-            self._crashes.watch(plan, listed),
+            self._crashes.watch(plan, listed) as watched,
         ):
             try:
                 async with self._pool.open(
@@ -219,7 +219,9 @@
                     request, plan, listed, self._clock.now(), str(error)
                 )
                 if error.sent:
-                    await self._crashes.note_failure(listed)
+                    await self._crashes.note_failure(listed, watched)
+                elif isinstance(error, upstreamconnections.ConnectionRefused):
+                    self._crashes.note_ended(listed)
                 raise _AttemptFailed(
                     str(error), not_run=not error.sent
                 ) from error
@@ -302,6 +304,7 @@
         if head.status == answers.MISDIRECTED_REQUEST:
             # The address now belongs to another upstream.
             self._load.note_broken(upstream, 'misdirected')
+            self._crashes.note_replaced(listed)
         elif not_run:
             self._load.note_full(upstream)
         else:
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -116,6 +116,7 @@
         self.peers.limits = self.limits
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
+        self.view.on_replaced = self.crashes.note_replaced
         self.verifier = verifier.Verifier(self)
         self.pool = upstreamconnections.Pool(clock)
         self.targets = targets.Targets(self)
@@ -280,6 +281,7 @@
             gone = [key for key in self.pool.keys if key not in present]
             await self.pool.close_idle(gone)
             self.load.forget(self.view.upstreams)
+            self.crashes.forget(present)
             directory = self.view.directory
             if directory is not None:
                 limit = directory.limits.idle_timeout_s
--- a/packages/gateway/src/radishcourse_gateway/view.py
+++ b/packages/gateway/src/radishcourse_gateway/view.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import typing
 
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import errors
@@ -68,6 +69,8 @@
       disabled_zones: Availability zones that get no new requests.
       orders: Ordered roll-outs by service.
       upstreams: Upstreams by id, including those whose entry disappeared.
+      on_replaced: Called with an upstream when an entry of another run has its
+        id or its address.
     """
 
     def __init__(self, clock, decoder: interfaces.Decoder):
@@ -80,6 +83,8 @@
         self.orders: dict[ids.ServiceId, OrderRow] = {}
         self.upstreams: dict[ids.UpstreamId, ListedUpstream] = {}
         self._store_recovered_at: float | None = None
+        self._by_address: dict[str, ids.UpstreamId] = {}
+        self.on_replaced: typing.Callable[[ListedUpstream], None] = _ignore
 
     def apply(self, new_records: list[records.Record], source: str) -> None:
         """Applies rows that are new in the replica.
@@ -179,9 +184,25 @@
         if entry is None:
             return
         listed = self._make_listed(known, entry)
+        replaced = self._find_replaced(listed)
         self.upstreams[upstream_id] = listed
+        self._by_address[entry.address] = upstream_id
+        for item in replaced:
+            self.on_replaced(item)
         self._log_upstream(listed, entry.state.value)
 
+    def _find_replaced(self, listed: ListedUpstream) -> list[ListedUpstream]:
+        """Returns the earlier runs with the id or the address of one."""
+        entry = listed.upstream
+        names = {entry.upstream_id, self._by_address.get(entry.address)}
+        known = [self.upstreams[name] for name in names & self.upstreams.keys()]
+        return [
+            item
+            for item in known
+            if item.incarnation != listed.incarnation
+            and item.upstream.started_ms <= entry.started_ms
+        ]
+
     def _make_listed(
         self, known: ListedUpstream | None, entry
     ) -> ListedUpstream:
@@ -252,6 +273,10 @@
         return counts
 
 
+def _ignore(listed: ListedUpstream) -> None:
+    del listed
+
+
 def arm_of(
     order: interfaces.RolloutOrder, version: ids.VersionId
 ) -> canary.Arm:
--- a/packages/policy/src/radishcourse_policy/crashevidence.py
+++ b/packages/policy/src/radishcourse_policy/crashevidence.py
@@ -1,5 +1,6 @@
 """Evidence of crashes of upstreams, by the parts of the prompts in progress."""
 
+import enum
 import hashlib
 import typing
 
@@ -16,18 +17,43 @@
     return int.from_bytes(value, 'big', signed=True)
 
 
+class Stage(enum.Enum):
+    """How far an answer had come when its upstream ended.
+
+    BEGUN: its head had come some time before. WAITING: it had no head. FRESH:
+    its head had just come.
+    """
+
+    BEGUN = 'begun'
+    WAITING = 'waiting'
+    FRESH = 'fresh'
+
+    @property
+    def weight(self) -> float:
+        """Share of a crash that it counts as."""
+        return _WEIGHTS[self]
+
+
+# What crashes an upstream mostly does so where its answer begins. An upstream
+# works on several prompts that have no head yet, most of them victims.
+_WEIGHTS = {Stage.BEGUN: 0.5, Stage.WAITING: 0.75, Stage.FRESH: 1.0}
+
+
 class Answer(typing.NamedTuple):
-    """An answer that an upstream had begun when it ended.
+    """An answer that was not complete when its upstream ended.
 
     Attributes:
       parts: The shared parts of its prompt.
       prompt: Identifies the prompt.
-      fresh: Whether it had just begun.
+      stage: How far it had come.
+      broke_at: When it broke off or was given up, if that was before the end
+        of the upstream was noticed, in seconds.
     """
 
     parts: tuple[ids.PartId, ...]
     prompt: int
-    fresh: bool = True
+    stage: Stage = Stage.FRESH
+    broke_at: float | None = None
 
 
 class Crash(typing.NamedTuple):
@@ -37,13 +63,13 @@
       crash_id: Identifies the run of the upstream that ended.
       ended_at: When it ended, on this node's clock in seconds.
       prompt: Identifies the prompt of the answer.
-      fresh: Whether an answer with the part had just begun.
+      stage: The stage with the most weight of the answers with the part.
     """
 
     crash_id: ids.CrashId
     ended_at: float
     prompt: int
-    fresh: bool = True
+    stage: Stage = Stage.FRESH
 
 
 class Evidence:
@@ -86,7 +112,7 @@
             # All nodes agree on the same one of the answers' prompts.
             crash = known._replace(
                 prompt=min(crash.prompt, known.prompt),
-                fresh=crash.fresh or known.fresh,
+                stage=max(crash.stage, known.stage, key=_weight_of),
             )
             if crash == known:
                 return False
@@ -120,5 +146,9 @@
             self.quarantined = frozenset()
 
 
+def _weight_of(stage: Stage) -> float:
+    return stage.weight
+
+
 def _ended_at(crash: Crash) -> float:
     return crash.ended_at
--- a/packages/policy/src/radishcourse_policy/quarantine.py
+++ b/packages/policy/src/radishcourse_policy/quarantine.py
@@ -2,10 +2,10 @@
 
 Each node sees only some of the crashes, and at each crash several answers are
 cut, most of them victims. Nodes exchange which parts were in an answer that an
-ended upstream had begun. The part at fault is the one that several crashes,
-under different prompts, have in common, and with which no answer completes. An
-answer that completes clears its parts, as a crash does not depend on the rest
-of the prompt.
+ended upstream had begun, or was to begin. The part at fault is the one that
+several crashes, under different prompts, have in common, and with which no
+answer completes. An answer that completes clears its parts, as a crash does not
+depend on the rest of the prompt.
 
 Load pattern: prompts that differ but for one part, through any node, among
 sound ones that share their other parts; and upstreams that end for other
@@ -21,8 +21,8 @@
 from radishcourse_policy import crashevidence
 
 # Crashes after which a part is quarantined. Below the users' five, after which
-# the fleet has only as long as a few exchanges take. A crash counts as half of
-# one if the answer had not just begun, as then it is more likely a victim.
+# the fleet has only as long as a few exchanges take. A crash under an answer
+# that had not just begun counts as less, as that is more likely a victim.
 MIN_CRASHES = 3
 # The same for a part that answers have completed with before: it is most likely
 # a victim of upstreams that crash for another reason.
@@ -118,7 +118,7 @@
         Args:
           now: Current time in seconds.
           crash_id: Identifies its run.
-          answers: The answers that it had begun for this node, newest first.
+          answers: The answers of it that this node lost, newest first.
         """
         # An answer is a likelier cause if one of its parts never completed.
         likeliest = sorted(
@@ -126,8 +126,9 @@
             key=lambda answer: self._completed.keys() >= {*answer.parts},
         )
         for answer in likeliest[:MAX_ANSWERS]:
+            broke_at = now if answer.broke_at is None else answer.broke_at
             crash = crashevidence.Crash(
-                crash_id, now, answer.prompt, answer.fresh
+                crash_id, broke_at, answer.prompt, answer.stage
             )
             for part in answer.parts:
                 self._add(now, crashevidence.Evidence(part, [crash]))
@@ -287,7 +288,7 @@
     def __init__(self, items: list[crashevidence.Evidence]):
         self._crashes = {item.part: item.unresolved for item in items}
         self._ranks = {
-            item.part: (item.completed_at is None, _weight(crashes)[-1][1])
+            item.part: (item.completed_at is None, *_rank(crashes))
             for item in items
             if (crashes := self._crashes[item.part])
         }
@@ -362,11 +363,26 @@
             groups.append([crash])
     total = 0.0
     for group in groups:
-        total += 1.0 if any(crash.fresh for crash in group) else 0.5
+        total += max(crash.stage.weight for crash in group)
         totals.append((group[0].ended_at, total))
     return totals
 
 
+def _rank(crashes: list[crashevidence.Crash]) -> tuple[float, int]:
+    """Returns by what the crashes of several parts are compared.
+
+    An answer that was to begin may be at fault as well as one that had begun.
+    A part at fault ends upstreams at the same stage each time, victims do not.
+    """
+    fresh, begun = crashevidence.Stage.FRESH, crashevidence.Stage.BEGUN
+    comparable = [
+        crash if crash.stage is begun else crash._replace(stage=fresh)
+        for crash in crashes
+    ]
+    stages = collections.Counter(crash.stage for crash in crashes)
+    return _weight(comparable)[-1][1], max(stages.values())
+
+
 def _quarantine_s(crashes: list[crashevidence.Crash]) -> float:
     """Returns the seconds from the last crash to the next trial."""
     times = [crash.ended_at for crash in crashes]
--- a/packages/standins/src/radishcourse_standins/workerfaults.py
+++ b/packages/standins/src/radishcourse_standins/workerfaults.py
@@ -53,6 +53,22 @@
     ENDLESS_ERROR = 'endless_error'
 
 
+class CrashPoint(enum.Enum):
+    """When a worker ends under a prompt that crashes it.
+
+    HEAD: shortly after the head of its answer. EVENT: after the first event.
+    BEFORE_HEAD: shortly before the head. SILENT: without a head, after it has
+    not responded to anything for a second. STALLED: the same after the first
+    event.
+    """
+
+    HEAD = 'head'
+    EVENT = 'event'
+    BEFORE_HEAD = 'before_head'
+    SILENT = 'silent'
+    STALLED = 'stalled'
+
+
 UNFRAMED_FAULTS = (Fault.UNFRAMED, Fault.UNFRAMED_CUT, Fault.UNFRAMED_CRASH)
 # Faults that cut a stream, and change the answer that is to continue it.
 RESUMED_FAULTS = (Fault.NO_STREAM, Fault.RESTARTED)
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -213,12 +213,13 @@
 }
 
 // A run of an upstream that ended under an answer, a digest of the prompt, and
-// whether the answer had just begun.
+// whether the answer had just begun, or had no head yet.
 struct CrashRecord {
   1: i32 crash
   2: i32 age_ms
   3: i32 prompt
   4: bool fresh
+  5: optional bool waiting
 }
 
 // Crashes under answers with a part of a prompt since the last complete answer
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2919,6 +2919,7 @@
      - age_ms
      - prompt
      - fresh
+     - waiting
 
     """
 
@@ -2927,14 +2928,16 @@
         'age_ms',
         'prompt',
         'fresh',
+        'waiting',
     )
 
 
-    def __init__(self, crash=None, age_ms=None, prompt=None, fresh=None,):
+    def __init__(self, crash=None, age_ms=None, prompt=None, fresh=None, waiting=None,):
         self.crash = crash
         self.age_ms = age_ms
         self.prompt = prompt
         self.fresh = fresh
+        self.waiting = waiting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2965,6 +2968,11 @@
                     self.fresh = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.waiting = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2991,6 +2999,10 @@
             oprot.writeFieldBegin('fresh', TType.BOOL, 4)
             oprot.writeBool(self.fresh)
             oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.BOOL, 5)
+            oprot.writeBool(self.waiting)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3824,6 +3836,7 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.I32, 'prompt', None, None, ),  # 3
     (4, TType.BOOL, 'fresh', None, None, ),  # 4
+    (5, TType.BOOL, 'waiting', None, None, ),  # 5
 )
 all_structs.append(CrashEvidence)
 CrashEvidence.thrift_spec = (
