Compare versions of the store within one era only

Cause: versions are given again, and the replica, the feed, the exchange between nodes and the identity of an order took greater for newer. Rows of the new history were dropped as old; a feed asked from a version that the new history reaches leaves out what is below. Class: an order that holds within one history is used across two.

Change: policy/position.py is the only place that compares: an era (Store-Era) and a version. A change of era has the table read whole, by a poll or from a peer; nodes of an earlier era bring nothing back. The configuration goes by its own number, across eras and between peers, so that a starting node takes it from the others. An order written again keeps its identity, with its roll-out; a state that was published is published again.

The store stand-in restores from a copy. Tests that built records with a plain version now build positions.

--- a/packages/gateway/src/radishcourse_gateway/feed.py
+++ b/packages/gateway/src/radishcourse_gateway/feed.py
@@ -12,6 +12,7 @@
 from radishcourse_gateway import view as views
 from radishcourse_node import events
 from radishcourse_platform import errors as platform_errors
+from radishcourse_policy import position as positions
 
 # Wait of one long poll. A dead connection looks like a store without changes,
 # so the poll is short: with its timeout it stays below the 3 s after which a VM
@@ -70,7 +71,7 @@
                 await self._back_off(error)
 
     def _should_poll(self) -> bool:
-        if not self._replica.version(self._table):
+        if self._replica.position(self._table).is_start:
             return True
         confirmed_at = self._replica.confirmed_at(self._table)
         if confirmed_at is None:
@@ -80,29 +81,49 @@
         return self._clock.now() - confirmed_at > CONFIRMATION_TIMEOUT_S
 
     async def _poll(self) -> None:
-        version = self._replica.version(self._table)
+        position = self._replica.position(self._table)
         asked_at = self._clock.now()
-        if not version:
+        if position.is_start:
             changes = await self._store.read(self._table)
         else:
-            try:
-                changes = await self._store.follow(
-                    self._table, version, LONG_POLL_S
-                )
-            except platform_errors.HistoryGone:
-                changes = await self._store.read(self._table)
+            changes = await self._follow(position)
         self._record_reachability(True)
         self._apply(changes, asked_at)
         # Changes come in groups; a short pause lets the next poll return the
         # rest of one. It also limits polls of a store that has no rows yet.
         await anyio.sleep(POLL_PAUSE_S)
 
+    async def _follow(self, position: positions.Position) -> records.Changes:
+        """Returns the changes after a position, or the whole table.
+
+        The table is read anew if the store no longer has the history, or was
+        restored since: it may have given the same version to another write.
+        """
+        try:
+            changes = await self._store.follow(
+                self._table, position, LONG_POLL_S
+            )
+        except platform_errors.HistoryGone:
+            return await self._store.read(self._table)
+        if self._replica.can_apply(self._table, changes):
+            return changes
+        return await self._store.read(self._table)
+
     def _apply(self, changes: records.Changes, asked_at: float) -> None:
+        known = self._replica.position(self._table)
         new_records = self._replica.apply(self._table, changes)
+        if changes.position.is_of_later_era(known):
+            events.log(
+                events.Event.STORE_RESTORED,
+                table=self._table.value,
+                known=known,
+                position=changes.position,
+                rows=len(changes.records),
+            )
         # A store without changes responds no earlier than at the end of its
         # wait, and its response confirms the state at that time.
         waited = min(LONG_POLL_S, self._clock.now() - asked_at)
-        self._replica.confirm(self._table, changes.version, asked_at + waited)
+        self._replica.confirm(self._table, changes.position, asked_at + waited)
         self._view.apply(new_records, 'store')
 
     async def _back_off(self, error: Exception) -> None:
@@ -131,6 +152,7 @@
             table=self._table.value,
             reached=reachable,
             error=str(error) if error else None,
-            version=self._replica.version(self._table),
+            version=self._replica.position(self._table).version,
+            era=self._replica.position(self._table).era,
             confirmed_age_s=age,
         )
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -99,7 +99,7 @@
         self.store = store
         clock = environment.clock
         self.metrics = metrics.Metrics()
-        self.replica = records.Replica()
+        self.replica = records.Replica(clock)
         self.view = view.View(clock, decoder)
         self.load = load.Load(clock)
         self.peers = peers.Peers(
@@ -149,7 +149,7 @@
             return 'draining'
         if self.view.directory is None:
             return 'no configuration'
-        if not self.replica.version(records.Table.UPSTREAMS):
+        if self.replica.position(records.Table.UPSTREAMS).is_start:
             return 'no list of upstreams'
         return ''
 
@@ -280,6 +280,8 @@
             }
             gone = [key for key in self.pool.keys if key not in present]
             await self.pool.close_idle(gone)
+            for table in records.Table:
+                self.view.apply(self.replica.take_due(table), 'restored')
             self.load.forget(self.view.upstreams)
             self.crashes.forget(present)
             directory = self.view.directory
--- a/packages/gateway/src/radishcourse_gateway/interfaces.py
+++ b/packages/gateway/src/radishcourse_gateway/interfaces.py
@@ -8,6 +8,7 @@
 from radishcourse_gateway import upstreams
 from radishcourse_model import ids
 from radishcourse_policy import canary
+from radishcourse_policy import position as positions
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,13 +66,18 @@
         """Returns all rows of a table."""
 
     async def follow(
-        self, table: records.Table, version: int, wait_s: float
+        self,
+        table: records.Table,
+        position: positions.Position,
+        wait_s: float,
     ) -> records.Changes:
-        """Returns the changes after a version by a long poll.
+        """Returns the changes after a position by a long poll.
+
+        Those of a later era are of no use, as they are not complete.
 
         Args:
           table: The table.
-          version: Version that is already known.
+          position: Position that is already known.
           wait_s: Longest wait for a change in seconds.
         """
 
--- a/packages/gateway/src/radishcourse_gateway/localrollout.py
+++ b/packages/gateway/src/radishcourse_gateway/localrollout.py
@@ -5,6 +5,7 @@
 from radishcourse_gateway import interfaces
 from radishcourse_policy import canary
 from radishcourse_policy import opensessions
+from radishcourse_policy import position as positions
 from radishcourse_wire.gen.peer import ttypes
 
 FINAL_STATES = (canary.RolloutState.COMPLETED, canary.RolloutState.ROLLED_BACK)
@@ -16,7 +17,7 @@
 
     Attributes:
       order: The operator's order.
-      version: Version of the order's row.
+      identity: Where in the store's history the order was written first.
       seen_at: When this node received the order.
       since_ms: When the first node received the order, on the store's clock in
         milliseconds; 0 while unknown.
@@ -37,7 +38,7 @@
     """
 
     order: interfaces.RolloutOrder
-    version: int
+    identity: positions.Position
     seen_at: float
     since_ms: int = 0
     state: canary.RolloutState | None = None
@@ -57,7 +58,9 @@
 
     def session_hash(self, session: str) -> float:
         """Returns a session's hash in this roll-out, in [0, 1)."""
-        return canary.session_hash(session, self.order.service, self.version)
+        return canary.session_hash(
+            session, self.order.service, self.identity.version
+        )
 
     def bucket(self, session: str) -> int:
         """Returns a session's bucket in the set of open sessions."""
@@ -145,11 +148,12 @@
         ]
         return ttypes.RolloutReport(
             self.order.service,
-            self.version,
+            self.identity.version,
             node,
             int(1000 * now),
             tallies,
             self.old_in_flight,
+            self.identity.era or None,
         )
 
     def add_report(self, report: ttypes.RolloutReport) -> None:
@@ -157,3 +161,10 @@
         known = self.reports.get(report.node)
         if known is None or report.counter > known.counter:
             self.reports[report.node] = report
+
+
+def identity_of(
+    message: ttypes.RolloutReport | ttypes.RolloutStatus | ttypes.SettleSession,
+) -> positions.Position:
+    """Returns the identity of the order that a message is about."""
+    return positions.Position(message.era or 0, message.order)
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -186,7 +186,9 @@
 
     async def run_round(self) -> None:
         """Pulls from the peers of one round."""
-        incomplete = not all(map(self._replica.version, records.Table))
+        incomplete = any(
+            self._replica.position(table).is_start for table in records.Table
+        )
         async with anyio.create_task_group() as tasks:
             for index, address in enumerate(self._choose_peers()):
                 with_rows = not incomplete or index < ROWS_FANOUT
@@ -243,9 +245,17 @@
             age_ms = None
             if confirmed_at is not None:
                 age_ms = min(3_600_000, int(1000 * (now - confirmed_at)))
-            version = self._replica.version(table)
-            lost = self._replica.is_lost(table)
-            states.append(ttypes.TopicState(table.value, version, age_ms, lost))
+            position = self._replica.position(table)
+            states.append(
+                ttypes.TopicState(
+                    table.value,
+                    position.version,
+                    age_ms,
+                    self._replica.is_lost(table),
+                    position.era or None,
+                    self._replica.revision(table),
+                )
+            )
         return states
 
     async def _answer_sync(
@@ -254,16 +264,20 @@
         del sender
         now = self._clock.now()
         self._note_peer(request.sender, now, direct=True)
-        rows = []
-        for topic in request.topics or ():
-            table = rowcodec.table_of(topic.topic)
+        topics, rows = self._topics(), []
+        by_name = {topic.topic: topic for topic in topics}
+        for asked in request.topics or ():
+            table = rowcodec.table_of(asked.topic)
             if table is None:
                 continue
-            changes = self._replica.changes_after(table, topic.version)
+            changes = self._replica.changes_after(
+                table, rowcodec.position_of(asked), asked.revision
+            )
             rows += [rowcodec.encode(record) for record in changes.records]
+            by_name[asked.topic].complete = changes.complete or None
         return ttypes.SyncReply(
             self._own_record(),
-            self._topics(),
+            topics,
             rows,
             self._peer_records(now) if request.full else None,
             self.rollouts.reports() if self.rollouts else [],
@@ -349,24 +363,36 @@
         self._forget(now)
 
     def _apply_rows(self, reply: ttypes.SyncReply, asked_at: float) -> None:
-        by_table: dict[records.Table, list[records.Record]] = {}
-        for row in reply.rows or ():
-            table = rowcodec.table_of(row.topic)
-            # Another reply, or the store, may have brought it meanwhile.
-            if table is not None and row.version > self._replica.version(table):
-                by_table.setdefault(table, []).append(
-                    rowcodec.decode(table, row)
-                )
         for topic in reply.topics or ():
             table = rowcodec.table_of(topic.topic)
-            if table is None or not topic.version:
+            position = rowcodec.position_of(topic)
+            if table is None or position.is_start:
                 continue
-            changes = records.Changes(by_table.get(table, []), topic.version)
+            changes = records.Changes(
+                [
+                    rowcodec.decode(table, row)
+                    for row in reply.rows or ()
+                    if row.topic == topic.topic
+                    and (topic.complete or self._may_be_new(table, row))
+                ],
+                position,
+                bool(topic.complete),
+            )
             new_records = self._replica.apply(table, changes)
             self._view.apply(new_records, 'peer')
             if topic.confirmed_age_ms is not None:
                 at = asked_at - topic.confirmed_age_ms / 1000
-                self._replica.confirm(table, topic.version, at)
+                self._replica.confirm(table, position, at)
+
+    def _may_be_new(self, table: records.Table, row: ttypes.RowRecord) -> bool:
+        """Tells whether a row may be new here.
+
+        Another reply, or the store, may have brought it meanwhile.
+        """
+        known = self._replica.position(table)
+        return row.revision is not None or rowcodec.position_of(row).is_after(
+            known
+        )
 
     def _forget(self, now: float) -> None:
         gone = [
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -12,6 +12,7 @@
 
 from radishcourse_gateway import interfaces
 from radishcourse_gateway import localrollout
+from radishcourse_gateway import records
 from radishcourse_gateway import responsecounts
 from radishcourse_gateway import sessiontracker
 from radishcourse_gateway import settings as gateway_settings
@@ -22,6 +23,7 @@
 from radishcourse_platform import errors as platform_errors
 from radishcourse_policy import canary
 from radishcourse_policy import loadbalancing
+from radishcourse_policy import position as positions
 from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
@@ -50,7 +52,10 @@
         self._view: views.View = gateway.view
         self._peers = gateway.peers
         self._store: interfaces.Store = gateway.store
+        self._replica: records.Replica = gateway.replica
         self._by_service: dict[ids.ServiceId, localrollout.LocalRollout] = {}
+        self._removed: dict[ids.ServiceId, localrollout.LocalRollout] = {}
+        self._store_position = positions.START
         self._stable_versions = stableversions.StableVersions(gateway.view)
         self.sessions = sessiontracker.SessionTracker(gateway, self)
         self.counts = responsecounts.ResponseCounts(gateway, self)
@@ -62,20 +67,34 @@
     def find(self, service: ids.ServiceId) -> localrollout.LocalRollout | None:
         """Returns the roll-out of a service, None if none is ordered."""
         row = self._view.orders.get(service)
+        rollout = self._by_service.get(service)
+        if rollout is not None and (
+            row is None or rollout.identity != row.identity
+        ):
+            # The order may be back after a restore of the store.
+            del self._by_service[service]
+            self._removed[service] = rollout
+            rollout = None
         if row is None:
-            self._by_service.pop(service, None)
             return None
-        rollout = self._by_service.get(service)
-        if rollout is None or rollout.version != row.version:
-            rollout = localrollout.LocalRollout(
-                row.order, row.version, self._clock.now()
-            )
+        if rollout is None:
+            rollout = self._begin(row)
             self._by_service[service] = rollout
-            self.sessions.add_recent(rollout)
         if not rollout.since_ms:
             rollout.since_ms = self._store.now_ms(rollout.seen_at) or 0
         return rollout
 
+    def _begin(self, row: views.OrderRow) -> localrollout.LocalRollout:
+        """Returns the roll-out of an order that is new, or back."""
+        removed = self._removed.pop(row.order.service, None)
+        if removed is not None and removed.identity == row.identity:
+            return removed
+        rollout = localrollout.LocalRollout(
+            row.order, row.identity, self._clock.now()
+        )
+        self.sessions.add_recent(rollout)
+        return rollout
+
     def age_s(self, rollout: localrollout.LocalRollout) -> float:
         """Returns the seconds since a roll-out was ordered."""
         now = self._clock.now()
@@ -128,6 +147,7 @@
         while True:
             self._stable_versions.update()
             self.counts.count_overdue()
+            self._note_restore()
             for service in list(self._view.orders):
                 rollout = self.find(service)
                 try:
@@ -142,6 +162,16 @@
                     )
             await anyio.sleep(STEP_INTERVAL_S)
 
+    def _note_restore(self) -> None:
+        """Publishes states again that a restored store may have lost."""
+        position = self._replica.position(records.Table.CONFIGURATION)
+        known, self._store_position = self._store_position, position
+        if not position.is_of_later_era(known):
+            return
+        for rollout in (*self._by_service.values(), *self._removed.values()):
+            rollout.published = False
+            rollout.publish_at = None
+
     async def _step(self, rollout: localrollout.LocalRollout) -> None:
         if rollout.state in localrollout.FINAL_STATES and rollout.published:
             return
@@ -175,12 +205,36 @@
     ) -> interfaces.StatusRow:
         rollout.status_read_at = self._clock.now()
         row = await self._store.read_status(rollout.order.service)
-        if row.status is not None and row.status.order == rollout.version:
-            self._adopt(rollout, row.status)
+        status = row.status
+        if status is not None and self._identify(
+            rollout, status.to_version, status.order
+        ):
+            self._adopt(rollout, status)
         elif rollout.state is None:
             rollout.state = canary.RolloutState.RUNNING
         return row
 
+    def _identify(
+        self,
+        rollout: localrollout.LocalRollout,
+        to_version: ids.VersionId,
+        identity: positions.Position,
+    ) -> bool:
+        """Tells whether a status of an order is about a roll-out.
+
+        A node that does not know that the order was written before a restore of
+        the store learns that from the status.
+        """
+        if identity == rollout.identity:
+            return True
+        if to_version != rollout.order.to_version or (
+            not rollout.identity.is_of_later_era(identity)
+        ):
+            return False
+        rollout.identity = identity
+        self._view.identify_order(rollout.order.service, identity)
+        return True
+
     def _adopt(
         self, rollout: localrollout.LocalRollout, status: canary.Status
     ) -> None:
@@ -233,7 +287,7 @@
             rollout.order.service,
             rollout.order.to_version,
             rollout.state,
-            rollout.version,
+            rollout.identity,
             rollout.since_ms,
         )
         await self._store.write_status(status, row.version)
@@ -243,7 +297,8 @@
             events.Event.ROLLOUT_PUBLISHED,
             service=status.service,
             state=status.state.value,
-            order=status.order,
+            order=status.order.version,
+            era=status.order.era,
         )
 
     def _log(self, rollout, source: str, tallies=None, in_flight=None) -> None:
@@ -261,7 +316,8 @@
             service=rollout.order.service,
             version=rollout.order.to_version,
             state=rollout.state.value,
-            order=rollout.version,
+            order=rollout.identity.version,
+            era=rollout.identity.era,
             age_s=round(self.age_s(rollout), 3),
             source=source,
             counts=counts,
@@ -289,10 +345,11 @@
                 service,
                 rollout.order.to_version,
                 rollout.reported_state.value,
-                rollout.version,
+                rollout.identity.version,
                 rollout.since_ms,
                 rollout.published,
                 rollout.encoded_open_sessions(),
+                rollout.identity.era or None,
             )
             for service, rollout in self._by_service.items()
             if rollout.state is not None
@@ -306,7 +363,9 @@
         """Merges the counts and states that a peer reported."""
         for report in reports:
             rollout = self._by_service.get(report.service_id)
-            if rollout is None or rollout.version != report.order:
+            if rollout is None or rollout.identity != localrollout.identity_of(
+                report
+            ):
                 continue
             if report.node == self._peers.incarnation:
                 continue
@@ -316,7 +375,10 @@
 
     def _merge_status(self, status: ttypes.RolloutStatus) -> None:
         rollout = self.find(ids.ServiceId(status.service_id))
-        if rollout is None or rollout.version != status.order:
+        identity = localrollout.identity_of(status)
+        if rollout is None or not self._identify(
+            rollout, ids.VersionId(status.version), identity
+        ):
             return
         if status.since_ms:
             rollout.since_ms = min(
@@ -335,7 +397,7 @@
                     rollout.order.service,
                     rollout.order.to_version,
                     state,
-                    status.order,
+                    identity,
                     status.since_ms,
                 ),
             )
--- a/packages/gateway/src/radishcourse_gateway/rowcodec.py
+++ b/packages/gateway/src/radishcourse_gateway/rowcodec.py
@@ -4,6 +4,7 @@
 import zlib
 
 from radishcourse_gateway import records
+from radishcourse_policy import position as positions
 from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
@@ -26,8 +27,10 @@
     return ttypes.RowRecord(
         record.table.value,
         record.key,
-        record.version,
+        record.position.version,
         None if value is None else _compress(value),
+        record.revision,
+        record.position.era or None,
     )
 
 
@@ -46,4 +49,11 @@
         value = None if row.value is None else zlib.decompress(row.value)
     except zlib.error as error:
         raise wire_errors.Malformed(f'row {row.key}: {error}') from error
-    return records.Record(table, row.key, row.version, value)
+    return records.Record(table, row.key, position_of(row), value, row.revision)
+
+
+def position_of(
+    item: ttypes.RowRecord | ttypes.TopicState,
+) -> positions.Position:
+    """Returns the position of a row or a table in a message."""
+    return positions.Position(item.era or 0, item.version or 0)
--- a/packages/gateway/src/radishcourse_gateway/sessiontracker.py
+++ b/packages/gateway/src/radishcourse_gateway/sessiontracker.py
@@ -85,7 +85,11 @@
         if peer is None or bucket in rollout.settled_buckets:
             return
         message = ttypes.SettleSession(
-            service, rollout.version, bucket, bucket in rollout.open_sessions
+            service,
+            rollout.identity.version,
+            bucket,
+            bucket in rollout.open_sessions,
+            rollout.identity.era or None,
         )
         try:
             reply = await self._peers.call(
@@ -108,7 +112,9 @@
         """Records and looks up an open session for another node."""
         del sender
         rollout = self._rollouts.find(ids.ServiceId(request.service_id))
-        if rollout is None or rollout.version != request.order:
+        if rollout is None or rollout.identity != localrollout.identity_of(
+            request
+        ):
             # Not known here yet: the sender asks again with its next request.
             return ttypes.SettleSessionReply(False)
         if request.open:
--- a/packages/gateway/src/radishcourse_gateway/view.py
+++ b/packages/gateway/src/radishcourse_gateway/view.py
@@ -17,6 +17,7 @@
 from radishcourse_model import ids
 from radishcourse_node import events
 from radishcourse_policy import canary
+from radishcourse_policy import position as positions
 
 # Entries that expired during an outage of the store are renewed within about
 # two seconds of its recovery if the upstream is alive. For this long after the
@@ -50,15 +51,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class OrderRow:
-    """An operator's order of a roll-out and the version of its row.
+    """An operator's order of a roll-out.
 
     Attributes:
       order: The order.
-      version: Version of the row.
+      identity: Where in the store's history it was written first.
+      written_at: Where it was written last: an order that the store has lost is
+        written again and stays the same.
     """
 
     order: interfaces.RolloutOrder
-    version: int
+    identity: positions.Position
+    written_at: positions.Position
 
 
 class View:
@@ -83,6 +87,7 @@
         self.orders: dict[ids.ServiceId, OrderRow] = {}
         self.upstreams: dict[ids.UpstreamId, ListedUpstream] = {}
         self._store_recovered_at: float | None = None
+        self._removed_orders: dict[ids.ServiceId, OrderRow] = {}
         self._by_address: dict[str, ids.UpstreamId] = {}
         self.on_replaced: typing.Callable[[ListedUpstream], None] = _ignore
 
@@ -101,7 +106,7 @@
                     events.Event.RECORD_UNREADABLE,
                     table=record.table.value,
                     key=record.key,
-                    version=record.version,
+                    version=record.position.version,
                     error=str(error),
                 )
 
@@ -115,18 +120,45 @@
         if isinstance(decoded, directories.Directory):
             self._apply_directory(decoded, source)
         elif isinstance(decoded, interfaces.RolloutOrder):
-            self.orders[decoded.service] = OrderRow(decoded, record.version)
-            events.log(
-                events.Event.ROLLOUT_ORDERED,
-                service=decoded.service,
-                version=decoded.to_version,
-                within_s=decoded.within_s,
-                order=record.version,
-                source=source,
-            )
+            self._apply_order(decoded, record.position, source)
         else:
             self._apply_other(record)
 
+    def _apply_order(
+        self,
+        order: interfaces.RolloutOrder,
+        position: positions.Position,
+        source: str,
+    ) -> None:
+        known = self.orders.get(order.service) or self._removed_orders.get(
+            order.service
+        )
+        identity = position
+        if (
+            known is not None
+            and known.order == order
+            and position.is_of_later_era(known.written_at)
+        ):
+            identity = known.identity
+        self.orders[order.service] = OrderRow(order, identity, position)
+        events.log(
+            events.Event.ROLLOUT_ORDERED,
+            service=order.service,
+            version=order.to_version,
+            within_s=order.within_s,
+            order=identity.version,
+            era=identity.era,
+            written_at=position,
+            source=source,
+        )
+
+    def identify_order(
+        self, service: ids.ServiceId, identity: positions.Position
+    ) -> None:
+        """Records where an order was written first, as others know it."""
+        row = self.orders[service]
+        self.orders[service] = dataclasses.replace(row, identity=identity)
+
     def _apply_directory(self, directory, source: str) -> None:
         if self.directory and directory.version <= self.directory.version:
             return
@@ -141,7 +173,9 @@
     def _apply_other(self, record: records.Record) -> None:
         kind, name = self._decoder.identify(record)
         if kind == 'rollout' and record.value is None:
-            self.orders.pop(ids.ServiceId(name), None)
+            row = self.orders.pop(ids.ServiceId(name), None)
+            if row is not None:
+                self._removed_orders[row.order.service] = row
         if kind != 'zone':
             return
         zone = ids.ZoneId(name)
@@ -156,7 +190,7 @@
             events.Event.ZONE_CHANGED,
             zone=zone,
             out=zone in self.disabled_zones,
-            version=record.version,
+            version=record.position.version,
         )
 
     def _mark_zone_cold(self, zone: ids.ZoneId) -> None:
--- a/packages/platform/src/radishcourse_platform/http.py
+++ b/packages/platform/src/radishcourse_platform/http.py
@@ -22,10 +22,21 @@
 
 
 class Response(typing.NamedTuple):
-    """Status and body of an HTTP response."""
+    """An HTTP response.
+
+    Attributes:
+      status: The status.
+      body: The whole body.
+      headers: Names, in lower case, and values of the headers.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header."""
+        return next((value for key, value in self.headers if key == name), None)
 
 
 class Client:
@@ -75,7 +86,10 @@
             raise errors.RateLimited(f'{method} {path}: 429')
         if response.status == 503:
             raise errors.Unavailable(f'{method} {path}: {response.status}')
-        return Response(response.status, response.content)
+        headers = tuple(
+            (name.lower(), value) for name, value in response.headers
+        )
+        return Response(response.status, response.content, headers)
 
     async def aclose(self) -> None:
         """Closes the connections."""
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -19,6 +19,7 @@
 import math
 
 from radishcourse_model import ids
+from radishcourse_policy import position as positions
 
 # Share of the sessions in the canary, as a fraction of the permitted exposure:
 # leaves room for requests that arrive while the decision spreads.
@@ -103,14 +104,14 @@
       service: The service.
       to_version: The new version.
       state: State of the roll-out.
-      order: Version of the row that holds the operator's order.
+      order: Where in the store's history the order was written first.
       since_ms: Time of the order on the store's clock in milliseconds.
     """
 
     service: ids.ServiceId
     to_version: ids.VersionId
     state: RolloutState
-    order: int = 0
+    order: positions.Position = positions.START
     since_ms: int = 0
 
 
--- a/packages/standins/src/radishcourse_standins/rowstore.py
+++ b/packages/standins/src/radishcourse_standins/rowstore.py
@@ -2,6 +2,7 @@
 
 import base64
 import enum
+import random
 
 import anyio
 import fire
@@ -10,6 +11,8 @@
 from radishcourse_standins import asgi
 
 HANG_S = 60.0
+# Tables whose authors write their rows again after a restore.
+AUTHORED_TABLES = ('op', 'servers')
 
 
 class Mode(enum.Enum):
@@ -57,6 +60,23 @@
     value: object = None
 
 
+class _Restore(msgspec.Struct):
+    """A restore that `POST /control/restore` begins.
+
+    Attributes:
+      age_s: Age of the copy that the store comes back from.
+      down_s: Time for which the store refuses requests before.
+      rewrite_s: Time from its return until lost rows have been written again by
+        their authors, at most.
+      seed: Seed of the order and the times at which they are.
+    """
+
+    age_s: float
+    down_s: float = 0.5
+    rewrite_s: float = 1.0
+    seed: int = 0
+
+
 class Faults(msgspec.Struct):
     """Faults that `POST /control/faults` sets.
 
@@ -79,6 +99,11 @@
         self._changed = anyio.Event()
         self._faults = Faults()
         self._calls = 0
+        self._era = 1
+        # All writes with their times, to make copies from.
+        self._log: list[tuple[float, Row]] = []
+        # Rows written in this era.
+        self._written: set[tuple[str, str]] = set()
         self.app = asgi.App()
         for method, path, handler in (
             ('GET', '/v1/rows-get', self._get),
@@ -87,6 +112,7 @@
             ('POST', '/control/put', self._put),
             ('POST', '/control/faults', self._set_faults),
             ('POST', '/control/compact', self._compact),
+            ('POST', '/control/restore', self._restore),
             ('GET', '/control/rows', self._list),
         ):
             self.app.route(method, path)(handler)
@@ -97,11 +123,14 @@
         self._calls += 1
         refused = request.headers.get('x-forwarded-for') in self._faults.refused
         if self._faults.mode is Mode.BUSY or refused:
-            return asgi.reply({'error': 'busy'}, 503)
+            return self._refuse('busy', 503)
         if self._faults.mode is Mode.HANG:
             await anyio.sleep(HANG_S)
         return None
 
+    def _refuse(self, error: str, status: int) -> asgi.Response:
+        return asgi.reply({'error': error}, status, store_era=str(self._era))
+
     def _make_reply(self, rows: list[Row], status: int = 200) -> asgi.Response:
         return asgi.reply(
             {
@@ -111,6 +140,7 @@
                 'nowMs': int(1000 * anyio.current_time()),
             },
             status,
+            store_era=str(self._era),
         )
 
     async def _get(self, request: asgi.Request) -> asgi.Response:
@@ -131,11 +161,14 @@
         if refusal := await self._apply_faults(request):
             return refusal
         since = int(request.query['sinceRev'])
-        if since < self._compacted_version:
-            return asgi.reply({'error': 'history is gone'}, 410)
+        if not self._compacted_version <= since <= self._version:
+            return self._refuse('history is gone', 410)
+        era = self._era
         with anyio.move_on_after(int(request.query['waitMs']) / 1000):
             while not self._rows_after(request.query['table'], since):
                 await self._changed.wait()
+        if era != self._era:
+            raise asgi.DropConnection
         return self._make_reply(self._rows_after(request.query['table'], since))
 
     def _rows_after(self, table: str, since: int) -> list[Row]:
@@ -165,9 +198,10 @@
         return self._make_reply([])
 
     def _write(self, table: str, key: str, value: str | None) -> None:
-        self._rows[(table, key)] = Row(
-            table, key, self._version, value, deleted=value is None
-        )
+        row = Row(table, key, self._version, value, deleted=value is None)
+        self._rows[(table, key)] = row
+        self._log.append((anyio.current_time(), row))
+        self._written.add((table, key))
         self._changed.set()
         self._changed = anyio.Event()
 
@@ -192,6 +226,50 @@
         self._compacted_version = self._version
         return asgi.reply({})
 
+    async def _restore(self, request: asgi.Request) -> asgi.Response:
+        """Comes back from a copy after a time without service."""
+        restore = request.json(_Restore)
+        copied_at = anyio.current_time() - restore.age_s
+        before, self._faults = self._faults, Faults(mode=Mode.BUSY)
+        self._drop_waiting()
+        await anyio.sleep(restore.down_s)
+        lost = self._return_to(copied_at)
+        self._faults = before
+        await self._write_again(lost, restore)
+        return asgi.reply({'lost': len(lost), 'era': self._era})
+
+    def _drop_waiting(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _return_to(self, copied_at: float) -> list[Row]:
+        """Drops what was written since; returns the newest of these rows."""
+        kept = [item for item in self._log if item[0] <= copied_at]
+        written = dict(self._rows)
+        self._log = kept
+        self._rows = {(row.table, row.key): row for _, row in kept}
+        self._version = max((row.ver for _, row in kept), default=0)
+        self._compacted_version = min(self._compacted_version, self._version)
+        self._era += 1
+        self._written = set()
+        self._drop_waiting()
+        return [
+            row
+            for name, row in written.items()
+            if row.table in AUTHORED_TABLES and self._rows.get(name) != row
+        ]
+
+    async def _write_again(self, lost: list[Row], restore: _Restore) -> None:
+        """Writes lost rows as their authors do, unless they have changed."""
+        source, era = random.Random(restore.seed), self._era
+        source.shuffle(lost)
+        for row in lost:
+            await anyio.sleep(source.uniform(0, restore.rewrite_s / len(lost)))
+            if era != self._era or (row.table, row.key) in self._written:
+                continue
+            self._version += 1
+            self._write(row.table, row.key, row.value)
+
     async def _list(self, request: asgi.Request) -> asgi.Response:
         del request
         return asgi.reply(
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -131,21 +131,29 @@
 }
 
 // Messages between gateways. `topic` names a table that nodes replicate.
-// `lost` tells that the store did not answer the sender's last poll of it.
+// `lost` tells that the store did not answer the sender's last poll of it. `era`
+// counts the restores of the store; versions of two eras can't be compared.
+// `revision` is the highest number that an author gave to the content of a row.
+// `complete` tells that a reply has all rows of the table.
 struct TopicState {
   1: string topic
   2: i64 version
   3: optional i32 confirmed_age_ms
   4: optional bool lost
+  5: optional i64 era
+  6: optional i64 revision
+  7: optional bool complete
 }
 
 // A row of the platform's store; a row without a value was deleted. Values
-// are zlib-compressed.
+// are zlib-compressed. `version` and `era` are those at which it was written.
 struct RowRecord {
   1: string topic
   2: string key
   3: i64 version
   4: optional binary value
+  5: optional i64 revision
+  6: optional i64 era
 }
 
 struct PeerRecord {
@@ -174,6 +182,7 @@
   4: i64 counter
   5: list<RouteTally> tallies
   6: i32 old_in_flight
+  7: optional i64 era
 }
 
 // `open_sessions` is a zlib-compressed bitmap of the sessions that the canary
@@ -186,6 +195,7 @@
   5: i64 since_ms
   6: bool published
   7: optional binary open_sessions
+  8: optional i64 era
 }
 
 // Tells the node that is responsible for a session, chosen by hash, whether the
@@ -196,6 +206,7 @@
   2: i64 order
   3: i32 bucket
   4: bool open
+  5: optional i64 era
 }
 
 struct SettleSessionReply {
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -1914,6 +1914,9 @@
      - version
      - confirmed_age_ms
      - lost
+     - era
+     - revision
+     - complete
 
     """
 
@@ -1922,14 +1925,20 @@
         'version',
         'confirmed_age_ms',
         'lost',
+        'era',
+        'revision',
+        'complete',
     )
 
 
-    def __init__(self, topic=None, version=None, confirmed_age_ms=None, lost=None,):
+    def __init__(self, topic=None, version=None, confirmed_age_ms=None, lost=None, era=None, revision=None, complete=None,):
         self.topic = topic
         self.version = version
         self.confirmed_age_ms = confirmed_age_ms
         self.lost = lost
+        self.era = era
+        self.revision = revision
+        self.complete = complete
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1960,6 +1969,21 @@
                     self.lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1986,6 +2010,18 @@
             oprot.writeFieldBegin('lost', TType.BOOL, 4)
             oprot.writeBool(self.lost)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 6)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 7)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2018,6 +2054,8 @@
      - key
      - version
      - value
+     - revision
+     - era
 
     """
 
@@ -2026,14 +2064,18 @@
         'key',
         'version',
         'value',
+        'revision',
+        'era',
     )
 
 
-    def __init__(self, topic=None, key=None, version=None, value=None,):
+    def __init__(self, topic=None, key=None, version=None, value=None, revision=None, era=None,):
         self.topic = topic
         self.key = key
         self.version = version
         self.value = value
+        self.revision = revision
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2064,6 +2106,16 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2090,6 +2142,14 @@
             oprot.writeFieldBegin('value', TType.STRING, 4)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 5)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 6)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2368,6 +2428,7 @@
      - counter
      - tallies
      - old_in_flight
+     - era
 
     """
 
@@ -2378,16 +2439,18 @@
         'counter',
         'tallies',
         'old_in_flight',
+        'era',
     )
 
 
-    def __init__(self, service_id=None, order=None, node=None, counter=None, tallies=None, old_in_flight=None,):
+    def __init__(self, service_id=None, order=None, node=None, counter=None, tallies=None, old_in_flight=None, era=None,):
         self.service_id = service_id
         self.order = order
         self.node = node
         self.counter = counter
         self.tallies = tallies
         self.old_in_flight = old_in_flight
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2434,6 +2497,11 @@
                     self.old_in_flight = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2471,6 +2539,10 @@
             oprot.writeFieldBegin('old_in_flight', TType.I32, 6)
             oprot.writeI32(self.old_in_flight)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 7)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2506,6 +2578,7 @@
      - since_ms
      - published
      - open_sessions
+     - era
 
     """
 
@@ -2517,10 +2590,11 @@
         'since_ms',
         'published',
         'open_sessions',
+        'era',
     )
 
 
-    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None, published=None, open_sessions=None,):
+    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None, published=None, open_sessions=None, era=None,):
         self.service_id = service_id
         self.version = version
         self.state = state
@@ -2528,6 +2602,7 @@
         self.since_ms = since_ms
         self.published = published
         self.open_sessions = open_sessions
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2573,6 +2648,11 @@
                     self.open_sessions = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2611,6 +2691,10 @@
             oprot.writeFieldBegin('open_sessions', TType.STRING, 7)
             oprot.writeBinary(self.open_sessions)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 8)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2643,6 +2727,7 @@
      - order
      - bucket
      - open
+     - era
 
     """
 
@@ -2651,14 +2736,16 @@
         'order',
         'bucket',
         'open',
+        'era',
     )
 
 
-    def __init__(self, service_id=None, order=None, bucket=None, open=None,):
+    def __init__(self, service_id=None, order=None, bucket=None, open=None, era=None,):
         self.service_id = service_id
         self.order = order
         self.bucket = bucket
         self.open = open
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2689,6 +2776,11 @@
                     self.open = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2715,6 +2807,10 @@
             oprot.writeFieldBegin('open', TType.BOOL, 4)
             oprot.writeBool(self.open)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3759,6 +3855,9 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.I32, 'confirmed_age_ms', None, None, ),  # 3
     (4, TType.BOOL, 'lost', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
+    (6, TType.I64, 'revision', None, None, ),  # 6
+    (7, TType.BOOL, 'complete', None, None, ),  # 7
 )
 all_structs.append(RowRecord)
 RowRecord.thrift_spec = (
@@ -3767,6 +3866,8 @@
     (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'revision', None, None, ),  # 5
+    (6, TType.I64, 'era', None, None, ),  # 6
 )
 all_structs.append(PeerRecord)
 PeerRecord.thrift_spec = (
@@ -3796,6 +3897,7 @@
     (4, TType.I64, 'counter', None, None, ),  # 4
     (5, TType.LIST, 'tallies', (TType.STRUCT, [RouteTally, None], False), None, ),  # 5
     (6, TType.I32, 'old_in_flight', None, None, ),  # 6
+    (7, TType.I64, 'era', None, None, ),  # 7
 )
 all_structs.append(RolloutStatus)
 RolloutStatus.thrift_spec = (
@@ -3807,6 +3909,7 @@
     (5, TType.I64, 'since_ms', None, None, ),  # 5
     (6, TType.BOOL, 'published', None, None, ),  # 6
     (7, TType.STRING, 'open_sessions', 'BINARY', None, ),  # 7
+    (8, TType.I64, 'era', None, None, ),  # 8
 )
 all_structs.append(SettleSession)
 SettleSession.thrift_spec = (
@@ -3815,6 +3918,7 @@
     (2, TType.I64, 'order', None, None, ),  # 2
     (3, TType.I32, 'bucket', None, None, ),  # 3
     (4, TType.BOOL, 'open', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
 )
 all_structs.append(SettleSessionReply)
 SettleSessionReply.thrift_spec = (
--- a/tests/site.py
+++ b/tests/site.py
@@ -94,6 +94,13 @@
         row = {'table': table, 'key': key, 'value': value}
         self.control(self.store, 'put', row)
 
+    def restore_store(self, age_s: float, **fields) -> dict:
+        """Brings the store back from a copy; returns what it has lost.
+
+        Returns when the rows of the operator and the workers are back.
+        """
+        return self.control(self.store, 'restore', {'age_s': age_s, **fields})
+
     def configure(self, **fields) -> None:
         """Writes a manifest as the configuration."""
         self.put('op', 'config', sitefiles.manifest(**fields))
@@ -228,9 +235,10 @@
         fault = {'links': list(names), 'mode': mode, **fields}
         self.control(self.proxy, 'faults', fault)
 
-    def wait_ready(self) -> None:
-        """Waits until all gateways are ready."""
-        for process in self.gateways.values():
+    def wait_ready(self, *names: str) -> None:
+        """Waits until the named gateways are ready; all by default."""
+        for name in names or self.gateways:
+            process = self.gateways[name]
             probe = processes.Process(
                 process.name,
                 process.ready_port,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -21,6 +21,7 @@
 from radishcourse_node import environment as environments
 from radishcourse_node import exitstatus
 from radishcourse_policy import canary
+from radishcourse_policy import position as positions
 from tests import sitefiles
 
 SETTINGS = """
@@ -49,7 +50,7 @@
 
 def _record(key: str, value: object, table=records.Table.CONFIGURATION):
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
-    return records.Record(table, key, 1, data)
+    return records.Record(table, key, positions.Position(1, 1), data)
 
 
 def _write(folder: str, text: str) -> pathlib.Path:
@@ -145,7 +146,7 @@
             decoded.service,
             decoded.to_version,
             canary.RolloutState.COMPLETED,
-            4,
+            positions.Position(2, 4),
             99,
         )
         self.assertEqual(
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -17,6 +17,7 @@
 from radishcourse_policy import canary
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import durations
+from radishcourse_policy import position as positions
 
 SERVICE = ids.ServiceId('assistant')
 # The users' bounds: share and slack of requests on a bad version, and number
@@ -472,7 +473,9 @@
         super().setUp()
         self.clock = clocks.ManualClock(100.0)
         order = interfaces.RolloutOrder(SERVICE, ids.VersionId('v2'), 20.0)
-        self.rollout = localrollout.LocalRollout(order, 1, 100.0)
+        self.rollout = localrollout.LocalRollout(
+            order, positions.Position(1, 1), 100.0
+        )
         self.rollout.state = canary.RolloutState.RUNNING
         gateway = types.SimpleNamespace(
             environment=types.SimpleNamespace(clock=self.clock)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -9,10 +9,12 @@
 from radishcourse_gateway import peers
 from radishcourse_gateway import records
 from radishcourse_policy import clock as clocks
+from radishcourse_policy import position as positions
 from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
-ROW = records.Record(records.Table.UPSTREAMS, 'engine-1', 3, b'{}')
+POSITION = positions.Position(1, 3)
+ROW = records.Record(records.Table.UPSTREAMS, 'engine-1', POSITION, b'{}')
 
 
 class _Client:
@@ -32,7 +34,7 @@
 
     def setUp(self):
         super().setUp()
-        self.replica = records.Replica()
+        self.replica = records.Replica(clocks.ManualClock(100.0))
         settings = types.SimpleNamespace(
             node='front-0',
             zone='zone-a',
@@ -59,15 +61,19 @@
 
     def test_node_with_rows_asks_all_peers_for_newer_ones(self):
         for table in records.Table:
-            self.replica.apply(table, records.Changes([], 1))
+            self.replica.apply(
+                table, records.Changes([], positions.Position(1, 1))
+            )
         self.assertEqual(peers.FANOUT, self._asked_for_rows())
 
     def test_known_rows_are_not_decompressed(self):
         self.replica.apply(
-            records.Table.UPSTREAMS, records.Changes([ROW], 3, True)
+            records.Table.UPSTREAMS, records.Changes([ROW], POSITION, True)
         )
-        broken = ttypes.RowRecord('upstreams', 'engine-1', 3, b'not packed')
-        topic = ttypes.TopicState('upstreams', 3, 0)
+        broken = ttypes.RowRecord(
+            'upstreams', 'engine-1', 3, b'not packed', era=1
+        )
+        topic = ttypes.TopicState('upstreams', 3, 0, era=1)
         reply = ttypes.SyncReply(None, [topic], [broken], None, [], [], [])
         self.peers._apply_rows(reply, 100.0)
         self.assertEqual([ROW], list(self.replica.rows(ROW.table)))
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -10,9 +10,11 @@
 from radishcourse_gateway import records
 from radishcourse_model import ids
 from radishcourse_policy import answers
+from radishcourse_policy import clock as clocks
 from radishcourse_policy import coldrate
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import modelchoice
+from radishcourse_policy import position as positions
 from radishcourse_policy import prefill
 
 SMALL, MIDDLE, LARGE = map(ids.ModelId, ('small', 'middle', 'large'))
@@ -215,6 +217,14 @@
 _KEYS = strategies.sampled_from('abc')
 
 
+def _at(version: int) -> positions.Position:
+    return positions.Position(1, version)
+
+
+def _make_replica() -> records.Replica:
+    return records.Replica(clocks.ManualClock(100.0))
+
+
 @strategies.composite
 def _histories(draw):
     """Draws writes to a store in order, each with a new version."""
@@ -225,7 +235,7 @@
         )
     )
     return [
-        records.Record(records.Table.CONFIGURATION, key, number + 1, value)
+        records.Record(records.Table.CONFIGURATION, key, _at(number + 1), value)
         for number, (key, value) in enumerate(writes)
     ]
 
@@ -242,46 +252,50 @@
     def test_relayed_rows_lead_to_the_state_of_the_store(self, history, data):
         """Two replicas read parts of the history and pull from each other."""
         table = records.Table.CONFIGURATION
-        first, second = records.Replica(), records.Replica()
+        first, second = _make_replica(), _make_replica()
         known = 0
         while known < len(history):
             known = data.draw(strategies.integers(known + 1, len(history)))
-            seen = records.Replica()
+            seen = _make_replica()
             for record in history[:known]:
-                seen.apply(table, records.Changes([record], record.version))
+                seen.apply(table, records.Changes([record], record.position))
             source, target = first, second
             if data.draw(strategies.booleans()):
                 source, target = second, first
             source.apply(
-                table, seen.changes_after(table, source.version(table))
+                table, seen.changes_after(table, source.position(table))
             )
-            before = target.version(table)
+            before = target.position(table)
             target.apply(table, source.changes_after(table, before))
-            self.assertGreaterEqual(target.version(table), before)
+            self.assertFalse(before.is_after(target.position(table)))
             self.assertEqual(self._state(seen), self._state(target))
 
     @hypothesis.given(_histories(), strategies.data())
     def test_whole_table_removes_what_is_not_in_it(self, history, data):
         table = records.Table.CONFIGURATION
-        full, late = records.Replica(), records.Replica()
+        full, late = _make_replica(), _make_replica()
         cut = data.draw(strategies.integers(0, len(history)))
         for record in history:
-            full.apply(table, records.Changes([record], record.version))
+            full.apply(table, records.Changes([record], record.position))
         for record in history[:cut]:
-            late.apply(table, records.Changes([record], record.version))
+            late.apply(table, records.Changes([record], record.position))
         rows = [row for row in full.rows(table) if row.value is not None]
-        late.apply(table, records.Changes(rows, len(history), complete=True))
+        late.apply(
+            table, records.Changes(rows, _at(len(history)), complete=True)
+        )
         self.assertEqual(self._state(full), self._state(late))
 
     def test_older_row_changes_nothing(self):
         table = records.Table.CONFIGURATION
-        replica = records.Replica()
-        new = records.Record(table, 'a', 5, b'new')
-        old = records.Record(table, 'a', 4, b'old')
-        replica.apply(table, records.Changes([new], 5))
-        applied = replica.apply(table, records.Changes([old], 4, complete=True))
+        replica = _make_replica()
+        new = records.Record(table, 'a', _at(5), b'new')
+        old = records.Record(table, 'a', _at(4), b'old')
+        replica.apply(table, records.Changes([new], _at(5)))
+        applied = replica.apply(
+            table, records.Changes([old], _at(4), complete=True)
+        )
         self.assertEqual([], applied)
-        self.assertEqual(5, replica.version(table))
+        self.assertEqual(_at(5), replica.position(table))
 
 
 class SplitterTest(testtools.TestCase):
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -9,6 +9,7 @@
 from radishcourse_gateway import view
 from radishcourse_model import ids
 from radishcourse_policy import clock as clocks
+from radishcourse_policy import position as positions
 from tests import sitefiles
 
 SERVICE = ids.ServiceId('desk')
@@ -38,7 +39,8 @@
     def _apply(self, table: records.Table, key: str, value) -> None:
         self._version += 1
         data = None if value is None else json.dumps(value).encode()
-        record = records.Record(table, key, self._version, data)
+        position = positions.Position(1, self._version)
+        record = records.Record(table, key, position, data)
         self._view.apply([record], 'test')
 
     def _list(self, name: str) -> None:
