Let no row or reply of the platform end the task that reads it

A deeply nested row raises RecursionError, which is none of the decoder's errors: the task that follows the table ended in the middle of a batch, so that the rows after it were never applied, and a gateway that started beside it had no upstream. A port out of range was listed, and each attempt raised OverflowError, which ejects nothing.

The loop that applies rows survives any one of them, logs and counts it (radishcourse_rows_unreadable). An entry that becomes odd names no upstream until it is good. At radishcourse-node such a reply ended the task that read it; now the call fails.

--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -192,6 +192,7 @@
             'radishcourse_ready': int(not self.unready_reason),
             'radishcourse_peers_alive': len(self.peers.alive),
             'radishcourse_upstreams_listed': len(self.view.upstreams),
+            'radishcourse_rows_unreadable': self.view.unreadable_rows,
             'radishcourse_log_lines_dropped': self._count_dropped_lines(),
             'radishcourse_parts_quarantined': len(
                 self.crashes.quarantine.quarantined
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -295,7 +295,7 @@
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
-    except (OSError, TimeoutError, ValueError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
         failure = ConnectionRefused if refused else errors.UpstreamError
         raise failure(f'connect failed: {error!r}', False) from error
--- a/packages/gateway/src/radishcourse_gateway/view.py
+++ b/packages/gateway/src/radishcourse_gateway/view.py
@@ -73,6 +73,7 @@
       disabled_zones: Availability zones that get no new requests.
       orders: Ordered roll-outs by service.
       upstreams: Upstreams by id, including those whose entry disappeared.
+      unreadable_rows: Number of rows that could not be used.
       on_replaced: Called with an upstream when an entry of another run has its
         id or its address.
     """
@@ -87,6 +88,7 @@
         self.orders: dict[ids.ServiceId, OrderRow] = {}
         self.upstreams: dict[ids.UpstreamId, ListedUpstream] = {}
         self._store_recovered_at: float | None = None
+        self.unreadable_rows = 0
         self._removed_orders: dict[ids.ServiceId, OrderRow] = {}
         self._by_address: dict[str, ids.UpstreamId] = {}
         self.on_replaced: typing.Callable[[ListedUpstream], None] = _ignore
@@ -101,13 +103,17 @@
         for record in new_records:
             try:
                 self._apply_record(record, source)
-            except errors.Unreadable as error:
+            except Exception as error:
+                # The other rows hold, whatever one of them brings about.
+                self.unreadable_rows += 1
                 events.log(
                     events.Event.RECORD_UNREADABLE,
                     table=record.table.value,
                     key=record.key,
                     version=record.position.version,
-                    error=str(error),
+                    error=str(error)
+                    if isinstance(error, errors.Unreadable)
+                    else repr(error),
                 )
 
     def _apply_record(self, record: records.Record, source: str) -> None:
@@ -211,8 +217,9 @@
             return
         try:
             entry = self._decoder.decode(record)
-        except errors.Unreadable:
-            if known is not None:
+        except Exception:
+            # It names no upstream, whatever the entry before did.
+            if known is not None and known.gone_at is None:
                 known.gone_at = self._clock.now()
             raise
         if entry is None:
--- a/packages/node/src/radishcourse_node/enginecontrol.py
+++ b/packages/node/src/radishcourse_node/enginecontrol.py
@@ -6,6 +6,7 @@
 import httpcore
 import msgspec
 
+from radishcourse_model import decoding
 from radishcourse_node import errors
 from radishcourse_platform import http
 
@@ -88,7 +89,7 @@
         body = await self._call('GET', '/v1/state')
         try:
             return msgspec.json.decode(body, type=EngineState)
-        except msgspec.MsgspecError as error:
+        except decoding.ERRORS as error:
             raise ControlError(f'malformed engine state: {error}') from error
 
     async def cancel(self, request_id: str) -> None:
--- a/packages/node/src/radishcourse_node/gossip.py
+++ b/packages/node/src/radishcourse_node/gossip.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from radishcourse_model import decoding
 from radishcourse_model import errors as model_errors
 from radishcourse_model import ids
 from radishcourse_model import merge
@@ -67,7 +68,7 @@
             )
             for change in changes
         ]
-    except (msgspec.MsgspecError, AttributeError, TypeError) as error:
+    except (*decoding.ERRORS, AttributeError, TypeError) as error:
         raise wire_errors.Malformed(f'invalid change: {error}') from error
 
 
@@ -91,7 +92,7 @@
     try:
         text = inflater.decompress(snapshot.document, MAX_DOCUMENT_BYTES)
         document = msgspec.json.decode(text, type=merge.Document)
-    except (zlib.error, msgspec.MsgspecError, TypeError) as error:
+    except (zlib.error, *decoding.ERRORS, TypeError) as error:
         raise wire_errors.Malformed(f'invalid document: {error}') from error
     return revisions.Snapshot(ids.Revision(snapshot.revision), document)
 
--- a/packages/node/src/radishcourse_node/ratings.py
+++ b/packages/node/src/radishcourse_node/ratings.py
@@ -6,6 +6,7 @@
 import httpcore
 import msgspec
 
+from radishcourse_model import decoding
 from radishcourse_node import events
 from radishcourse_node import job as jobs
 from radishcourse_platform import http
@@ -91,7 +92,7 @@
                     f'rating service answered with status {response.status}'
                 )
             rating = msgspec.json.decode(response.content, type=_RatingResponse)
-        except (*http.CALL_ERRORS, ValueError, msgspec.MsgspecError) as error:
+        except (*http.CALL_ERRORS, ValueError, *decoding.ERRORS) as error:
             self._record_duration(started_at)
             self._record_failure(error)
             return None
--- a/packages/platform/src/radishcourse_platform/revisions.py
+++ b/packages/platform/src/radishcourse_platform/revisions.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from radishcourse_model import decoding
 from radishcourse_model import errors as model_errors
 from radishcourse_model import ids
 from radishcourse_model import merge
@@ -334,7 +335,12 @@
         body = await self._store.read(_snapshot_key(revision))
         if body is None:
             return None
-        document = msgspec.json.decode(body, type=merge.Document)
+        try:
+            document = msgspec.json.decode(body, type=merge.Document)
+        except decoding.ERRORS as error:
+            raise model_errors.ConfigError(
+                f'malformed snapshot: {error}'
+            ) from error
         return Snapshot(ids.Revision(revision), document)
 
 
--- a/packages/platform/src/radishcourse_platform/table.py
+++ b/packages/platform/src/radishcourse_platform/table.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from radishcourse_model import decoding
 from radishcourse_platform import errors
 from radishcourse_platform import http
 
@@ -130,7 +131,7 @@
         raise errors.UnexpectedResponse(f'unexpected status {response.status}')
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError as error:
+    except decoding.ERRORS as error:
         raise errors.UnexpectedResponse(
             f'malformed response: {error}'
         ) from error
--- a/packages/platform/src/radishcourse_platform/vms.py
+++ b/packages/platform/src/radishcourse_platform/vms.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from radishcourse_model import decoding
 from radishcourse_platform import errors
 from radishcourse_platform import http
 
@@ -66,7 +67,7 @@
             )
         try:
             return msgspec.json.decode(response.body, type=_Vms).vms
-        except msgspec.MsgspecError as error:
+        except decoding.ERRORS as error:
             raise errors.UnexpectedResponse(
                 f'malformed response: {error}'
             ) from error
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -191,7 +191,7 @@
 class EntryTest(testtools.TestCase):
     """Guards against malformed entries that become upstreams."""
 
-    _ENTRY = {
+    ENTRY = {
         'service': 'engine',
         'address': '10.0.0.1:80',
         'zone': 'zone-a',
@@ -204,7 +204,7 @@
     }
 
     def _decode(self, **fields):
-        entry = {**self._ENTRY, **fields}
+        entry = {**self.ENTRY, **fields}
         record = _record('i-1', entry, records.Table.UPSTREAMS)
         return manifest.Decoder().decode(record)
 
@@ -221,5 +221,15 @@
             {'address': 'nowhere'},
             {'address': 7},
             {'zone': None},
+            {'address': '10.0.0.1:99999'},
+            {'address': '10.0.0.1:0'},
+            {'address': '10.0.0.1:\u0663'},
+            {'address': 'worker.example:80'},
+            {'address': '999.0.0.1:80'},
+            {'slots': 10**30},
+            {'slots': -1},
+            {'born': 2**63},
+            {'coldLeftMs': 1e300},
+            {'coldLeftMs': -5},
         ):
             self.assertRaises(errors.Unreadable, self._decode, **fields)
