Keep what upstreams say in their answers: leaving, and Retry-After

Change: the state of an upstream's run keeps that it leaves, and until when it is paused; no attempt, retry or continuation goes there. A later entry of the same run does not lift it, a new run does. A service whose upstreams all leave or pause is refused at once, with the time to the first that may be asked again. An upstream that leaves is no evidence of crashes.

--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -9,7 +9,6 @@
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
-from radishcourse_gateway import upstreams
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
 from radishcourse_node import events
@@ -253,10 +252,10 @@
 
     def _is_leaving(self, listed: views.ListedUpstream) -> bool:
         known = self._view.upstreams.get(listed.upstream.upstream_id)
-        return (
-            known is None
-            or known.gone_at is not None
-            or known.upstream.state is upstreams.ListedState.DRAINING
+        if known is None or known.gone_at is not None:
+            return True
+        return known.incarnation == listed.incarnation and (
+            self._view.is_leaving(listed)
         )
 
     def merge(self, reports: list[crashevidence.Evidence]) -> None:
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from radishcourse_gateway import announcements
 from radishcourse_gateway import attemptlog
 from radishcourse_gateway import attempttimeout
 from radishcourse_gateway import crashes
@@ -62,6 +63,7 @@
         self._load = gateway.load
         self._rollouts = gateway.rollouts
         self._limits = gateway.limits
+        self._announcements = announcements.Announcements(gateway)
         self._crashes: crashes.Crashes = gateway.crashes
         self._targets = gateway.targets
         self._verifier: verifier.Verifier = gateway.verifier
@@ -236,6 +238,7 @@
             raise errors.UpstreamError('answer to another request', True)
         not_run = state is answers.State.NOT_RUN
         if head.status != answers.MISDIRECTED_REQUEST:
+            self._announcements.note_answer(listed, head)
             self._limits.note_answer(listed, head, wait.sent_at)
         if not not_run and head.get(self._header_names.stamp) is not None:
             self._rollouts.counts.note_response(
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -120,13 +120,14 @@
             for listed in self._view.usable(plan.service)
             if version is None or listed.upstream.version == version
         ]
+        open_ones = [item for item in usable if not self._is_paused(item)]
         untried = [
-            item for item in usable if item.incarnation not in plan.tried
+            item for item in open_ones if item.incarnation not in plan.tried
         ]
         by_id = (
             self._within_limits(untried, self._is_heavy(request, plan))
             or self._within_limits(untried, True)
-            or self._within_limits(usable, True)
+            or self._within_limits(open_ones, True)
         )
         while by_id:
             chosen = loadbalancing.choose(
@@ -154,6 +155,9 @@
             if not self._limits.wait_s(listed, heavy)
         }
 
+    def _is_paused(self, listed: views.ListedUpstream) -> bool:
+        return self._clock.now() < listed.paused_until
+
     def _is_heavy(
         self, request: inboundrequest.InboundRequest, plan: Plan
     ) -> bool:
@@ -167,7 +171,11 @@
 
         Another node may serve it where this one may not send.
         """
-        waits_s = map(self._limits.wait_s, usable)
+        now = self._clock.now()
+        waits_s = [
+            max(self._limits.wait_s(item), item.paused_until - now)
+            for item in usable
+        ]
         wait_s = min(filter(math.isfinite, waits_s), default=0.0)
         return max(wait_s, RETRY_AFTER_S * (0.5 + self._random.random()))
 
@@ -225,7 +233,8 @@
         Those are the usable ones, without those whose limit is used.
         """
         listed = self._view.usable(service)
-        usable = list(self._within_limits(listed, True).values()) or listed
+        open_ones = [item for item in listed if not self._is_paused(item)]
+        usable = list(self._within_limits(open_ones, True).values()) or listed
         if not usable:
             return ServiceLoad(0.0, 0.0)
         candidates = [self._candidate(listed) for listed in usable]
--- a/packages/gateway/src/radishcourse_gateway/verifier.py
+++ b/packages/gateway/src/radishcourse_gateway/verifier.py
@@ -7,7 +7,6 @@
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
-from radishcourse_gateway import upstreams
 from radishcourse_gateway import view as views
 from radishcourse_policy import answers
 
@@ -126,7 +125,7 @@
         known = self._view.upstreams.get(listed.upstream.upstream_id)
         if known is None or known.incarnation != listed.incarnation:
             return False
-        if known.upstream.state is upstreams.ListedState.DRAINING:
+        if self._view.is_leaving(listed):
             return True
         if known.gone_at is None or self._view.may_have_expired(known):
             return False
--- a/packages/gateway/src/radishcourse_gateway/view.py
+++ b/packages/gateway/src/radishcourse_gateway/view.py
@@ -36,11 +36,17 @@
       cold_until: Time on this node's clock at which it becomes warm.
       gone_at: Time on this node's clock at which the entry disappeared, None
         while it is listed.
+      leaving: Whether it has said in an answer that it is about to stop; its
+        entry may say so later, or never.
+      paused_until: Time on this node's clock until which it wants no requests
+        from this node.
     """
 
     upstream: upstreams.Upstream
     cold_until: float = 0.0
     gone_at: float | None = None
+    leaving: bool = False
+    paused_until: float = 0.0
 
     @property
     def incarnation(self) -> tuple:
@@ -258,7 +264,12 @@
             cold_until = 0.0
         if entry.cold_s > 0:
             cold_until = max(cold_until, now + entry.cold_s)
-        return ListedUpstream(entry, cold_until)
+        listed = ListedUpstream(entry, cold_until)
+        if known is not None and known.incarnation == listed.incarnation:
+            # What it has said itself holds for as long as it runs.
+            listed.leaving = known.leaving
+            listed.paused_until = known.paused_until
+        return listed
 
     def _cold_start_s(self, service: ids.ServiceId) -> float:
         known = self.directory and self.directory.services.get(service)
@@ -284,6 +295,7 @@
             for listed in self.upstreams.values()
             if listed.upstream.service == service
             and listed.upstream.state is upstreams.ListedState.READY
+            and not listed.leaving
             and listed.upstream.zone not in self.disabled_zones
         ]
         present = [listed for listed in ready if listed.gone_at is None]
@@ -291,6 +303,35 @@
             item for item in ready if self.may_have_expired(item)
         ]
 
+    def note_leaving(self, listed: ListedUpstream) -> None:
+        """Records that an upstream has said that it is about to stop."""
+        current = self._current(listed)
+        if current is not None and not current.leaving:
+            current.leaving = True
+            self._log_upstream(current, 'leaving')
+
+    def pause(self, listed: ListedUpstream, seconds: float) -> None:
+        """Records that an upstream wants no requests of this node for now."""
+        current = self._current(listed)
+        if current is not None:
+            until = self._clock.now() + seconds
+            current.paused_until = max(current.paused_until, until)
+
+    def is_leaving(self, listed: ListedUpstream) -> bool:
+        """Tells whether an upstream is leaving, by its entry or its answers."""
+        current = self._current(listed)
+        return current is None or (
+            current.leaving
+            or current.upstream.state is upstreams.ListedState.DRAINING
+        )
+
+    def _current(self, listed: ListedUpstream) -> ListedUpstream | None:
+        """Returns the state of the same run, None if it is not listed."""
+        known = self.upstreams.get(listed.upstream.upstream_id)
+        if known is None or known.incarnation != listed.incarnation:
+            return None
+        return known
+
     def note_store_recovered(self) -> None:
         """Starts the grace period for entries that expired in an outage."""
         self._store_recovered_at = self._clock.now()
