Draw restores, crashing prompts, leaving and pausing workers in the soak

The soak gets four faults: the store comes back from a copy (its authors write their rows again at random times), prompts end both engines in one of five ways, a worker says that it leaves, one asks for a pause. New checks: a gateway that was told sends a leaving worker nothing after 2 s, and at most three crashing prompts reach engines from 3 s after the fifth crash.

--- a/packages/standins/src/radishcourse_standins/worker.py
+++ b/packages/standins/src/radishcourse_standins/worker.py
@@ -51,8 +51,8 @@
       name: Worker id, sent as server stamp.
       stream: Whether it answers with event streams.
       events: Events of a stream until settings change it.
-      crash_part: Shared part of a prompt that ends the process; empty for
-        none.
+      crash_part: Beginning of the shared parts of prompts that end the process;
+        empty for none.
       crash_point: When such a prompt ends it.
     """
 
@@ -308,7 +308,10 @@
 
     def _crash_point_of(self, headers) -> workerfaults.CrashPoint | None:
         """Returns when a prompt ends the process, None if it does not."""
-        if self._crash_part in _shared_parts(headers):
+        parts = _shared_parts(headers)
+        if self._crash_part and any(
+            part.startswith(self._crash_part) for part in parts
+        ):
             return self._crash_point
         return None
 
@@ -388,6 +391,10 @@
             lines.append(f'X-Request-Id: {headers["x-request-id"]}')
         if stamp:
             lines.append(f'{STAMP_HEADER}: {self._name}')
+        if self._settings.leaving:
+            lines.append('Server-Leaving: 1')
+        if status == 503 and self._settings.retry_after:
+            lines.append(f'Retry-After: {self._settings.retry_after}')
         if length is None:
             lines.append('Transfer-Encoding: chunked')
         else:
--- a/packages/standins/src/radishcourse_standins/workerfaults.py
+++ b/packages/standins/src/radishcourse_standins/workerfaults.py
@@ -93,6 +93,9 @@
       piece_ms: Time between two pieces.
       confidence: Value of the `x-confidence` header of streams by model.
       limit: Value of the `server-limit` header of streams; empty for none.
+      leaving: Whether all answers say that the worker leaves.
+      retry_after: Value of the `retry-after` header of answers with status 503;
+        empty for none.
     """
 
     fault: Fault = Fault.NONE
@@ -104,3 +107,5 @@
     piece_ms: float = 0.0
     confidence: dict[str, int] = {}
     limit: str = ''
+    leaving: bool = False
+    retry_after: str = ''
--- a/tests/fleetsoak.py
+++ b/tests/fleetsoak.py
@@ -133,7 +133,11 @@
     """
     rng = random.Random(seed)
     with sites.running(
-        GATEWAYS, link_workers=True, events=soakfaults.EVENTS_PER_STREAM
+        GATEWAYS,
+        link_workers=True,
+        events=soakfaults.EVENTS_PER_STREAM,
+        crash_part=soakfaults.CRASH_PART,
+        crash_point=random.Random(seed).choice(soakfaults.CRASH_POINTS),
     ) as site:
         for name in site.workers:
             zone = sitefiles.ZONES[int(name[-1]) - 1]
--- a/tests/site.py
+++ b/tests/site.py
@@ -149,7 +149,7 @@
             worker=name,
             stream=service == 'engine',
             events=self._events,
-            crash_part=self._crash_part,
+            crash_part=self._crash_part if name.startswith('engine') else '',
             crash_point=self._crash_point,
             **options,
         )
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -1,5 +1,6 @@
 """Faults and changes by the operator that the gateway soak injects."""
 
+import concurrent.futures
 import contextlib
 import dataclasses
 import itertools
@@ -9,11 +10,16 @@
 import time
 import typing
 
+from radishcourse_standins import workerfaults
 from tests import site as sites
 from tests import sitefiles
+from tests import soakcalls
 from tests import soakrules
 
 EVENTS_PER_STREAM = 8
+CRASH_PART = 'crash'
+CRASH_POINTS = [point.value for point in workerfaults.CrashPoint]
+CRASHED_PAUSE_S = 0.5
 ROLLOUT_S = 10
 
 FAULTS: dict[str, typing.Callable] = {}
@@ -89,6 +95,19 @@
         finally:
             self.reserved.discard(name)
 
+    @contextlib.contextmanager
+    def reserve_all(self, names: list[str]) -> bool:
+        """Reserves names unless one is reserved; yields whether it did."""
+        with self.lock:
+            free = not self.reserved & set(names)
+            if free:
+                self.reserved.update(names)
+        try:
+            yield free
+        finally:
+            if free:
+                self.reserved.difference_update(names)
+
 
 def _gateways(site: sites.Site) -> list[str]:
     return list(site.gateways)
@@ -126,6 +145,19 @@
         soak.site.control(soak.site.store, 'faults', {'mode': 'up'})
 
 
+@_exclusive_fault(lambda site: ['store'])
+def store_restored(soak: Soak, rng: random.Random, name: str):
+    """The store comes back from a copy that is some seconds old."""
+    with soak.timeline.disruption(name):
+        soak.site.restore_store(
+            rng.uniform(0.5, 8.0),
+            down_s=rng.uniform(0.2, 2.0),
+            rewrite_s=rng.uniform(0.1, 1.5),
+            seed=rng.randrange(1000),
+        )
+    yield
+
+
 @_fault
 def store_history(soak: Soak, rng: random.Random):
     """The store compacts its history."""
@@ -180,6 +212,86 @@
     soak.site.wait_workers(name)
 
 
+@_exclusive_fault(lambda site: ['engine-1+engine-2'])
+def crashing_prompts(soak: Soak, rng: random.Random, name: str):
+    """Prompts with a part that ends the engines come at any gateway."""
+    names = name.split('+')
+    with soak.reserve_all(names) as reserved:
+        if not reserved:
+            yield
+            return
+        stopping = threading.Event()
+        part = f'{CRASH_PART}{next(soak.versions)}'
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            sending = pool.submit(_send_prompts, soak, rng, part, stopping)
+            restarting = pool.submit(_restart_ended, soak, names, stopping)
+            yield
+            stopping.set()
+        sending.result()
+        restarting.result()
+
+
+def _send_prompts(soak: Soak, rng: random.Random, part: str, stopping) -> None:
+    gateways = sorted(soak.site.gateways)
+    for number in itertools.count():
+        if stopping.wait(rng.uniform(0.05, 0.4)):
+            return
+        with contextlib.suppress(*soakcalls.CONNECTION_ERRORS):
+            soak.site.send(
+                rng.choice(gateways),
+                'POST',
+                f'/draft/{part}-{number}',
+                b'prompt',
+                X_Prompt_Prefix=f'common:9,{part}:5,own{number}:2',
+                X_Token_Count='16,8',
+            )
+
+
+def _restart_ended(soak: Soak, names: list[str], stopping) -> None:
+    ending = False
+    while not ending:
+        # Also those that end last are started again.
+        ending = stopping.wait(CRASHED_PAUSE_S)
+        for name in names:
+            if soak.site.workers[name].popen.poll() is not None:
+                _start_again(soak, name)
+
+
+def _start_again(soak: Soak, name: str) -> None:
+    service = name.partition('-')[0]
+    soak.site.restart_worker(name, service)
+    soak.site.wait_workers(name)
+    soak.site.set_behaviour(name, events=EVENTS_PER_STREAM)
+    zone = sitefiles.ZONES[int(name[-1]) - 1]
+    born = next(soak.versions)
+    soak.site.write_entry(name, service, zone=zone, born=born)
+
+
+@_exclusive_fault(_permanent_workers)
+def worker_leaving(soak: Soak, rng: random.Random, name: str):
+    """A worker says in its answers that it leaves, and starts again."""
+    del rng
+    soak.site.set_behaviour(name, events=EVENTS_PER_STREAM, leaving=True)
+    with soak.timeline.change('leaving', name):
+        yield
+    soak.site.workers[name].kill()
+    _start_again(soak, name)
+
+
+@_exclusive_fault(_permanent_workers)
+def worker_pausing(soak: Soak, rng: random.Random, name: str):
+    """A worker turns some requests away and asks for a pause."""
+    soak.site.set_behaviour(
+        name,
+        fault='shed',
+        count=rng.randrange(1, 6),
+        events=EVENTS_PER_STREAM,
+        retry_after=rng.choice(['0.5', '2', '-1', 'soon']),
+    )
+    yield
+    soak.site.set_behaviour(name, events=EVENTS_PER_STREAM)
+
+
 def _change_behaviour(soak, rng: random.Random, name: str, faults: str) -> None:
     """Sets one of the faults for some answers of a worker."""
     soak.site.set_behaviour(
--- a/tests/soakrules.py
+++ b/tests/soakrules.py
@@ -15,6 +15,12 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # The users require that a change is in force at every gateway within this time.
 PROPAGATION_LIMIT_S = {'key': 5.0, 'drain': 2.0, 'evacuation': 5.0}
+# A gateway that has passed on an answer of a worker that leaves sends it nothing
+# after this time.
+LEAVING_LIMIT_S = 2.0
+# Prompts that crash upstreams and still reach some from CONTACT_S after the
+# fifth crash: as many as the users tolerate.
+MAX_LATE_PROMPTS, CRASHES, CONTACT_S = 3, 5, 3.0
 # Time that a gateway may take to catch up after a disruption.
 RECONNECT_S = 3.0
 # Time that an answer may take beyond its deadline.
@@ -243,7 +249,11 @@
             records_by_request[call.request],
         )
     for change in timeline.changes:
-        violations += _check_change(timeline, change, calls, runs)
+        if change.kind == 'leaving':
+            violations += _check_leaving(timeline, change, runs)
+        else:
+            violations += _check_change(timeline, change, calls, runs)
+    violations += _check_prompts(timeline, runs)
     for rollout in timeline.rollouts:
         violations += _check_rollout(timeline, rollout, runs)
         violations += _check_sessions(timeline, rollout, calls)
@@ -324,6 +334,53 @@
             )
 
 
+def _gateway_of(run: Run) -> str:
+    # A request id begins with the gateway's name, such as gateway-1.
+    return '-'.join(run.request.split('-')[:2])
+
+
+def _check_leaving(timeline: Timeline, change: Interval, runs: list[Run]):
+    """Checks that a gateway that was told sends a leaving worker nothing."""
+    first: dict[str, float] = {}
+    for run in sorted(runs, key=lambda run: run.at):
+        if run.worker != change.name or not (
+            change.begun_at < run.at < change.ended_at
+        ):
+            continue
+        gateway = _gateway_of(run)
+        told_at = first.setdefault(gateway, run.at)
+        late_s = run.at - told_at
+        disrupted = timeline.disrupted(gateway, told_at, run.at)
+        worker_failed = timeline.disrupted(run.worker, told_at, run.at)
+        if late_s > LEAVING_LIMIT_S and not (disrupted or worker_failed):
+            yield (
+                f'leaving: {run.request} reached {run.worker} {late_s:.2f} s'
+                ' after an answer that it leaves'
+            )
+
+
+def _check_prompts(timeline: Timeline, runs: list[Run]):
+    """Checks that prompts which crash upstreams stop reaching them."""
+    by_part = collections.defaultdict(list)
+    for run in runs:
+        if run.target.startswith('/draft/crash'):
+            by_part[run.target.rpartition('-')[0]].append(run)
+    for part, arrivals in by_part.items():
+        # Each of these arrivals ends its worker.
+        arrivals.sort(key=lambda run: run.at)
+        if len(arrivals) <= CRASHES:
+            continue
+        known_at = arrivals[CRASHES - 1].at + CONTACT_S
+        late = [
+            run
+            for run in arrivals
+            if run.at > known_at
+            and not timeline.disrupted(_gateway_of(run), arrivals[0].at, run.at)
+        ]
+        if len(late) > MAX_LATE_PROMPTS:
+            yield f'prompts: {part} reached upstreams {len(late)} times more'
+
+
 def _check_rollout(timeline: Timeline, rollout: Rollout, runs: list[Run]):
     draft_runs = [
         run
