--- a/tests/soakrules.py
+++ b/tests/soakrules.py
@@ -15,7 +15,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # The users require that a change is in force at every gateway within this time.
 PROPAGATION_LIMIT_S = {'key': 5.0, 'drain': 2.0, 'evacuation': 5.0}
-# A gateway that has passed on an answer of a worker that leaves sends it nothing
+# A gateway that has passed on an answer of a leaving worker sends it nothing
 # after this time.
 LEAVING_LIMIT_S = 2.0
 # Prompts that crash upstreams and still reach some from CONTACT_S after the
