Send nothing to a new version while the stable one is only out of use

Cause: the stable version was chosen among the usable upstreams, so that one whose upstreams were all evacuated or draining lost its place to whatever else was listed. Change: it keeps it while any of its upstreams is listed, and callers are refused at once meanwhile; a completed roll-out makes its version the stable one. Two of the three new tests of test_view fail on the code before.

--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -173,6 +173,10 @@
             rollout.publish_at = None
 
     async def _step(self, rollout: localrollout.LocalRollout) -> None:
+        if rollout.state is canary.RolloutState.COMPLETED:
+            self._stable_versions.adopt(
+                rollout.order.service, rollout.order.to_version
+            )
         if rollout.state in localrollout.FINAL_STATES and rollout.published:
             return
         now = self._clock.now()
--- a/packages/gateway/src/radishcourse_gateway/stableversions.py
+++ b/packages/gateway/src/radishcourse_gateway/stableversions.py
@@ -8,8 +8,9 @@
     """The stable version of each service.
 
     Upstreams of a new version may be listed before the order for its roll-out
-    arrives, and must not get requests until then. A node that has just started
-    takes the version whose upstreams have run the longest as the stable one.
+    arrives, and must not get requests until then, even if those of the stable
+    version may not be used for a while. A node that has just started takes the
+    version whose upstreams have run the longest as the stable one.
 
     Args:
       view: Provides the services, orders and upstreams.
@@ -28,14 +29,21 @@
           service: The service.
           present: Number of usable upstreams by version.
         """
+        stable = self._versions.get(service)
+        if stable not in present and self._view.is_listed(service, stable):
+            return stable
         if not present:
             return None
-        if self._versions.get(service) not in present:
+        if stable not in present:
             self._versions[service] = min(
                 present, key=lambda version: self._start_key(service, version)
             )
         return self._versions[service]
 
+    def adopt(self, service: ids.ServiceId, version: ids.VersionId) -> None:
+        """Makes a version the stable one, as its roll-out is completed."""
+        self._versions[service] = version
+
     def update(self) -> None:
         """Chooses stable versions early, before new versions are listed."""
         directory = self._view.directory
--- a/packages/gateway/src/radishcourse_gateway/view.py
+++ b/packages/gateway/src/radishcourse_gateway/view.py
@@ -346,6 +346,17 @@
             return False
         return listed.gone_at >= recovered_at
 
+    def is_listed(
+        self, service: ids.ServiceId, version: ids.VersionId | None
+    ) -> bool:
+        """Tells whether an upstream of a version is listed, usable or not."""
+        return any(
+            listed.gone_at is None
+            and listed.upstream.service == service
+            and listed.upstream.version == version
+            for listed in self.upstreams.values()
+        )
+
     def versions(self, service: ids.ServiceId) -> dict[ids.VersionId, int]:
         """Returns the number of usable upstreams of each version."""
         counts: dict[ids.VersionId, int] = {}
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -6,6 +6,7 @@
 
 from radishcourse_adapter import manifest
 from radishcourse_gateway import records
+from radishcourse_gateway import stableversions
 from radishcourse_gateway import view
 from radishcourse_model import ids
 from radishcourse_policy import clock as clocks
@@ -82,3 +83,57 @@
         for name in ('desk-1', 'desk-2'):
             self._remove(name)
         self.assertEqual(set(), self._usable())
+
+
+class StableVersionTest(testtools.TestCase):
+    """Guards against requests at a new version before its roll-out's order."""
+
+    def setUp(self):
+        super().setUp()
+        self._clock = clocks.ManualClock(100.0)
+        self._view = view.View(self._clock, manifest.Decoder())
+        self._stable = stableversions.StableVersions(self._view)
+        self._version = 0
+        self._list('old', 'v1', born=1)
+
+    def _apply(self, table: records.Table, key: str, value) -> None:
+        self._version += 1
+        data = None if value is None else json.dumps(value).encode()
+        position = positions.Position(1, self._version)
+        self._view.apply([records.Record(table, key, position, data)], 'test')
+
+    def _list(self, name: str, version: str, born: int, state='ready') -> None:
+        entry = {
+            'service': SERVICE,
+            'address': '10.0.0.1:80',
+            'zone': 'zone-a' if version == 'v1' else 'zone-b',
+            'version': version,
+            'slots': 4,
+            'state': state,
+            'born': born,
+        }
+        self._apply(records.Table.UPSTREAMS, name, entry)
+
+    def _choose(self) -> str | None:
+        return self._stable.version(SERVICE, self._view.versions(SERVICE))
+
+    def test_new_version_waits_while_the_stable_one_is_evacuated(self):
+        # Soak seed 226: the zones of all upstreams in service were evacuated.
+        self.assertEqual('v1', self._choose())
+        self._apply(records.Table.CONFIGURATION, 'evacuate/zone-a', {})
+        self._list('new', 'v2', born=2)
+        self.assertEqual('v1', self._choose())
+        self._apply(records.Table.CONFIGURATION, 'evacuate/zone-a', None)
+        self.assertEqual('v1', self._choose())
+
+    def test_new_version_waits_while_the_stable_one_drains(self):
+        self.assertEqual('v1', self._choose())
+        self._list('new', 'v2', born=2)
+        self._list('old', 'v1', born=1, state='draining')
+        self.assertEqual('v1', self._choose())
+
+    def test_new_version_serves_once_the_stable_one_is_gone(self):
+        self.assertEqual('v1', self._choose())
+        self._list('new', 'v2', born=2)
+        self._apply(records.Table.UPSTREAMS, 'old', None)
+        self.assertEqual('v2', self._choose())
