Never drop the record of an answer for the sake of other log lines

Cause, by reading: above 400 lines a second any line of a request was dropped, records of answers among them, by which organisations are billed; event 106 was in the catalogue, but nothing logged it.

--- a/packages/gateway/src/radishcourse_gateway/logsink.py
+++ b/packages/gateway/src/radishcourse_gateway/logsink.py
@@ -17,6 +17,10 @@
 # Events with a lower number (process, configuration, members) are exempt from
 # the rate limit.
 _UNLIMITED_BELOW = 500
+# Part of the burst that only records of answers take, by which they are billed.
+RESERVED_LINES = BURST_LINES / 2
+# Interval at which drops are logged.
+DROPS_INTERVAL_S = 1.0
 
 
 class LogSink:
@@ -38,6 +42,8 @@
         self._tokens = BURST_LINES
         self._refilled_at = clock.now()
         self.dropped = 0
+        self._reported = 0
+        self._report_at = 0.0
         os.set_blocking(descriptor, False)
 
     def __call__(self, message: dict[str, typing.Any]) -> None:
@@ -47,6 +53,25 @@
         if not self._take_token(message):
             self.dropped += 1
             return
+        self._write(message)
+        self._report_drops()
+
+    def _report_drops(self) -> None:
+        """Logs how many lines were dropped since the last report."""
+        now, dropped = self._clock.now(), self.dropped - self._reported
+        if not dropped or now < self._report_at:
+            return
+        self._report_at = now + DROPS_INTERVAL_S
+        self._reported = self.dropped
+        self._write(
+            {
+                'event': events.Event.LOG_DROPPED.value,
+                'dropped': dropped,
+                'message_type': events.Event.LOG_DROPPED.name.lower(),
+            }
+        )
+
+    def _write(self, message: dict[str, typing.Any]) -> None:
         line = json.dumps(message, default=str).encode() + b'\n'
         if self._pending_bytes + len(line) > MAX_PENDING_BYTES:
             self.dropped += 1
@@ -60,9 +85,13 @@
         earned = (now - self._refilled_at) * LINES_PER_S
         self._tokens = min(BURST_LINES, self._tokens + earned)
         self._refilled_at = now
-        if message.get('event', 0) < _UNLIMITED_BELOW:
+        number = message.get('event', 0)
+        if number < _UNLIMITED_BELOW:
             return True
-        if self._tokens < 1:
+        reserved = RESERVED_LINES
+        if number == events.Event.REQUEST_ANSWERED.value:
+            reserved = 0.0
+        if self._tokens < reserved + 1:
             return False
         self._tokens -= 1
         return True
