Ask an upstream again whether it has ended, and judge a silence by its start

Cause: an attempt times out at about the time at which the silent process ends; the address still accepts then, and the end was noticed only by the next request or entry. And an answer that had begun just before the silence counted as one begun long ago, which is half a crash.

--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -25,6 +25,10 @@
 BROKEN_TTL_S = 10.0
 # Such answers that are kept of one upstream.
 MAX_BROKEN = 64
+# An upstream at which attempts broke off though it accepts connections is asked
+# again after these times: it may be about to end, without a sign.
+RECHECK_S = (0.3, 0.7, 1.5)
+RECHECK_INTERVAL_S = 0.1
 _UINT31 = 0x7FFFFFFF
 
 
@@ -36,26 +40,35 @@
       plan: The state of its request.
       answer: Identifies the prompt.
       head_at: When the head of its answer had come, None before.
+      progress_at: When the last part of its answer had come, None before.
       broke_at: When it broke off or was given up, None while in progress.
     """
 
     plan: targets.Plan
     answer: crashevidence.Answer
     head_at: float | None = None
+    progress_at: float | None = None
     broke_at: float | None = None
 
     def break_off(self, now: float) -> None:
         """Records that it ends now without a complete answer."""
-        self.head_at, self.broke_at = self.plan.head_at, now
+        self._note_progress()
+        self.broke_at = now
 
-    def evidence(self, now: float) -> crashevidence.Answer:
+    def _note_progress(self) -> None:
+        # The plan goes on to the next attempt.
+        self.head_at = self.plan.head_at
+        self.progress_at = self.plan.progress_at
+
+    def evidence(self) -> crashevidence.Answer:
         """Returns it as evidence of a crash that is noticed now."""
-        until = now if self.broke_at is None else self.broke_at
-        head_at = self.plan.head_at if self.broke_at is None else self.head_at
+        if self.broke_at is None:
+            self._note_progress()
         stage = crashevidence.Stage.BEGUN
-        if head_at is None:
+        if self.head_at is None:
             stage = crashevidence.Stage.WAITING
-        elif until - head_at < quarantine.FRESH_S:
+        elif self.progress_at - self.head_at < quarantine.FRESH_S:
+            # The upstream may have been silent for a while before it ended.
             stage = crashevidence.Stage.FRESH
         return self.answer._replace(stage=stage, broke_at=self.broke_at)
 
@@ -78,6 +91,8 @@
         self._attempts: dict[tuple, list[Attempt]] = {}
         self._checks: dict[tuple, anyio.Event] = {}
         self._ended: dict[tuple, None] = {}
+        # When to ask upstreams again whether they have ended, in order.
+        self._rechecks: list[tuple[float, views.ListedUpstream]] = []
         self._tried_at: dict[ids.PartId, float] = {}
 
     def refuse_quarantined(self, plan: targets.Plan) -> None:
@@ -184,8 +199,28 @@
         """
         if not attempt.answer.parts or self._is_leaving(listed):
             return
-        attempt.break_off(self._clock.now())
+        now = self._clock.now()
+        attempt.break_off(now)
         await self._check_ended(listed)
+        if not self.is_known_ended(listed):
+            self._schedule_rechecks(listed, now)
+
+    def _schedule_rechecks(
+        self, listed: views.ListedUpstream, now: float
+    ) -> None:
+        key = listed.incarnation
+        if all(item.incarnation != key for _, item in self._rechecks):
+            self._rechecks += [(now + delay_s, listed) for delay_s in RECHECK_S]
+            self._rechecks.sort(key=_due_at)
+
+    async def run(self) -> None:
+        """Asks upstreams again whether they have ended, until cancelled."""
+        while True:
+            await anyio.sleep(RECHECK_INTERVAL_S)
+            while self._rechecks and self._rechecks[0][0] < self._clock.now():
+                _, listed = self._rechecks.pop(0)
+                if not self._is_leaving(listed):
+                    await self._check_ended(listed)
 
     def note_replaced(self, listed: views.ListedUpstream) -> None:
         """Records that another run of an upstream has its id or address.
@@ -231,7 +266,7 @@
         now, leaving = self._clock.now(), self._is_leaving(listed)
         # What broke off before the upstream was leaving is evidence still.
         lost = [
-            item.evidence(now)
+            item.evidence()
             for item in reversed(self._attempts.get(key, ()))
             if (item.broke_at is None and not leaving)
             or (
@@ -264,6 +299,10 @@
         self.quarantine.merge(self._clock.now(), reports)
 
 
+def _due_at(recheck: tuple[float, views.ListedUpstream]) -> float:
+    return recheck[0]
+
+
 def make_answer(
     request: inboundrequest.InboundRequest, service: ids.ServiceId
 ) -> crashevidence.Answer:
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -182,7 +182,7 @@
         entry = listed.upstream
         prefill_s = self._targets.prefill_s(request, plan)
         started_at = self._clock.now()
-        plan.head_at = None
+        plan.head_at = plan.progress_at = None
         plan.arrival = upstreamconnections.Arrival()
         attemptlog.log_start(request, plan, listed, started_at)
         with (
@@ -207,7 +207,7 @@
                             request, plan, listed, connection
                         )
                         finish_prefill()
-                        plan.head_at = self._clock.now()
+                        plan.head_at = plan.progress_at = self._clock.now()
                         return await self._handle_head(
                             request, plan, listed, connection, head, wait, out
                         )
@@ -354,6 +354,7 @@
                     complete = await splitter.receive(connection)
                 if complete is None:
                     break
+                plan.progress_at = self._clock.now()
                 note_events(splitter.count - 1)
                 if not plan.begun:
                     plan.begun = True
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -277,6 +277,7 @@
     def _background_tasks(self, server):
         yield 'peers', self.peers.run
         yield 'rollouts', self.rollouts.run
+        yield 'crashes', self.crashes.run
         yield 'settings', self._reload_settings
         yield 'sweep', functools.partial(self._sweep, server)
         for item in self._feeds:
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -45,6 +45,7 @@
       retry_paid: Whether the retry budget has paid for the next attempt.
       head_at: When the head of the latest attempt's response arrived, on this
         node's clock in seconds; None before.
+      progress_at: When the latest part of that response arrived; None before.
       answer: Identifies the prompt in evidence of crashes.
       arrival: What has arrived of the latest attempt's answer.
     """
@@ -62,6 +63,7 @@
     confidence: float | None = None
     retry_paid: bool = False
     head_at: float | None = None
+    progress_at: float | None = None
     answer: crashevidence.Answer = crashevidence.Answer((), 0)
     arrival: upstreamconnections.Arrival = dataclasses.field(
         default_factory=upstreamconnections.Arrival
