--- a/tests/test_gateway_restored.py
+++ b/tests/test_gateway_restored.py
@@ -10,6 +10,8 @@
 
 CONFIGURATION_BOUND_S = test_gateway_fleet.CONFIGURATION_BOUND_S
 EVACUATION_BOUND_S = test_gateway_fleet.EVACUATION_BOUND_S
+# The users' bound until a version that is rolled back gets no more requests.
+ROLLBACK_BOUND_S = 5.0
 # Age of the copies: the writes of this time are lost.
 COPY_AGE_S = 4.0
 
@@ -114,7 +116,7 @@
             lambda: site.rollout_status('engine').get('state') == 'rolled_back',
             20.0,
         )
-        time.sleep(0.5)
+        time.sleep(ROLLBACK_BOUND_S)
         seen = len(traffic.seen)
         lost = site.restore_store(30.0, rewrite_s=1.0)
         self.assertGreater(lost['lost'], 0)
