Take a refused connection for an end only where answers were lost

It is now an end only if an answer of it broke off in the last 10 s, as for a replaced entry and a 421. A few names in tests and comments are plainer.

--- a/packages/gateway/src/radishcourse_gateway/announcements.py
+++ b/packages/gateway/src/radishcourse_gateway/announcements.py
@@ -11,7 +11,7 @@
 
 
 class Announcements:
-    """Takes upstreams at their word, for as long as they run.
+    """Records what upstreams announce, which holds for as long as they run.
 
     Args:
       gateway: Provides the view and the header names.
--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -222,10 +222,12 @@
                 if not self._is_leaving(listed):
                     await self._check_ended(listed)
 
-    def note_replaced(self, listed: views.ListedUpstream) -> None:
-        """Records that another run of an upstream has its id or address.
+    def note_absent(self, listed: views.ListedUpstream) -> None:
+        """Records that an upstream seems to be no longer at its address.
 
-        Only one that was lost with answers counts: others left in order.
+        Another run has its id or address, or a connection was refused. It counts
+        as ended only if answers were lost: others left in order, or accept no
+        more connections.
         """
         attempts = self._attempts.get(listed.incarnation, ())
         if any(item.broke_at is not None for item in attempts):
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -223,7 +223,7 @@
                 if error.sent:
                     await self._crashes.note_failure(listed, watched)
                 elif isinstance(error, upstreamconnections.ConnectionRefused):
-                    self._crashes.note_ended(listed)
+                    self._crashes.note_absent(listed)
                 raise _AttemptFailed(
                     str(error), not_run=not error.sent
                 ) from error
@@ -307,7 +307,7 @@
         if head.status == answers.MISDIRECTED_REQUEST:
             # The address now belongs to another upstream.
             self._load.note_broken(upstream, 'misdirected')
-            self._crashes.note_replaced(listed)
+            self._crashes.note_absent(listed)
         elif not_run:
             self._load.note_full(upstream)
         else:
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -120,7 +120,7 @@
         self.peers.limits = self.limits
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
-        self.view.on_replaced = self.crashes.note_replaced
+        self.view.on_replaced = self.crashes.note_absent
         self.verifier = verifier.Verifier(self)
         self.pool = upstreamconnections.Pool(clock)
         self.targets = targets.Targets(self)
--- a/tests/soakrules.py
+++ b/tests/soakrules.py
@@ -340,7 +340,7 @@
 
 
 def _check_leaving(timeline: Timeline, change: Interval, runs: list[Run]):
-    """Checks that a gateway that was told sends a leaving worker nothing."""
+    """Checks that a gateway sends nothing to a worker that it knows leaves."""
     first: dict[str, float] = {}
     for run in sorted(runs, key=lambda run: run.at):
         if run.worker != change.name or not (
@@ -348,10 +348,10 @@
         ):
             continue
         gateway = _gateway_of(run)
-        told_at = first.setdefault(gateway, run.at)
-        late_s = run.at - told_at
-        disrupted = timeline.disrupted(gateway, told_at, run.at)
-        worker_failed = timeline.disrupted(run.worker, told_at, run.at)
+        known_at = first.setdefault(gateway, run.at)
+        late_s = run.at - known_at
+        disrupted = timeline.disrupted(gateway, known_at, run.at)
+        worker_failed = timeline.disrupted(run.worker, known_at, run.at)
         if late_s > LEAVING_LIMIT_S and not (disrupted or worker_failed):
             yield (
                 f'leaving: {run.request} reached {run.worker} {late_s:.2f} s'
--- a/tests/test_gateway_announcements.py
+++ b/tests/test_gateway_announcements.py
@@ -45,30 +45,30 @@
 
 
 class _AnnouncementTest(rawsite.RawSiteTest):
-    """Base of tests in which the first worker asked says something."""
+    """Base of tests in which the first worker asked announces something."""
 
     def setUp(self):
         super().setUp()
-        self.speaker = None
-        self.spoken_at = 0.0
+        self.announcer = None
+        self.announced_at = 0.0
 
-    def _speak_first(self, make):
-        """Returns a script by which the worker asked first speaks once."""
+    def _announce_first(self, make):
+        """Returns a script by which the first worker asked announces once."""
 
         def reply(request: rawworker.Request) -> rawworker.Reply:
             worker = request.headers['x-expect-instance']
-            if self.speaker is None:
-                self.speaker, self.spoken_at = worker, time.monotonic()
+            if self.announcer is None:
+                self.announcer, self.announced_at = worker, time.monotonic()
                 return make(request)
             return _by_path(request, 200)
 
         return reply
 
     def _arrivals(self, script) -> int:
-        """Returns the requests at the speaker after the first one."""
+        """Returns the requests at the announcer after the first one."""
         return (
             sum(
-                request.headers['x-expect-instance'] == self.speaker
+                request.headers['x-expect-instance'] == self.announcer
                 for request in script.requests
             )
             - 1
@@ -85,8 +85,8 @@
     """Guards against requests to an upstream that has said that it leaves."""
 
     def _check(self, method: str, path: str, make) -> None:
-        self.speaker = None
-        with self.workers(self._speak_first(make), count=2) as script:
+        self.announcer = None
+        with self.workers(self._announce_first(make), count=2) as script:
             self.call(method, path)
             answers = self._send_all()
             self.assertEqual(0, self._arrivals(script), (method, path))
@@ -120,7 +120,7 @@
             data += rawworker.chunk(rawworker.events(1, 2))
             return rawworker.Reply(data, rawworker.End.CLOSE)
 
-        with self.workers(self._speak_first(cut), count=2) as script:
+        with self.workers(self._announce_first(cut), count=2) as script:
             self.assert_stream_served('cut')
             self._send_all()
             self.assertEqual(0, self._arrivals(script))
@@ -144,19 +144,21 @@
     """Guards against requests to an upstream that has asked for a pause."""
 
     def _check(self, pause: str, seconds: float, **extra) -> None:
-        self.speaker = None
+        self.announcer = None
 
         def refuse(request: rawworker.Request) -> rawworker.Reply:
             return _by_path(request, 503, Retry_After=pause, **extra)
 
-        with self.workers(self._speak_first(refuse), count=2) as script:
+        with self.workers(self._announce_first(refuse), count=2) as script:
             self.call('GET', '/raw-stock/1')
-            while time.monotonic() - self.spoken_at < min(seconds, 2.0) - 0.1:
+            while (
+                time.monotonic() - self.announced_at < min(seconds, 2.0) - 0.1
+            ):
                 self.assertEqual(200, self.call('GET', '/raw-stock/1').status)
             self.assertLessEqual(self._arrivals(script), MAX_EARLY, pause)
             if seconds > 2.0:
                 return
-            while time.monotonic() - self.spoken_at < seconds + 1.0:
+            while time.monotonic() - self.announced_at < seconds + 1.0:
                 self.call('GET', '/raw-stock/1')
             self.assertGreater(self._arrivals(script), 0, pause)
 
