--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -225,9 +225,9 @@
     def note_absent(self, listed: views.ListedUpstream) -> None:
         """Records that an upstream seems to be no longer at its address.
 
-        Another run has its id or address, or a connection was refused. It counts
-        as ended only if answers were lost: others left in order, or accept no
-        more connections.
+        Another run has its id or address, or a connection was refused. It
+        counts as ended only if answers were lost: others left in order, or
+        accept no more connections.
         """
         attempts = self._attempts.get(listed.incarnation, ())
         if any(item.broke_at is not None for item in attempts):
