--- a/tests/site.py
+++ b/tests/site.py
@@ -253,6 +253,14 @@
         for name in names or list(self.workers):
             processes.wait_http(self.workers[name], '/control/state')
 
+    def responds(self, name: str) -> bool:
+        """Tells whether a worker responds."""
+        try:
+            self.control(self.workers[name], 'state')
+        except (OSError, http.client.HTTPException):
+            return False
+        return True
+
     def handles_sighup(self, name: str, caught: bool = True) -> bool:
         """Tells whether a gateway ignores or catches SIGHUP.
 
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -248,18 +248,17 @@
 
 
 def _restart_ended(soak: Soak, names: list[str], stopping) -> None:
-    while True:
-        stopped = stopping.wait(CRASHED_PAUSE_S)
-        ended = [
-            name
-            for name in names
-            if soak.site.workers[name].popen.poll() is not None
-        ]
-        for name in ended:
-            # It may end again before it listens, as prompts are retried.
-            _start_again(soak, name)
-        if stopped and not ended:
-            return
+    """Restarts engines until no more prompts come and all of them answer."""
+    running = False
+    while not (stopping.wait(CRASHED_PAUSE_S) and running):
+        running = True
+        for name in names:
+            # It may end again before it answers, as prompts are retried.
+            if soak.site.workers[name].popen.poll() is not None:
+                _start_again(soak, name)
+                running = False
+            elif not soak.site.responds(name):
+                running = False
 
 
 def _start_again(soak: Soak, name: str) -> None:
