Restart engines in the soak until the last crashing prompt is answered

The soak, not a gateway, stopped once more: a prompt that was still being retried ended an engine after the fault had returned it.

--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -220,14 +220,16 @@
         if not reserved:
             yield
             return
-        stopping = threading.Event()
+        stopping, answered = threading.Event(), threading.Event()
         part = f'{CRASH_PART}{next(soak.versions)}'
         with concurrent.futures.ThreadPoolExecutor(2) as pool:
             sending = pool.submit(_send_prompts, soak, rng, part, stopping)
-            restarting = pool.submit(_restart_ended, soak, names, stopping)
+            restarting = pool.submit(_restart_ended, soak, names, answered)
             yield
             stopping.set()
-        sending.result()
+            # Until its answer, a prompt may end another engine.
+            sending.result()
+            answered.set()
         restarting.result()
 
 
@@ -247,10 +249,10 @@
             )
 
 
-def _restart_ended(soak: Soak, names: list[str], stopping) -> None:
-    """Restarts engines until no more prompts come and all of them answer."""
+def _restart_ended(soak: Soak, names: list[str], answered) -> None:
+    """Restarts engines until no prompt is left and all of them answer."""
     running = False
-    while not (stopping.wait(CRASHED_PAUSE_S) and running):
+    while not (answered.wait(CRASHED_PAUSE_S) and running):
         running = True
         for name in names:
             # It may end again before it answers, as prompts are retried.
