--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -48,8 +48,8 @@
         self.assertGreater(len(reports), SECONDS / 2)
         self.assertLessEqual(len(reports), SECONDS + 1)
         kept = self._count(lines, STARTED)
-        told = sum(line['dropped'] for line in reports)
-        self.assertAlmostEqual(1200 * SECONDS - kept, told, delta=1200)
+        reported = sum(line['dropped'] for line in reports)
+        self.assertAlmostEqual(1200 * SECONDS - kept, reported, delta=1200)
 
     def test_volume_is_bounded(self):
         lines = self._log(answers_per_s=3000, others_per_s=3000)
