Try a part soon that another part's quarantine accounts for

Cause: the stopped gateway alone knew which part had ended its engines. The others had lost only sound answers there, with their common part in more crashes than the bad one, and convicted the common part by itself. When the evidence arrived, the bad part was convicted as well, but a verdict stood until an answer with the part completed, and none was let through for 120 s.

Ruled out: to withdraw the verdict on the later evidence. Tried: the bad part was withdrawn in the same way where its evidence was the weaker one, and both came back with each report of a peer.

Change: where verdicts on other parts account for a part's crashes, one prompt without those parts is tried 2 s after its last crash. If it completes, the part is released at all nodes; if the engine ends, the crash counts against the part alone. A prompt with several quarantined parts waits as before. This costs at most one arrival.

--- a/packages/policy/src/radishcourse_policy/quarantine.py
+++ b/packages/policy/src/radishcourse_policy/quarantine.py
@@ -41,6 +41,9 @@
 # Time from the last crash to a trial; it doubles with each trial that fails.
 QUARANTINE_S = 120.0
 MAX_DOUBLINGS = 5
+# The same for a part that may be a victim, as verdicts on other parts account
+# for its crashes; one prompt without those parts tells.
+VICTIM_TRIAL_S = 2.0
 # Crashes at longer intervals than this come from trials.
 TRIAL_GAP_S = QUARANTINE_S / 2
 # Cleared parts are reported for this long, so that all nodes clear them.
@@ -181,18 +184,39 @@
             return None
         self.review(now)
         present = frozenset(parts)
-        for part in present:
-            item = self._evidence.get(part)
-            if item is None or not item.quarantined:
-                continue
-            if self._still_suspected(item) <= present:
-                crashes = item.unresolved
-                return Verdict(
-                    item.quarantined,
-                    len(crashes),
-                    crashes[-1].ended_at + _quarantine_s(crashes),
-                )
-        return None
+        found = [
+            item
+            for item in map(self._evidence.get, sorted(present))
+            if item is not None
+            and item.quarantined
+            and self._still_suspected(item) <= present
+        ]
+        if not found:
+            return None
+        crashes = found[0].unresolved
+        wait_s = _quarantine_s(crashes)
+        # A prompt with several quarantined parts would not tell them apart.
+        if len(found) == 1 and self._may_be_victim(found[0]):
+            wait_s = VICTIM_TRIAL_S
+        return Verdict(
+            found[0].quarantined, len(crashes), crashes[-1].ended_at + wait_s
+        )
+
+    def _may_be_victim(self, item: crashevidence.Evidence) -> bool:
+        """Tells whether verdicts on other parts account for one on this part.
+
+        Its crashes without those parts would not suffice for a verdict.
+        """
+        others = {
+            crash.crash_id
+            for other in self.quarantined
+            if item.part not in other.quarantined
+            for crash in other.unresolved
+        }
+        left = [
+            crash for crash in item.unresolved if crash.crash_id not in others
+        ]
+        return bool(others) and _suffices_at(item, left) is None
 
     def review(self, now: float) -> list[crashevidence.Evidence]:
         """Decides on the parts; returns those that are newly quarantined."""
@@ -313,14 +337,7 @@
             for crash in self._crashes[item.part]
             if not self._is_explained(item.part, crash)
         ]
-        needed = MIN_CRASHES
-        if item.completed_at is not None:
-            needed = MIN_CRASHES_OF_SOUND_PART
-        if len({crash.prompt for crash in unexplained}) < MIN_PROMPTS:
-            return None
-        return next(
-            (at for at, total in _weight(unexplained) if total >= needed), None
-        )
+        return _suffices_at(item, unexplained)
 
     def inseparable(
         self, item: crashevidence.Evidence
@@ -349,6 +366,18 @@
         )
 
 
+def _suffices_at(
+    item: crashevidence.Evidence, crashes: list[crashevidence.Crash]
+) -> float | None:
+    """Returns when crashes sufficed for a verdict, None if they do not."""
+    needed = MIN_CRASHES
+    if item.completed_at is not None:
+        needed = MIN_CRASHES_OF_SOUND_PART
+    if len({crash.prompt for crash in crashes}) < MIN_PROMPTS:
+        return None
+    return next((at for at, total in _weight(crashes) if total >= needed), None)
+
+
 def _weight(crashes: list[crashevidence.Crash]) -> list[tuple[float, float]]:
     """Returns the running total of crashes that are not simultaneous.
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -311,6 +311,38 @@
         self.assertIsNone(self.state.find(4.0, [self.COMMON, self.OTHER]))
         self.assertTrue(self.state.find(4.0, [self.COMMON, BAD]))
 
+    def test_victim_is_tried_soon_once_late_evidence_names_the_cause(self):
+        # A node is frozen that alone knows of the bad part in these crashes;
+        # the others have lost sound answers there, with a part in common.
+        sound = [self.COMMON, ids.PartId(99)]
+        for number in range(4):
+            answer = crashevidence.Answer(
+                (self.COMMON, ids.PartId(50 + number)), number
+            )
+            self.state.note_crash(number, ids.CrashId(number), [answer])
+        before = self.state.find(5.0, sound)
+        self.assertEqual(3.0 + quarantine.QUARANTINE_S, before.trial_at)
+        # It wakes; the others have quarantined the bad part meanwhile.
+        crashes = [
+            crashevidence.Crash(ids.CrashId(number), number, 100 + number)
+            for number in range(7)
+        ]
+        cause = crashevidence.Evidence(BAD, crashes, None, frozenset([BAD]))
+        self.state.merge(6.0, [cause])
+        after = self.state.find(6.1, sound)
+        self.assertEqual(3.0 + quarantine.VICTIM_TRIAL_S, after.trial_at)
+        for parts in ([self.COMMON, BAD], [ids.PartId(99), BAD]):
+            verdict = self.state.find(6.1, parts)
+            self.assertGreaterEqual(
+                verdict.trial_at, 3.0 + quarantine.QUARANTINE_S
+            )
+        # The trial ends another upstream, or as many as convict by themselves.
+        for number in range(7, 10):
+            answer = crashevidence.Answer((self.COMMON,), number)
+            self.state.note_crash(number, ids.CrashId(number), [answer])
+        again = self.state.find(10.0, sound)
+        self.assertEqual(9.0 + quarantine.QUARANTINE_S, again.trial_at)
+
     def test_part_is_released_when_an_answer_with_it_completes(self):
         for second in range(3):
             self._crash(second, second)
