Let a gateway that wakes hear from a peer before it forwards prompts

The others had quarantined the part 0.2 s after the first crash.

Cause: a process that was paused acts on what it knew before. Its pulls in flight ran into their timeouts as it woke, since these counted the pause, and the next round came 0.3 s later; prompts that had waited in its socket went out meanwhile. After 3 s it also took all peers for dead and asked the seeds only. Class: own absence taken for news of the others.

Timeouts of pulls and of attempts leave it out (`timeouts.py`), so that a reply that has come is read. After a start or a pause, prompts with shared parts wait for the end of a round that began since, 1.2 s at most. A round is not delayed by peers that do not answer (it took 0.9 s instead of 0.3 s), and a node that takes all peers for dead asks those that it knew.

--- a/packages/gateway/src/radishcourse_gateway/attempttimeout.py
+++ b/packages/gateway/src/radishcourse_gateway/attempttimeout.py
@@ -1,7 +1,7 @@
 """Timeout of an attempt, after which the request is retried elsewhere."""
 
-import asyncio
 import contextlib
+import functools
 
 import anyio
 
@@ -26,15 +26,17 @@
 class AttemptTimeout:
     """Limits how long a request waits for one upstream.
 
-    The attempt is only cancelled if the budget pays for a retry at that time;
-    otherwise the request keeps waiting.
+    The lateness of this process does not count, as the answer may be there
+    already. The attempt is only cancelled if the budget pays for a retry at
+    that time; otherwise the request keeps waiting.
 
     Args:
-      gateway: Provides the view and targets.
+      gateway: Provides the timeouts, view and targets.
       budget: The budget that pays for retries.
     """
 
     def __init__(self, gateway, budget: retrybudgets.RetryBudgets):
+        self._timeouts = gateway.timeouts
         self._view: views.View = gateway.view
         self._targets: targets.Targets = gateway.targets
         self._retry_budgets = budget
@@ -72,9 +74,9 @@
             yield
             return
         with anyio.CancelScope() as scope:
-            # asyncio's timer, as one is needed for each event of a stream.
-            timer = asyncio.get_running_loop().call_later(
-                timeout_s, self._expire, request, plan, scope
+            timer = self._timeouts.call_after(
+                timeout_s,
+                functools.partial(self._expire, request, plan, scope),
             )
             try:
                 yield
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -11,6 +11,7 @@
 from radishcourse_gateway import escalations
 from radishcourse_gateway import eventstream
 from radishcourse_gateway import inboundrequest
+from radishcourse_gateway import peers
 from radishcourse_gateway import responses
 from radishcourse_gateway import retrybudgets
 from radishcourse_gateway import targets
@@ -65,6 +66,7 @@
         self._limits = gateway.limits
         self._announcements = announcements.Announcements(gateway)
         self._crashes: crashes.Crashes = gateway.crashes
+        self._peers: peers.Peers = gateway.peers
         self._targets = gateway.targets
         self._verifier: verifier.Verifier = gateway.verifier
         self._pool: upstreamconnections.Pool = gateway.pool
@@ -98,14 +100,14 @@
             plan.model = request.route.models[0]
         plan.service = self._targets.choose_service(request)
         plan.answer = crashes.make_answer(request, plan.service)
-        self._crashes.refuse_quarantined(plan)
+        await self._refuse_quarantined(plan)
         await self._rollouts.sessions.note(plan.service, request.session)
         last_failure: _AttemptFailed | None = None
         counted = False
         while True:
             try:
                 if last_failure is not None:
-                    self._crashes.refuse_quarantined(plan)
+                    await self._refuse_quarantined(plan)
                 listed = self._targets.choose(request, plan)
             except errors.Refusal as refusal:
                 if last_failure is None:
@@ -127,6 +129,16 @@
             if step is NextStep.DONE:
                 return plan
 
+    async def _refuse_quarantined(self, plan: targets.Plan) -> None:
+        """Refuses a prompt that crashes upstreams by what all nodes know.
+
+        Raises:
+          Refusal: It is quarantined.
+        """
+        if plan.answer.parts:
+            await self._peers.catch_up()
+        self._crashes.refuse_quarantined(plan)
+
     def _may_retry(self, request, plan, failure: _AttemptFailed) -> bool:
         now = self._clock.now()
         if now >= request.deadline:
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -33,6 +33,7 @@
 from radishcourse_node import events
 from radishcourse_node import metrics
 from radishcourse_node import serving
+from radishcourse_node import timeouts
 
 MAX_HEAD_BYTES = 64 * 1024
 # The request head must arrive within this time, else the connection is closed.
@@ -73,6 +74,7 @@
 
     Attributes:
       current_settings: The settings in force.
+      timeouts: Timeouts that leave out the lateness of this process.
       metrics: Request metrics.
       replica: The node's copy of the followed tables.
       view: Configuration, roll-out orders, zones and upstreams.
@@ -102,6 +104,7 @@
         self.header_names = header_names
         self.store = store
         clock = environment.clock
+        self.timeouts = timeouts.Timeouts(clock)
         self.metrics = metrics.Metrics()
         self.replica = records.Replica(clock)
         self.view = view.View(clock, decoder)
@@ -112,6 +115,7 @@
             environment.random,
             self.replica,
             self.view,
+            self.timeouts,
         )
         self.rollouts = rollouts.Rollouts(self)
         self.peers.rollouts = self.rollouts
@@ -275,6 +279,7 @@
         events.log(events.Event.NODE_STOPPED, node=settings.node)
 
     def _background_tasks(self, server):
+        yield 'timeouts', self.timeouts.run
         yield 'peers', self.peers.run
         yield 'rollouts', self.rollouts.run
         yield 'crashes', self.crashes.run
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -18,6 +18,7 @@
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
 from radishcourse_node import events
+from radishcourse_node import timeouts
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import quarantine
 from radishcourse_wire import client as peer_client
@@ -46,6 +47,8 @@
 CALL_TIMEOUT_S = 0.6
 # Limit on a call that a caller's request waits for.
 REQUEST_CALL_TIMEOUT_S = 0.1
+# Limit on the wait for a round after a start or a pause of this process.
+CATCH_UP_TIMEOUT_S = 2 * CALL_TIMEOUT_S
 # A node that was not heard of for this long does not count as alive.
 ALIVE_TIMEOUT_S = 3.0
 # Minimum number of nodes that follow the store, so that two may fail without
@@ -64,6 +67,7 @@
       random: Source of randomness.
       replica: Rows to exchange.
       view: Updated with rows that are new.
+      own_timeouts: Limits calls, and tells when this process was paused.
     """
 
     def __init__(
@@ -73,12 +77,14 @@
         random,
         replica: records.Replica,
         view: views.View,
+        own_timeouts: timeouts.Timeouts,
     ):
         self._current_settings = current_settings
         self._clock = clock
         self._random = random
         self._replica = replica
         self._view = view
+        self._lateness = own_timeouts.lateness
         self._peers: dict[str, peerstate.Peer] = {}
         self.incarnation = ids.Incarnation(secrets.token_hex(6))
         own_credentials = credentials.Credentials(
@@ -87,10 +93,18 @@
             {_KEY: current_settings.value.peer_key},
             _KEY,
         )
-        self._client = peer_client.Client(own_credentials)
+        self._client = peer_client.Client(
+            own_credentials, own_timeouts.fail_after
+        )
         self.server = peer_server.Server(own_credentials, _log_rejection)
         self.server.register(messages.MessageKind.SYNC, self._answer_sync)
         self._rounds = 0
+        self._started_at = clock.now()
+        self._pulling: set[str] = set()
+        # When the latest round began that has ended.
+        self._heard_at = float('-inf')
+        self._round_ended = anyio.Event()
+        self._round_wanted = anyio.Event()
         self.rollouts = None
         self.load = None
         self.crashes = None
@@ -179,13 +193,33 @@
         return peerstate.OthersWork(requests, waiting_s, ejecting_nodes)
 
     async def run(self) -> None:
-        """Runs rounds until cancelled."""
-        while True:
-            await self.run_round()
-            await anyio.sleep(ROUND_INTERVAL_S)
+        """Runs rounds until cancelled.
+
+        Peers that do not answer delay no later round.
+        """
+        async with anyio.create_task_group() as tasks:
+            while True:
+                tasks.start_soon(self.run_round)
+                with anyio.move_on_after(ROUND_INTERVAL_S):
+                    await self._round_wanted.wait()
+                self._round_wanted = anyio.Event()
+
+    async def catch_up(self) -> None:
+        """Waits until a round has ended that began while this process ran.
+
+        A process that has just started, or was paused, does not know what its
+        peers have learned. A round ends after CALL_TIMEOUT_S at the latest.
+        """
+        since = max(self._started_at, self._lateness.resumed_at)
+        until = since + CATCH_UP_TIMEOUT_S
+        while self._heard_at < since and self._clock.now() < until:
+            self._round_wanted.set()
+            with anyio.move_on_after(CATCH_UP_TIMEOUT_S):
+                await self._round_ended.wait()
 
     async def run_round(self) -> None:
         """Pulls from the peers of one round."""
+        began_at = self._clock.now()
         incomplete = any(
             self._replica.position(table).is_start for table in records.Table
         )
@@ -193,20 +227,34 @@
             for index, address in enumerate(self._choose_peers()):
                 with_rows = not incomplete or index < ROWS_FANOUT
                 tasks.start_soon(self._pull, address, with_rows)
-        self._rounds += 1
+            self._rounds += 1
+        self._heard_at = max(self._heard_at, began_at)
+        self._round_ended.set()
+        self._round_ended = anyio.Event()
 
     def _choose_peers(self) -> list[str]:
-        """Returns the addresses of the peers of a round, chosen at random."""
-        addresses = sorted(peer.address for peer in self.alive)
+        """Returns the addresses of the peers of a round, chosen at random.
+
+        Peers that do not count as alive are asked only if there are no others,
+        as after a pause of this process.
+        """
+        addresses = {peer.address for peer in self.alive}
         if not addresses:
-            own_address = self._settings.peer_listen
-            addresses = [
-                seed for seed in self._settings.seeds if seed != own_address
-            ]
+            addresses = {peer.address for peer in self._peers.values()}
+            addresses |= set(self._settings.seeds)
+            addresses.discard(self._settings.peer_listen)
         fanout = min(_fanout(len(addresses)), len(addresses))
-        return self._random.sample(addresses, fanout)
+        idle = sorted(addresses - self._pulling)
+        return self._random.sample(idle, min(fanout, len(idle)))
 
     async def _pull(self, address: str, with_rows: bool) -> None:
+        self._pulling.add(address)
+        try:
+            await self._exchange(address, with_rows)
+        finally:
+            self._pulling.discard(address)
+
+    async def _exchange(self, address: str, with_rows: bool) -> None:
         asked_at = self._clock.now()
         request = ttypes.Sync(
             self._own_record(),
--- a/packages/wire/src/radishcourse_wire/client.py
+++ b/packages/wire/src/radishcourse_wire/client.py
@@ -35,10 +35,16 @@
 
     Args:
       own_credentials: Credentials of this node.
+      fail_after: Returns a context that raises TimeoutError after some seconds.
     """
 
-    def __init__(self, own_credentials: credentials.Credentials):
+    def __init__(
+        self,
+        own_credentials: credentials.Credentials,
+        fail_after=anyio.fail_after,
+    ):
         self._credentials = own_credentials
+        self._fail_after = fail_after
         self._idle: dict[str, collections.deque[_PooledConnection]] = {}
 
     async def call(
@@ -68,7 +74,7 @@
         pooled = None
         succeeded = False
         try:
-            with anyio.fail_after(timeout_s):
+            with self._fail_after(timeout_s):
                 pooled = await self._connect(address)
                 reply = await self._exchange(pooled, kind, message)
                 succeeded = True
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import signal
 import threading
 import time
 
@@ -31,6 +32,8 @@
       site: The site.
       restart_s: Time from the end of an engine to its restart, in seconds.
       keeps_id: Whether a restarted engine has the id that it had.
+      callers_each: Callers of crashing prompts that each gateway has of its
+        own; 0 for a single one that sends to all gateways in turn.
 
     Attributes:
       crashed_at: When engines ended, by the monotonic clock, in seconds.
@@ -43,7 +46,9 @@
         site: sites.Site,
         restart_s: float = RESTART_S,
         keeps_id: bool = True,
+        callers_each: int = 0,
     ):
+        self._callers_each = callers_each
         self._site = site
         self._restart_s = restart_s
         self._keeps_id = keeps_id
@@ -60,11 +65,7 @@
         """Sends requests and restarts engines until the end of the context."""
         threads = [
             threading.Thread(target=target)
-            for target in (
-                self._supervise,
-                lambda: self._send(self.sound, 'sound', 0.1),
-                lambda: self._send(self.crashing, BAD_PART, 0.25),
-            )
+            for target in (self._supervise, *self._callers())
         ]
         for thread in threads:
             thread.start()
@@ -75,6 +76,19 @@
             for thread in threads:
                 thread.join()
 
+    def _callers(self):
+        """Yields the functions that send requests until the end."""
+        if not self._callers_each:
+            yield lambda: self._send(self.sound, 'sound', 0.1)
+            yield lambda: self._send(self.crashing, BAD_PART, 0.25)
+            return
+        for name in self._site.gateways:
+            yield lambda name=name: self._send(self.sound, 'sound', 0.2, name)
+            for _ in range(self._callers_each):
+                yield lambda name=name: self._send(
+                    self.crashing, BAD_PART, 0.1, name
+                )
+
     def _supervise(self) -> None:
         down: dict[str, float] = {}
         born = itertools.count(2)
@@ -104,10 +118,14 @@
             self._site.put('servers', name, None)
         self._site.write_entry(new_name, 'engine', born=born)
 
-    def _send(self, sent: list, part: str, pause_s: float) -> None:
+    def _send(
+        self, sent: list, part: str, pause_s: float, only: str = ''
+    ) -> None:
+        """Sends prompts with a part to one gateway, or to all in turn."""
         while not self._ended.wait(pause_s):
             with self._lock:
-                number, gateway = next(self._numbers), next(self._gateways)
+                number = next(self._numbers)
+                gateway = only or next(self._gateways)
             part_id = f'thing{number % 7}' if part == 'sound' else part
             parts = f'{COMMON_PART}:100,{part_id}:50,own{number}:20'
             at = time.monotonic()
@@ -202,3 +220,38 @@
 
     def test_upstreams_that_are_back_under_other_ids(self):
         self._check('before_head', restart_s=0.0, keeps_id=False)
+
+
+class FrozenGatewayTest(test_gateway_fleet.SiteTest):
+    """Guards against a gateway that wakes and acts on what it knew before.
+
+    Prompts waited for it while the others learned which part crashes engines.
+    """
+
+    def test_gateway_that_was_stopped_while_engines_crashed(self):
+        site = self.start(4, crash_part=BAD_PART, crash_point='event')
+        names = [f'engine-{number}' for number in range(1, 11)]
+        for name in names[2:]:
+            site.start_worker(name, 'engine')
+        site.wait_workers(*names)
+        site.wait_listed(len(site.workers))
+        for name in names:
+            site.set_behaviour(name, delay_ms=SOUND_DELAY_MS)
+        frozen = site.gateways['gateway-4']
+        fleet = _Fleet(site, restart_s=RESTART_S / 2, callers_each=8)
+        with fleet.running():
+            sites.wait_until(lambda: fleet.crashed_at, 20.0)
+            frozen.signal(signal.SIGSTOP)
+            time.sleep(CONTACT_S + 1.0)
+            frozen.signal(signal.SIGCONT)
+            known_at = fleet.wait_known()
+            time.sleep(OBSERVED_S / 2)
+        case = f'{len(fleet.crashed_at)} ends'
+        self.assertLessEqual(fleet.arrivals(known_at), MAX_ARRIVALS, case)
+        served = [
+            response.status == 200 and response.whole
+            for at, response in fleet.sound
+            if at > known_at + CONTACT_S
+        ]
+        self.assertNotEqual([], served, case)
+        self.assertGreaterEqual(sum(served), MIN_SERVED * len(served), case)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -8,6 +8,7 @@
 
 from radishcourse_gateway import peers
 from radishcourse_gateway import records
+from radishcourse_node import timeouts
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import position as positions
 from radishcourse_wire import errors as wire_errors
@@ -48,6 +49,7 @@
             random.Random(1),
             self.replica,
             types.SimpleNamespace(apply=lambda rows, source: None),
+            timeouts.Timeouts(clocks.ManualClock(100.0)),
         )
         self.client = self.peers._client = _Client()
 
