Use upstreams whose probes time out rather than refuse every job

(1) A probe's timeout counted the lateness of the node itself. (2) The engine itself was late, for two probes in a row.

Change: control calls to engines leave out the node's own lateness. Below half of a pool's upstreams that answer their probes (PANIC_SHARE), those whose probes time out are used under a permit, as cold ones; not those that refuse connections, leave or are withdrawn, and not for jobs that may run only once.

--- a/packages/node/src/radishcourse_node/cascades.py
+++ b/packages/node/src/radishcourse_node/cascades.py
@@ -1,6 +1,7 @@
 """Runs model jobs: cascade steps, attempts, ratings and escalation."""
 
 import contextlib
+import functools
 
 import msgspec
 
@@ -200,7 +201,11 @@
                 f'{model}/{version} is not allowed',
             )
         async with self._upstreams.reserve(
-            job, model, version, tried, self._guard.allows_upstream
+            job,
+            model,
+            version,
+            tried,
+            functools.partial(self._guard.allows_upstream, job),
         ) as upstream:
             tried.add(upstream.upstream_id)
             facts.model, facts.version = model, version
--- a/packages/node/src/radishcourse_node/controllers/health.py
+++ b/packages/node/src/radishcourse_node/controllers/health.py
@@ -9,6 +9,7 @@
 from radishcourse_model import ids
 from radishcourse_model import states
 from radishcourse_node import events
+from radishcourse_policy import lateness
 from radishcourse_wire import client as peer_client
 from radishcourse_wire.gen.peer import ttypes
 
@@ -17,9 +18,6 @@
 # A change is gossiped for this long, and a peer's report that an upstream is
 # leaving is valid for this long.
 GOSSIP_MAX_AGE_S = 10.0
-TICK_S = 0.1
-# A longer gap between two ticks shows that the process was paused.
-MIN_PAUSE_S = 0.5
 # After a pause, responses in the socket buffers may be as old as the pause.
 # They are read within this time.
 STALE_ANSWERS_S = 0.5
@@ -51,6 +49,8 @@
       reported_at: Time to which the load report applies.
       refused_until: Time before which no permit is requested.
       failed_probes: Consecutive probes that failed.
+      refused: Whether the latest of them was refused a connection; else it
+        timed out.
     """
 
     state: _State = _State.UNKNOWN
@@ -67,6 +67,7 @@
     reported_at: float = float('-inf')
     refused_until: float = 0.0
     failed_probes: int = 0
+    refused: bool = False
 
 
 class Registry:
@@ -75,15 +76,17 @@
     Args:
       clock: The node's clock.
       node: This node.
+      own_lateness: The lateness of this process.
     """
 
-    def __init__(self, clock, node: ids.NodeId):
+    def __init__(
+        self, clock, node: ids.NodeId, own_lateness: lateness.Lateness
+    ):
         self._clock = clock
         self._node = node
+        self._lateness = own_lateness
         self._health: dict[ids.UpstreamId, Health] = {}
         self._counter = 0
-        self._ticked_at = clock.now()
-        self._answers_stale_until = float('-inf')
 
     @property
     def health(self) -> dict[ids.UpstreamId, Health]:
@@ -107,13 +110,6 @@
         age = self._clock.now() - self.get(upstream).observed_at
         return self.state(upstream) is _State.WARM and age <= WARM_MAX_AGE_S
 
-    def tick(self) -> None:
-        """Notes that the process is running; called every `TICK_S`."""
-        now = self._clock.now()
-        if now - self._ticked_at > MIN_PAUSE_S:
-            self._answers_stale_until = now + STALE_ANSWERS_S
-        self._ticked_at = now
-
     def note_header(self, upstream, boot: str, state: str) -> None:
         """Notes the state in the headers of a response that was just read.
 
@@ -121,11 +117,8 @@
         response may be old.
         """
         now = self._clock.now()
-        paused = (
-            now - self._ticked_at > MIN_PAUSE_S
-            or now < self._answers_stale_until
-        )
-        if paused and state == _State.WARM.value:
+        stale = now < self._lateness.resumed_at + STALE_ANSWERS_S
+        if stale and state == _State.WARM.value:
             return
         self.note_state(upstream, boot, state, now)
 
@@ -161,12 +154,21 @@
         if health.state in (_State.WARM, _State.UNKNOWN):
             self._change(upstream, health, _State.COLD, self._node)
 
-    def note_failed_probe(self, upstream: ids.UpstreamId, at: float) -> None:
-        """Notes that an upstream did not answer a probe sent at `at`."""
+    def note_failed_probe(
+        self, upstream: ids.UpstreamId, at: float, refused: bool = False
+    ) -> None:
+        """Notes that an upstream did not answer a probe.
+
+        Args:
+          upstream: The upstream.
+          at: When the probe was sent, by this node's clock.
+          refused: Whether it accepted no connection.
+        """
         health = self.get(upstream)
         if at < health.observed_at:
             return
         health.failed_probes += 1
+        health.refused = refused
         if health.failed_probes >= DOWN_AFTER_PROBES:
             health.observed_at = at
             self._change(upstream, health, _State.DOWN, self._node)
--- a/packages/node/src/radishcourse_node/controllers/permits.py
+++ b/packages/node/src/radishcourse_node/controllers/permits.py
@@ -14,7 +14,6 @@
 import anyio
 
 from radishcourse_model import ids
-from radishcourse_model import states
 from radishcourse_node import enginecontrol
 from radishcourse_node import errors
 from radishcourse_node import events
@@ -31,7 +30,6 @@
 # earlier grantor is still running.
 CLEARANCE_MAX_AGE_S = 1.0
 _SEPARATOR = '#'
-_UNUSABLE_STATES = (states.UpstreamState.LEAVING, states.UpstreamState.DOWN)
 
 
 class NotHolder(errors.NodeError):
@@ -69,7 +67,7 @@
 class Permits:
     """Grants permits for held shards and acquires permits for this node."""
 
-    def __init__(self, node, registry, engine):
+    def __init__(self, node, registry, availability, engine):
         self._clock = node.environment.clock
         self._node_id: ids.NodeId = node.settings.node
         self._incarnation = node.incarnation
@@ -79,6 +77,7 @@
         self._peers = node.peers
         self._address = node.peer_address
         self._registry = registry
+        self._availability = availability
         self._engine = engine
         self._ledgers: dict[
             ids.UpstreamId, tuple[ids.Epoch, policy.PermitLedger]
@@ -269,12 +268,11 @@
                 f'this node does not hold the lease of the shard of {upstream}'
             )
         configured = self._configuration.config.upstreams.get(upstream)
-        unusable = self._registry.state(upstream) in _UNUSABLE_STATES
         ledger = self._ledger(upstream, lease.epoch)
         permit_id = f'{incarnation}/{message.request_id}'
         granted = (
             configured is not None
-            and not unusable
+            and self._availability.may_use(upstream)
             and self._may_grant(upstream, lease, ledger)
             and ledger.grant(
                 self._clock.now(),
--- a/packages/node/src/radishcourse_node/controllers/probes.py
+++ b/packages/node/src/radishcourse_node/controllers/probes.py
@@ -50,7 +50,6 @@
     async def run(self) -> None:
         """Sends probes and polls the VM list until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._tick)
             tasks.start_soon(self._poll_vm_list)
             while True:
                 for upstream in self._due():
@@ -71,11 +70,6 @@
         """Tells whether no other node is known that could gossip changes."""
         return not (self._membership.settled and self._membership.present)
 
-    async def _tick(self) -> None:
-        while True:
-            self._registry.tick()
-            await anyio.sleep(health.TICK_S)
-
     async def probe(
         self, upstream: ids.UpstreamId, not_before: float = float('-inf')
     ) -> None:
@@ -106,8 +100,8 @@
         sent_at = self._clock.now()
         try:
             state = await engine.state()
-        except enginecontrol.ControlError:
-            self._registry.note_failed_probe(upstream, sent_at)
+        except enginecontrol.ControlError as error:
+            self._registry.note_failed_probe(upstream, sent_at, error.refused)
             return
         self._last_states[upstream] = state
         self._registry.note_load(
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -15,6 +15,7 @@
 from radishcourse_node import engines
 from radishcourse_node import errors
 from radishcourse_node import job as jobs
+from radishcourse_node.controllers import availability
 from radishcourse_node.controllers import health
 from radishcourse_node.controllers import permits
 from radishcourse_node.controllers import probes
@@ -28,7 +29,6 @@
 # Minimum time between two jobs that a node sends to a cold upstream while warm
 # ones are free.
 TRIAL_INTERVAL_S = 1.0
-_USABLE_STATES = (states.UpstreamState.WARM, states.UpstreamState.COLD)
 
 
 class Upstreams:
@@ -43,9 +43,17 @@
         self._pools = engines.Pools()
         self._budgets: dict[tuple, retrybudget.RetryBudget] = {}
         self._next_trial_at: dict[ids.UpstreamId, float] = {}
-        self.registry = health.Registry(self._clock, node.settings.node)
+        self._timeouts = node.timeouts
+        self.registry = health.Registry(
+            self._clock, node.settings.node, node.timeouts.lateness
+        )
         self.probes = probes.Probes(node, self.registry, self.engine)
-        self.permits = permits.Permits(node, self.registry, self.engine)
+        self.availability = availability.Availability(
+            self._clock, node.configuration, self.registry
+        )
+        self.permits = permits.Permits(
+            node, self.registry, self.availability, self.engine
+        )
         self.slots = slots.Slots(self._clock)
 
     @property
@@ -81,7 +89,7 @@
         if upstream is None:
             return None
         pool = self._pools.get(upstream.address)
-        return enginecontrol.Engine(upstream.address, pool)
+        return enginecontrol.Engine(upstream.address, pool, self._timeouts)
 
     async def run(self) -> None:
         """Runs probes and permits until cancelled."""
@@ -216,7 +224,8 @@
         usable = [
             self._make_candidate(*item)
             for item in choices.items()
-            if self.state(item[0]) in _USABLE_STATES and self._has_room(*item)
+            if self.state(item[0]) is not states.UpstreamState.UNKNOWN
+            and self._has_room(*item)
         ]
         trials = [item for item in usable if item.cold]
         warm = [item for item in usable if not item.cold]
@@ -242,7 +251,7 @@
     def _has_room(self, upstream_id, upstream: schema.Upstream) -> bool:
         known = self.registry.get(upstream_id)
         now = self._clock.now()
-        if self.state(upstream_id) is states.UpstreamState.COLD:
+        if self._needs_permit(upstream_id):
             return now >= known.refused_until
         return slot_policy.is_free(
             upstream.slots,
@@ -252,10 +261,14 @@
             now - known.reported_at,
         )
 
+    def _needs_permit(self, upstream_id: ids.UpstreamId) -> bool:
+        """Tells whether an upstream is cold, or may be as it is silent."""
+        return self.state(upstream_id) is not states.UpstreamState.WARM
+
     @contextlib.asynccontextmanager
     async def _try_reserve(self, upstream_id: ids.UpstreamId, request_id: str):
         """Yields a reservation, or None if the upstream can't be used now."""
-        if self.state(upstream_id) is states.UpstreamState.WARM:
+        if not self._needs_permit(upstream_id):
             if not self.registry.is_warm(upstream_id):
                 await self.probes.probe(upstream_id)
             if not self.registry.is_warm(upstream_id):
@@ -302,7 +315,7 @@
             reported=known.reported,
             report_age_s=self._clock.now() - known.reported_at,
             same_zone=upstream.zone == self._settings.zone,
-            cold=self.state(upstream_id) is states.UpstreamState.COLD,
+            cold=self._needs_permit(upstream_id),
         )
 
     def _note_request(self, job, upstream: schema.Upstream) -> None:
--- a/packages/node/src/radishcourse_node/enginecontrol.py
+++ b/packages/node/src/radishcourse_node/enginecontrol.py
@@ -2,12 +2,12 @@
 
 import typing
 
-import anyio
 import httpcore
 import msgspec
 
 from radishcourse_model import decoding
 from radishcourse_node import errors
+from radishcourse_node import timeouts
 from radishcourse_platform import http
 
 TIMEOUT_S = 0.5
@@ -65,20 +65,30 @@
 
     Attributes:
       status: HTTP status, or 0 if there was no response.
+      refused: Whether it accepted no connection.
     """
 
     code = 'engine_control'
 
-    def __init__(self, message: str, status: int = 0):
+    def __init__(self, message: str, status: int = 0, refused: bool = False):
         super().__init__(message)
         self.status = status
+        self.refused = refused
 
 
 class Engine(typing.NamedTuple):
-    """Control client of one engine."""
+    """Control client of one engine.
+
+    Attributes:
+      address: Its IP address and port.
+      pool: Connections to it.
+      timeouts: Limits the calls; the lateness of this process does not count,
+        as the reply may be there already.
+    """
 
     address: str
     pool: httpcore.AsyncConnectionPool
+    timeouts: timeouts.Timeouts
 
     async def state(self) -> EngineState:
         """Returns the state that the engine reports.
@@ -110,14 +120,15 @@
 
     async def _call(self, method: str, path: str, body=None) -> bytes:
         try:
-            with anyio.fail_after(TIMEOUT_S):
+            with self.timeouts.fail_after(TIMEOUT_S):
                 response = await self.pool.request(
                     method,
                     f'http://{self.address}{path}',
                     content=msgspec.json.encode(body) if body else None,
                 )
         except http.CALL_ERRORS as error:
-            raise ControlError(f'{path}: {error!r}') from error
+            refused = isinstance(error, httpcore.ConnectError)
+            raise ControlError(f'{path}: {error!r}', refused=refused) from error
         if response.status != 200:
             message = f'{path}: status {response.status}'
             raise ControlError(message, response.status)
--- a/packages/node/src/radishcourse_node/guard.py
+++ b/packages/node/src/radishcourse_node/guard.py
@@ -70,7 +70,7 @@
         version_allowed = not facts.version or self.allows_version(
             job, facts.model, facts.version
         )
-        if not version_allowed or not self.allows_upstream(facts.upstream):
+        if not version_allowed or not self.allows_upstream(job, facts.upstream):
             raise errors.AttemptError(
                 f'{facts.model}/{facts.version} on {facts.upstream} is no'
                 ' longer allowed',
@@ -91,8 +91,14 @@
             and organisation.allows(model, version)
         )
 
-    def allows_upstream(self, upstream_id: ids.UpstreamId) -> bool:
-        """Tells whether an upstream may receive new work now."""
+    def allows_upstream(
+        self, job: jobs.Job, upstream_id: ids.UpstreamId
+    ) -> bool:
+        """Tells whether an upstream may receive a job now.
+
+        One that does not answer probes may lose the answer as well, so it gets
+        only jobs that may be retried then.
+        """
         config = self._configuration.config
         upstream = config.upstreams.get(upstream_id)
         if upstream is None or upstream.leaving:
@@ -100,9 +106,8 @@
         zone = config.zones.get(upstream.zone)
         if zone is not None and zone.state is states.ZoneState.OUT:
             return False
-        return self._upstreams.state(upstream_id) not in (
-            states.UpstreamState.LEAVING,
-            states.UpstreamState.DOWN,
+        return self._upstreams.availability.may_use(
+            upstream_id, silent=job.safe_to_retry
         )
 
 
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -21,6 +21,7 @@
 from radishcourse_node import serving
 from radishcourse_node import settings as node_settings
 from radishcourse_node import statuses
+from radishcourse_node import timeouts
 from radishcourse_node.controllers import admissions
 from radishcourse_node.controllers import bills
 from radishcourse_node.controllers import caches
@@ -85,7 +86,10 @@
             settings.peer_keys,
             settings.peer_key,
         )
-        self.peers = peer_client.Client(own_credentials)
+        self.timeouts = timeouts.Timeouts(environment.clock)
+        self.peers = peer_client.Client(
+            own_credentials, self.timeouts.fail_after
+        )
         self.peer_server = peer_server.Server(
             own_credentials, _log_rejected_peer
         )
@@ -273,6 +277,7 @@
         )
         async with anyio.create_task_group() as tasks:
             for controller in (
+                self.timeouts,
                 self.configuration,
                 self.membership,
                 self.leases,
--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -1,5 +1,7 @@
 """Runs calls of plain services."""
 
+import functools
+
 import httpcore
 
 from radishcourse_model import ids
@@ -49,7 +51,7 @@
     async def _attempt(self, job: jobs.Job, tried) -> jobs.Answer:
         self._guard.check_view(job)
         async with self._upstreams.reserve_service(
-            job, tried, self._guard.allows_upstream
+            job, tried, functools.partial(self._guard.allows_upstream, job)
         ) as upstream:
             tried.add(upstream.upstream_id)
             self._guard.check_view(job)
--- a/packages/node/src/radishcourse_node/streams.py
+++ b/packages/node/src/radishcourse_node/streams.py
@@ -291,7 +291,7 @@
     def _is_same_upstream(self, upstream_id) -> bool:
         return (
             upstream_id == self._facts.upstream
-            and self._runner.guard.allows_upstream(upstream_id)
+            and self._runner.guard.allows_upstream(self._job, upstream_id)
         )
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,6 +9,7 @@
 from radishcourse_model import states
 from radishcourse_node.controllers import health
 from radishcourse_policy import clock as clocks
+from radishcourse_policy import lateness
 from tests import cluster as clusters
 from tests import traffic
 
@@ -73,11 +74,12 @@
     def setUp(self):
         super().setUp()
         self.clock = clocks.ManualClock(100.0)
+        self.lateness = lateness.Lateness(self.clock)
         self.registry = self._make_registry('a')
         self.registry.note_state(ENGINE, 'b1', 'warm', 100.0)
 
     def _make_registry(self, name: str) -> health.Registry:
-        return health.Registry(self.clock, ids.NodeId(name))
+        return health.Registry(self.clock, ids.NodeId(name), self.lateness)
 
     def _state(self) -> states.UpstreamState:
         return self.registry.state(ENGINE)
@@ -104,10 +106,10 @@
         self.assertEqual(states.UpstreamState.COLD, self._state())
 
     def test_header_buffered_during_a_pause_is_ignored(self):
-        self.registry.tick()
+        self.lateness.tick()
         self.clock.advance(30.0)
         self.registry.note_header(ENGINE, 'b1', 'warm')
-        self.registry.tick()
+        self.lateness.tick()
         self.registry.note_header(ENGINE, 'b1', 'warm')
         self.assertFalse(self.registry.is_warm(ENGINE))
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -9,6 +9,7 @@
 from radishcourse_model import schema
 from radishcourse_node import enginecontrol
 from radishcourse_node import engines
+from radishcourse_node import timeouts
 from radishcourse_node.controllers import orders
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import leases as lease_policy
@@ -43,7 +44,9 @@
                     ),
                     upstreams=types.SimpleNamespace(
                         engine=lambda upstream: enginecontrol.Engine(
-                            address, pools.get(address)
+                            address,
+                            pools.get(address),
+                            timeouts.Timeouts(clock),
                         )
                     ),
                 )
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -13,9 +13,11 @@
 from radishcourse_model import ids
 from radishcourse_model import schema
 from radishcourse_node import enginecontrol
+from radishcourse_node.controllers import availability
 from radishcourse_node.controllers import health
 from radishcourse_node.controllers import permits
 from radishcourse_policy import clock as clocks
+from radishcourse_policy import lateness
 from radishcourse_policy import leases as lease_policy
 from radishcourse_policy import permits as policy
 from radishcourse_wire import errors as wire_errors
@@ -56,19 +58,23 @@
         self.lost = False
         self.lease = None
         self.jobs = {}
-        registry = health.Registry(machine.clock, ids.NodeId(name))
+        self.lateness = lateness.Lateness(machine.clock)
+        registry = health.Registry(
+            machine.clock, ids.NodeId(name), self.lateness
+        )
         self.registry = registry
         upstream = schema.Upstream(
             address='127.0.0.1:1', zone=ids.ZoneId('z'), cold_limit=COLD_LIMIT
         )
         config = schema.Config(upstreams={ENGINE: upstream})
+        configuration = types.SimpleNamespace(config=config)
         self.handlers = {}
         self.permits = permits.Permits(
             types.SimpleNamespace(
                 environment=types.SimpleNamespace(clock=machine.clock),
                 settings=types.SimpleNamespace(node=name, shards=1),
                 incarnation=f'{name}.{machine.incarnations}',
-                configuration=types.SimpleNamespace(config=config),
+                configuration=configuration,
                 leases=self,
                 peers=self,
                 peer_address=lambda node: node,
@@ -77,6 +83,7 @@
                 ),
             ),
             registry,
+            availability.Availability(machine.clock, configuration, registry),
             lambda upstream: self,
         )
 
@@ -160,7 +167,7 @@
             for node in self.nodes.values():
                 if node.paused:
                     continue
-                node.registry.tick()
+                node.lateness.tick()
                 if not node.cut:
                     load = len(self.engine.running)
                     node.registry.note_load(ENGINE, load, now)
