Write the record of an answer before its caller can have all of it

Cause: the record was written after the last byte of the answer had been sent. A gateway that ends in between leaves an answer without a record. A real gateway that is stopped as soon as a caller has its answer had no record of the first request tried.

Change: `ResponseWriter.end` takes the last part of the body and writes the record before it. A buffered body and its end are one message to the server instead of two.

--- a/packages/gateway/src/radishcourse_gateway/requesthandler.py
+++ b/packages/gateway/src/radishcourse_gateway/requesthandler.py
@@ -1,6 +1,7 @@
 """ASGI application that handles callers' HTTP requests."""
 
 import contextlib
+import functools
 import traceback
 
 import anyio
@@ -44,6 +45,9 @@
       plan: State of the attempts at upstreams, None before the first.
       started_at: When the status was sent, on this node's clock in seconds;
         None before.
+      outcome: Label of the request's outcome.
+      on_complete: Called once, before the last part is sent: if the process
+        ends after it, the caller has the answer.
     """
 
     def __init__(self, send, clock, closing):
@@ -55,6 +59,8 @@
         self.completed = False
         self.plan = None
         self.started_at: float | None = None
+        self.outcome = 'completed'
+        self.on_complete = lambda: None
 
     async def start(self, status: int, headers: inboundrequest.Headers) -> None:
         """Sends the status and the headers."""
@@ -77,11 +83,18 @@
             {'type': 'http.response.body', 'body': data, 'more_body': True}
         )
 
-    async def end(self) -> None:
-        """Completes the response."""
-        await self._send({'type': 'http.response.body', 'body': b''})
+    async def end(self, last: bytes = b'') -> None:
+        """Completes the response with the last part of the body."""
+        self.bytes_sent += len(last)
+        self.complete()
+        await self._send({'type': 'http.response.body', 'body': last})
         self.completed = True
 
+    def complete(self) -> None:
+        """Calls `on_complete` unless it has been called."""
+        on_complete, self.on_complete = self.on_complete, lambda: None
+        on_complete()
+
 
 class RequestHandler:
     """Handles callers' requests.
@@ -111,19 +124,21 @@
         out = ResponseWriter(send, self._clock, lambda: self._gateway.draining)
         connection = scope['state'][connections.STATE_KEY]
         request = None
-        outcome = 'completed'
         try:
             request = await self._read_request(scope, receive, arrived_at)
+            out.on_complete = functools.partial(
+                self._record_outcome, request, out
+            )
             with _cancelled_on_disconnect(connection) as caller_scope:
                 await self._forward(request, out)
             if caller_scope.cancelled_caught:
-                outcome = 'left'
+                out.outcome = 'left'
         except errors.Refusal as refusal:
-            outcome = refusal.reason.label
+            out.outcome = refusal.reason.label
             self._log_refusal(scope, request, refusal, out)
             await self._send_refusal(out, refusal)
         except errors.ResponseInterrupted as error:
-            outcome = 'broken'
+            out.outcome = 'broken'
             events.log(
                 events.Event.ANSWER_INTERRUPTED,
                 request=_request_id(request),
@@ -131,9 +146,9 @@
             )
             connection.abort()
         except bodies.CallerDisconnected:
-            outcome = 'left'
+            out.outcome = 'left'
         except Exception:
-            outcome = 'internal'
+            out.outcome = 'internal'
             events.log(
                 events.Event.REQUEST_FAILED,
                 request=_request_id(request),
@@ -141,8 +156,7 @@
             )
             await self._send_internal_error(out, connection)
         finally:
-            if request is not None:
-                self._record_outcome(request, out, outcome)
+            out.complete()
 
     async def _send_internal_error(
         self, out: ResponseWriter, connection
@@ -298,8 +312,7 @@
             value = f'{refusal.retry_after_s:.2f}'.encode()
             headers.append((b'retry-after', value))
         await out.start(refusal.reason.status, headers)
-        await out.write(body)
-        await out.end()
+        await out.end(body)
 
     def _log_refusal(self, scope, request, refusal, out) -> None:
         headers = scope['headers']
@@ -326,8 +339,7 @@
         self,
         request: inboundrequest.InboundRequest,
         out: ResponseWriter,
-        outcome: str,
-    ):
+    ) -> None:
         now = self._clock.now()
         kind = ids.KindId(request.route.kind.value)
         seconds = now - request.arrived_at
@@ -341,14 +353,14 @@
                 kind,
                 out.started_at - request.arrived_at,
             )
-        self._metrics.count(request.organisation_name, kind, outcome)
+        self._metrics.count(request.organisation_name, kind, out.outcome)
         plan = out.plan
         events.log(
             events.Event.REQUEST_ANSWERED,
             request=request.request_id,
             route=request.route.name,
             organisation=request.organisation_name,
-            outcome=outcome,
+            outcome=out.outcome,
             status=out.status,
             attempts=plan.attempts if plan else 0,
             model=plan.model if plan else None,
--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -103,6 +103,4 @@
         headers.append((b'content-length', length))
     plan.begun = True
     await out.start(response.head.status, headers)
-    if response.body:
-        await out.write(response.body)
-    await out.end()
+    await out.end(response.body)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -1,5 +1,7 @@
 """Requests through a gateway; store, workers and gateway are processes."""
 
+import signal
+
 import testtools
 
 from radishcourse_node import events
@@ -37,6 +39,30 @@
         ]
 
 
+class RecordTest(SiteTest):
+    """Guards against an answer without a record, by which it is billed.
+
+    Its gateway ends as soon as the caller has the answer.
+    """
+
+    def test_caller_has_no_answer_before_its_record_is_written(self):
+        gateway = self.site.gateways['gateway-1']
+        for method, path in (('POST', '/order/1'), ('POST', '/draft/1')) * 20:
+            response = self.send(method, path, b'goods')
+            gateway.signal(signal.SIGSTOP)
+            try:
+                written = gateway.log.read_text()
+            finally:
+                gateway.signal(signal.SIGCONT)
+            records = [
+                line
+                for line in written.splitlines()
+                if response.request in line and '"request_answered"' in line
+            ]
+            self.assertEqual((200, 1), (response.status, len(records)), path)
+            self.assertIn('"completed"', records[0])
+
+
 class ForwardTest(SiteTest):
     """Guards against requests and headers that the gateway changes."""
 
