Extend timeouts only by what the loop's clock has counted

Cause: lateness was measured by the clock that goes on while the VM is paused, but the loop's timers stand still then, so that a timeout was extended by a pause which it had not counted: a request in progress would have waited for a silent upstream for as long again as the VM was paused.

Change: timers leave out lateness by the loop's clock; pauses, after which peers are asked first, are still seen by the other one. The wait for a round is bounded from the end of the pause. The reason of PANIC_SHARE names only what is known.

--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -214,7 +214,7 @@
         until = since + CATCH_UP_TIMEOUT_S
         while self._heard_at < since and self._clock.now() < until:
             self._round_wanted.set()
-            with anyio.move_on_after(CATCH_UP_TIMEOUT_S):
+            with anyio.move_on_after(until - self._clock.now()):
                 await self._round_ended.wait()
 
     async def run_round(self) -> None:
--- a/packages/node/src/radishcourse_node/timeouts.py
+++ b/packages/node/src/radishcourse_node/timeouts.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from radishcourse_policy import clock as clocks
 from radishcourse_policy import lateness
 
 
@@ -14,7 +15,7 @@
 
     Args:
       seconds: Time in which the process runs until the call.
-      own_lateness: The process's lateness.
+      own_lateness: The process's lateness, by the clock of the loop.
       callback: The function.
     """
 
@@ -54,23 +55,26 @@
       clock: The process's clock.
 
     Attributes:
-      lateness: The process's lateness.
+      lateness: The process's lateness, pauses of the whole VM included.
     """
 
     def __init__(self, clock):
         self.lateness = lateness.Lateness(clock)
+        # The loop's timers do not count a pause of the VM.
+        self._loop_lateness = lateness.Lateness(clocks.MonotonicClock())
 
     async def run(self) -> None:
         """Measures the lateness until cancelled."""
         while True:
             self.lateness.tick()
+            self._loop_lateness.tick()
             await anyio.sleep(lateness.TICK_S)
 
     def call_after(
         self, seconds: float, callback: typing.Callable[[], None]
     ) -> Timer:
         """Calls a function after a time; returns its timer."""
-        return Timer(seconds, self.lateness, callback)
+        return Timer(seconds, self._loop_lateness, callback)
 
     @contextlib.contextmanager
     def fail_after(self, seconds: float):
--- a/packages/policy/src/radishcourse_policy/clock.py
+++ b/packages/policy/src/radishcourse_policy/clock.py
@@ -30,6 +30,21 @@
         return time.time()
 
 
+class MonotonicClock:
+    """The clock of the event loop's timers.
+
+    Unlike `SystemClock` it stands still while the whole VM is paused.
+    """
+
+    def now(self) -> float:
+        """Seconds since an arbitrary start."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Seconds since the epoch."""
+        return time.time()
+
+
 class ManualClock:
     """A clock for tests that only `advance` moves."""
 
--- a/packages/policy/src/radishcourse_policy/panicthreshold.py
+++ b/packages/policy/src/radishcourse_policy/panicthreshold.py
@@ -10,7 +10,7 @@
 """
 
 # Share of the upstreams that must answer their probes; below it those whose
-# probes time out are used as well. Envoy and HAProxy have the same default.
+# probes time out are used as well. It is Envoy's default.
 PANIC_SHARE = 0.5
 
 
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -95,6 +95,25 @@
     def test_what_has_arrived_during_a_hold_is_read(self):
         self._run(lambda own: self._arrive(own, 10))
 
+    def test_pause_of_the_vm_does_not_extend_a_timeout(self):
+        # The loop's timers do not count it, so that it was not lost.
+        clock = clocks.ManualClock(100.0)
+        own = timeouts.Timeouts(clock)
+
+        async def wait():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(own.run)
+                await anyio.sleep(lateness.TICK_S)
+                with own.fail_after(0.3):
+                    clock.advance(60.0)
+                    await anyio.sleep_forever()
+
+        started_at = time.monotonic()
+        with self.assertRaises(BaseExceptionGroup):
+            anyio.run(wait)
+        self.assertLess(time.monotonic() - started_at, 30.0)
+        self.assertAlmostEqual(160.0, own.lateness.resumed_at)
+
     def test_silence_ends_although_the_loop_was_held(self):
         async def wait(own):
             with own.fail_after(0.3):
