Start workers of the soak again that ended outside of a fault

Cause, by the code: a gateway that was paused passes on a crashing prompt when it wakes. If the fault that sends the prompts has ended by then, nobody starts the engine again, and the next fault on it finds none.

Change: an exclusive fault starts its worker again first if it has ended. No check is changed.

--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -49,6 +49,7 @@
                 if name is None:
                     yield
                     return
+                _revive(soak, name)
                 with begin(soak, rng, name):
                     yield
 
@@ -58,6 +59,18 @@
     return register
 
 
+def _revive(soak: 'Soak', name: str) -> None:
+    """Starts a worker again that has ended outside of a fault.
+
+    A gateway that was paused may pass on a crashing prompt when it wakes, after
+    the fault that sent the prompt has ended.
+    """
+    worker = soak.site.workers.get(name)
+    if worker is not None and worker.popen.poll() is not None:
+        _start_again(soak, name)
+        soak.site.wait_workers(name)
+
+
 @dataclasses.dataclass
 class Soak:
     """A site into which faults are injected.
