Leave the own lateness out of the time to connect, too

Cause: to connect had 0.5 s (node) and 0.2 s (gateway), the lateness of the process included, while the upstream's kernel accepts at once. The same class as the probes' timeouts.

Change: both leave it out: the node by a network backend of httpcore's pools, the gateway by the timeouts that its connections are given.

Two new tests, the loop held in each step of a connection, fail with a plain timeout and pass.

--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -85,6 +85,7 @@
 
     def __init__(self, gateway):
         self._clock = gateway.environment.clock
+        self._timeouts = gateway.timeouts
         self._view: views.View = gateway.view
         self._peers = gateway.peers
         self.quarantine = quarantine.Quarantine()
@@ -247,7 +248,9 @@
         self._checks[key] = checked = anyio.Event()
         try:
             address = listed.upstream.address
-            if await upstreamconnections.is_refused(address):
+            if await upstreamconnections.is_refused(
+                address, self._timeouts.fail_after
+            ):
                 self.note_ended(listed)
         finally:
             del self._checks[key]
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -126,7 +126,7 @@
         self.peers.crashes = self.crashes
         self.view.on_replaced = self.crashes.note_absent
         self.verifier = verifier.Verifier(self)
-        self.pool = upstreamconnections.Pool(clock)
+        self.pool = upstreamconnections.Pool(clock, self.timeouts.fail_after)
         self.targets = targets.Targets(self)
         self.forwarder = forwarder.Forwarder(self)
         self._feeds = [
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -281,19 +281,20 @@
             await anyio.aclose_forcefully(self._stream)
 
 
-async def connect(address: str, now: float) -> Connection:
+async def connect(address: str, now: float, fail_after) -> Connection:
     """Opens a connection.
 
     Args:
       address: IP address and port of the upstream.
       now: Current time of the caller's clock.
+      fail_after: Limits the time; see `timeouts.Timeouts`.
 
     Raises:
       UpstreamError: The upstream can't be reached; nothing was sent.
     """
     host, _, port = address.rpartition(':')
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
+        with fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
         refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
@@ -312,13 +313,13 @@
     return Connection(stream, now)
 
 
-async def is_refused(address: str) -> bool:
+async def is_refused(address: str, fail_after) -> bool:
     """Tells whether an address refuses connections: no process listens on it.
 
     An address that does not respond within CONNECT_TIMEOUT_S does not refuse.
     """
     try:
-        connection = await connect(address, 0.0)
+        connection = await connect(address, 0.0, fail_after)
     except ConnectionRefused:
         return True
     except errors.UpstreamError:
@@ -335,11 +336,13 @@
 
     Args:
       clock: Source of time.
+      fail_after: Limits the time to connect; see `timeouts.Timeouts`.
       max_idle: Idle connections kept for each upstream.
     """
 
-    def __init__(self, clock, max_idle: int = 8):
+    def __init__(self, clock, fail_after, max_idle: int = 8):
         self._clock = clock
+        self._fail_after = fail_after
         self._max_idle = max_idle
         self._idle: dict[tuple, list[Connection]] = {}
 
@@ -359,7 +362,9 @@
         """
         connection = await self._take_idle(key) if reuse else None
         if connection is None:
-            connection = await connect(address, self._clock.now())
+            connection = await connect(
+                address, self._clock.now(), self._fail_after
+            )
         try:
             yield connection
         except errors.UpstreamError:
--- a/packages/gateway/src/radishcourse_gateway/verifier.py
+++ b/packages/gateway/src/radishcourse_gateway/verifier.py
@@ -26,6 +26,7 @@
 
     def __init__(self, gateway):
         self._clock = gateway.environment.clock
+        self._timeouts = gateway.timeouts
         self._header_names = gateway.header_names
         self._view: views.View = gateway.view
         self._crashes = gateway.crashes
@@ -144,7 +145,7 @@
             return answers.Sender.UNKNOWN
         upstream_id = entry.upstream_id.encode()
         connection = await upstreamconnections.connect(
-            entry.address, self._clock.now()
+            entry.address, self._clock.now(), self._timeouts.fail_after
         )
         try:
             head = await connection.request(
--- a/packages/node/src/radishcourse_node/controllers/upstreams.py
+++ b/packages/node/src/radishcourse_node/controllers/upstreams.py
@@ -40,7 +40,7 @@
         self._configuration = node.configuration
         self._settings = node.settings
         self._caches = node.caches
-        self._pools = engines.Pools()
+        self._pools = engines.Pools(node.timeouts)
         self._budgets: dict[tuple, retrybudget.RetryBudget] = {}
         self._next_trial_at: dict[ids.UpstreamId, float] = {}
         self._timeouts = node.timeouts
--- a/packages/node/src/radishcourse_node/engines.py
+++ b/packages/node/src/radishcourse_node/engines.py
@@ -10,6 +10,7 @@
 
 from radishcourse_node import errors
 from radishcourse_node import job as jobs
+from radishcourse_node import timeouts
 from radishcourse_platform import http
 
 CONNECT_TIMEOUT_S = 0.5
@@ -112,16 +113,55 @@
             self.started = True
 
 
+class _Backend(httpcore.AnyIOBackend):
+    """Connects within a time that leaves out the lateness of this process.
+
+    An upstream accepts a connection without running, so that a connection that
+    takes long is mostly one that this process has not looked at.
+    """
+
+    def __init__(self, own_timeouts: timeouts.Timeouts):
+        self._timeouts = own_timeouts
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options=None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Returns a connection; see httpcore.
+
+        Raises:
+          ConnectTimeout: It was not established in time.
+        """
+        limit_s = CONNECT_TIMEOUT_S if timeout is None else timeout
+        try:
+            with self._timeouts.fail_after(limit_s):
+                return await super().connect_tcp(
+                    host, port, None, local_address, socket_options
+                )
+        except TimeoutError as error:
+            raise httpcore.ConnectTimeout(
+                f'no connection in {limit_s} s'
+            ) from error
+
+
 class Pools:
     """Connection pools, one for each upstream address.
 
     Args:
+      own_timeouts: Limits the time to connect.
       keep_alive: Whether connections are reused. An upstream may close an
         idle connection just as it is reused, and then it is unknown whether
         the request ran.
     """
 
-    def __init__(self, keep_alive: bool = True):
+    def __init__(
+        self, own_timeouts: timeouts.Timeouts, keep_alive: bool = True
+    ):
+        self._backend = _Backend(own_timeouts)
         self._keep_alive = None if keep_alive else 0
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
@@ -134,6 +174,7 @@
                 max_keepalive_connections=self._keep_alive,
                 keepalive_expiry=30,
                 socket_options=_SOCKET_OPTIONS,
+                network_backend=self._backend,
             )
             self._pools[address] = pool
         return pool
--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -29,7 +29,7 @@
         self._guard = guard.Guard(node)
         # A surplus answer on a kept connection would be read as that of the
         # next call, as services need not name the call that they answer.
-        self._single_use_pools = engines.Pools(keep_alive=False)
+        self._single_use_pools = engines.Pools(node.timeouts, keep_alive=False)
 
     async def run(self, job: jobs.Job) -> jobs.Answer:
         """Returns the service's answer.
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import pathlib
 import signal
+import socket
 import tempfile
 import time
 import types
@@ -11,10 +12,12 @@
 import anyio
 import testtools
 
+from radishcourse_gateway import upstreamconnections
 from radishcourse_model import ids
 from radishcourse_model import states
 from radishcourse_node import enginecontrol
 from radishcourse_node import engines
+from radishcourse_node import errors
 from radishcourse_node import timeouts
 from radishcourse_node.controllers import health
 from radishcourse_node.controllers import probes
@@ -127,6 +130,61 @@
         self._run(expect)
 
 
+class ConnectTest(testtools.TestCase):
+    """Guards against connections that are given up by a late process.
+
+    The address accepts them at once, and never answers.
+    """
+
+    def setUp(self):
+        super().setUp()
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        self.address = f'127.0.0.1:{listener.getsockname()[1]}'
+
+    def _connect_while_held(self, connect) -> None:
+        async def hold():
+            # In each step of the connection.
+            for _ in range(8):
+                time.sleep(0.3)
+                await asyncio.sleep(0)
+
+        async def run():
+            own = timeouts.Timeouts(clocks.SystemClock())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(own.run)
+                await anyio.sleep(2 * lateness.TICK_S)
+                tasks.start_soon(hold)
+                await connect(own)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_gateway_connects(self):
+        async def connect(own):
+            connection = await upstreamconnections.connect(
+                self.address, 0.0, own.fail_after
+            )
+            await connection.aclose()
+
+        self._connect_while_held(connect)
+
+    def test_node_connects(self):
+        async def connect(own):
+            pools = engines.Pools(own)
+            url = f'http://{self.address}/'
+            try:
+                async with engines.open_response(
+                    pools.get(self.address), 'GET', url, [], b'', 2.0
+                ):
+                    self.fail('there is no answer')
+            except errors.AttemptError as error:
+                self.assertTrue(error.sent, str(error))
+            await pools.aclose()
+
+        self._connect_while_held(connect)
+
+
 class ProbeTest(testtools.TestCase):
     """Guards against a sound engine that is taken for down.
 
@@ -139,7 +197,7 @@
         clock = clocks.SystemClock()
         own = timeouts.Timeouts(clock)
         registry = health.Registry(clock, ids.NodeId('n'), own.lateness)
-        pools = engines.Pools()
+        pools = engines.Pools(own)
         node = types.SimpleNamespace(
             environment=types.SimpleNamespace(clock=clock),
             configuration=types.SimpleNamespace(
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -30,7 +30,8 @@
         config = schema.Config(upstreams={ENGINE: upstream})
 
         async def send() -> list[str]:
-            pools = engines.Pools()
+            own_timeouts = timeouts.Timeouts(clock)
+            pools = engines.Pools(own_timeouts)
             failures = []
             for epoch in epochs:
                 hold = lease_policy.HeldLease(epoch, 1, 100.0 - age_s, 0.0)
@@ -46,7 +47,7 @@
                         engine=lambda upstream: enginecontrol.Engine(
                             address,
                             pools.get(address),
-                            timeouts.Timeouts(clock),
+                            own_timeouts,
                         )
                     ),
                 )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,6 +13,7 @@
 from radishcourse_gateway import errors
 from radishcourse_gateway import targets
 from radishcourse_model import ids
+from radishcourse_node import timeouts
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import crashevidence
 from radishcourse_policy import quarantine
@@ -397,6 +398,7 @@
         self.clock = clocks.ManualClock(100.0)
         gateway = types.SimpleNamespace(
             environment=types.SimpleNamespace(clock=self.clock),
+            timeouts=timeouts.Timeouts(self.clock),
             view=None,
             peers=types.SimpleNamespace(responsible_for=lambda name: None),
         )
