--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -62,8 +62,8 @@
 def _revive(soak: 'Soak', name: str) -> None:
     """Starts a worker again that has ended outside of a fault.
 
-    A gateway that was paused may pass on a crashing prompt when it wakes, after
-    the fault that sent the prompt has ended.
+    A gateway that was paused may forward a crashing prompt when it resumes,
+    after the fault that sent the prompt has ended.
     """
     worker = soak.site.workers.get(name)
     if worker is not None and worker.popen.poll() is not None:
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -156,6 +156,14 @@
         )
         return self.crashed_at[:CRASHES][-1] + CONTACT_S
 
+    def served(self, since: float) -> list[bool]:
+        """Returns for each sound request whether it was served."""
+        return [
+            response.status == 200 and response.whole
+            for at, response in self.sound
+            if at > since
+        ]
+
     def arrivals(self, since: float) -> int:
         """Returns how often engines began requests with the bad part."""
         crashing = {response.request for _, response in self.crashing}
@@ -181,11 +189,7 @@
         with fleet.running():
             known_at = fleet.wait_known()
             time.sleep(max(0.0, known_at + OBSERVED_S - time.monotonic()))
-        served = [
-            response.status == 200 and response.whole
-            for at, response in fleet.sound
-            if at > known_at + CONTACT_S
-        ]
+        served = fleet.served(known_at + CONTACT_S)
         ends = len(fleet.crashed_at)
         late = fleet.arrivals(known_at)
         case = f'{ends} ends, {sum(served)} of {len(served)} served'
@@ -223,9 +227,10 @@
 
 
 class FrozenGatewayTest(test_gateway_fleet.SiteTest):
-    """Guards against a gateway that wakes and acts on what it knew before.
+    """Guards against a gateway that resumes and acts on what it knew before.
 
-    Prompts waited for it while the others learned which part crashes engines.
+    Prompts were queued in its socket while the others learned which part
+    crashes engines.
     """
 
     def test_gateway_that_was_stopped_while_engines_crashed(self):
@@ -248,10 +253,6 @@
             time.sleep(OBSERVED_S / 2)
         case = f'{len(fleet.crashed_at)} ends'
         self.assertLessEqual(fleet.arrivals(known_at), MAX_ARRIVALS, case)
-        served = [
-            response.status == 200 and response.whole
-            for at, response in fleet.sound
-            if at > known_at + CONTACT_S
-        ]
+        served = fleet.served(known_at + CONTACT_S)
         self.assertNotEqual([], served, case)
         self.assertGreaterEqual(sum(served), MIN_SERVED * len(served), case)
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -244,7 +244,7 @@
 class LateNodeTest(testtools.TestCase):
     """Guards against refusals by a node whose loop is late for a second."""
 
-    def test_late_node_refuses_nobody(self):
+    def test_late_node_refuses_no_job(self):
         with clusters.running(1, ('small-1',), ()) as cluster:
             cluster.chat('entry-0', 'tag')
             node = cluster.nodes['entry-0']
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -323,7 +323,7 @@
             self.state.note_crash(number, ids.CrashId(number), [answer])
         before = self.state.find(5.0, sound)
         self.assertEqual(3.0 + quarantine.QUARANTINE_S, before.trial_at)
-        # It wakes; the others have quarantined the bad part meanwhile.
+        # It resumes; the others have quarantined the bad part meanwhile.
         crashes = [
             crashevidence.Crash(ids.CrashId(number), number, 100 + number)
             for number in range(7)
