Keep the answers without length of two cases within the site's share

In cases 1 and 5 all workers sent one answer in 20 without a length; the limit is a share of 0.5 of the workers with x = 0.05.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -230,7 +230,10 @@
 
     _ids = itertools.count(1)
 
-    def __init__(self, site: 'Site', service: str, **fields):
+    def __init__(
+        self, site: 'Site', service: str, framed: bool = False, **fields
+    ):
+        self.framed = framed
         self.id = f'i-{next(self._ids):08x}'
         self.service = service
         self.port = free_port()
@@ -254,6 +257,7 @@
                 f'--port={self.port}',
                 f'--born={self.born}',
                 f'--log={self._site.run_log}',
+                *(['--framed'] if self.framed else []),
             ],
             f'worker-{self.id}',
         )
@@ -584,9 +588,11 @@
             },
         )
 
-    def add_worker(self, service: str, **fields) -> Worker:
-        """Starts a worker."""
-        worker = Worker(self, service, **fields)
+    def add_worker(
+        self, service: str, framed: bool = False, **fields
+    ) -> Worker:
+        """Starts a worker; a framed one marks the end of all its answers."""
+        worker = Worker(self, service, framed, **fields)
         self.workers.append(worker)
         worker.write_entry()
         return worker
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -78,7 +78,8 @@
         The path ends with /PIECES/PAUSE_MS: that many pieces are sent, with a
         pause after each. `/stream` sends events in chunks, `/plain` a body with
         a length after all pauses, `/unframed` a body without a length, and
-        `/open` events without one. `?confidence=N` is the confidence of the
+        `/open` events without one; a worker that frames all its answers sends
+        both in chunks. `?confidence=N` is the confidence of the
         model `small` in its answer.
         """
         del method, body
@@ -107,29 +108,34 @@
                 self._head(headers, 200, Content_Length=len(data)) + data
             )
             await writer.drain()
-        elif kind == 'unframed':
-            writer.write(self._head(headers, 200, Connection='close'))
-            for number in range(1, pieces + 1):
-                writer.write(b'piece %03d of %03d\n' % (number, pieces))
-                await writer.drain()
-                await asyncio.sleep(pause_s)
-        elif kind == 'open':
-            writer.write(
-                self._head(
-                    headers,
-                    200,
-                    Content_Type='text/event-stream',
-                    Connection='close',
-                )
-            )
-            for number in range(1, pieces + 1):
-                writer.write(_event(number, pieces))
-                await writer.drain()
-                await asyncio.sleep(pause_s)
+        elif kind in ('unframed', 'open'):
+            await self._send_pieces(writer, headers, kind, pieces, pause_s)
         else:
             await self._stream(writer, headers, pieces, pause_s, query)
         self._record('end', headers, target)
-        return kind not in ('unframed', 'open')
+        return kind not in ('unframed', 'open') or self._options.framed
+
+    async def _send_pieces(self, writer, headers, kind, pieces, pause_s):
+        framed = self._options.framed
+        extra = {} if framed else {'Connection': 'close'}
+        if framed:
+            extra['Transfer_Encoding'] = 'chunked'
+        if kind == 'open':
+            extra['Content_Type'] = 'text/event-stream'
+        writer.write(self._head(headers, 200, **extra))
+        start = int(headers.get('last-event-id', '0'))
+        for number in range(start + 1, pieces + 1):
+            piece = b'piece %03d of %03d\n' % (number, pieces)
+            if kind == 'open':
+                piece = _event(number, pieces)
+            if framed:
+                piece = b'%x\r\n%s\r\n' % (len(piece), piece)
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        if framed:
+            writer.write(b'0\r\n\r\n')
+            await writer.drain()
 
     async def _stream(self, writer, headers, pieces, pause_s, query) -> None:
         extra = {}
@@ -167,6 +173,7 @@
     parser.add_argument('--port', type=int, required=True)
     parser.add_argument('--born', type=int, required=True)
     parser.add_argument('--log', required=True)
+    parser.add_argument('--framed', action='store_true')
     asyncio.run(_Worker(parser.parse_args()).serve())
 
 
