Do not cut requests when the listener closes early in a planned stop

Cause: uvicorn's timeout_graceful_shutdown was the constant 2.1 s, meant for a listener that closes 2.5 s before the end of the grace. A gateway without requests for 0.5 s closes it from 2.5 s after the SIGTERM on, and idle connections stay open for another second; requests on these were cancelled 2.1 s after the close, whatever was left of the grace.

Evidence: the 500 is uvicorn's own answer to a cancelled task; the limit on requests (REQUEST_END_S) would have logged a passed deadline. Changing the limit alone removes the cut.

The limit is now what is left of the grace when the listener closes, so it can't come before the requests' own limit.

--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -297,9 +297,6 @@
             date_header=False,
             h11_max_incomplete_event_size=MAX_HEAD_BYTES,
             timeout_keep_alive=DEFAULT_IDLE_TIMEOUT_S,
-            # Typed as int, but uvicorn hands it to asyncio.wait_for, which
-            # accepts a float.
-            timeout_graceful_shutdown=LISTENER_CLOSE_S - CONNECTION_CLOSE_S,
         )
 
     async def _sweep(self, server: uvicorn.Server) -> None:
@@ -377,6 +374,12 @@
         await anyio.sleep(DRAIN_DELAY_S)
         while not self._may_close_listener():
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
+        # The listener may close early, and requests still come on connections
+        # that are open: uvicorn must not cancel them before their own limit.
+        left_s = self._stop_at - self.environment.clock.now()
+        server.config.timeout_graceful_shutdown = max(
+            0.0, left_s - CONNECTION_CLOSE_S
+        )
         server.should_exit = True
 
     def _may_close_listener(self) -> bool:
--- a/tests/site.py
+++ b/tests/site.py
@@ -33,6 +33,7 @@
       crash_part: Shared part of a prompt that crashes workers; empty for none.
       crash_point: When such a prompt crashes them.
       retry_slack: Bound of the gateways' settings with this meaning.
+      grace_s: Bound of the gateways' settings with this meaning.
 
     Attributes:
       store: The row store.
@@ -49,6 +50,7 @@
         crash_part: str = '',
         crash_point: str = 'head',
         retry_slack: int = sitefiles.RETRY_SLACK,
+        grace_s: float = sitefiles.GRACE_S,
     ):
         self._processes = started_processes
         self._link_workers = link_workers
@@ -56,6 +58,7 @@
         self._crash_part = crash_part
         self._crash_point = crash_point
         self._retry_slack = retry_slack
+        self._grace_s = grace_s
         self._addresses: dict[str, str] = {}
         self._launches: dict[str, tuple] = {}
         self.store = started_processes.stand_in('rowstore')
@@ -222,6 +225,7 @@
             self._seeds,
             store,
             self._retry_slack,
+            self._grace_s,
         )
         self._launches[name] = (host, front, settings)
         process = self._processes.gateway(name, host, front, settings)
@@ -414,6 +418,7 @@
     crash_part: str = '',
     crash_point: str = 'head',
     retry_slack: int = sitefiles.RETRY_SLACK,
+    grace_s: float = sitefiles.GRACE_S,
     **fields,
 ):
     """Yields a running site with two desks, two engines and gateways."""
@@ -428,6 +433,7 @@
             crash_part,
             crash_point,
             retry_slack,
+            grace_s,
         )
         site.configure(**fields)
         for name in ('desk-1', 'desk-2'):
--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -94,6 +94,7 @@
     seeds: list[str],
     store: str,
     retry_slack: int = RETRY_SLACK,
+    grace_s: float = GRACE_S,
 ) -> str:
     """Returns the settings file of a gateway.
 
@@ -105,6 +106,7 @@
       seeds: Addresses of other nodes.
       store: Address of the store.
       retry_slack: Retries of all gateways beyond their share of the requests.
+      grace_s: Seconds between SIGTERM and SIGKILL.
     """
     return f"""
 node = "{name}"
@@ -122,7 +124,7 @@
 [limits]
 memoryMb = 200
 [bounds]
-graceS = {GRACE_S}
+graceS = {grace_s}
 budgetRatio = 0.9
 retrySlack = {retry_slack}
 exposeShare = 0.15
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,6 +1,8 @@
 """Planned stops of a gateway, with requests at every moment of its grace."""
 
+import contextlib
 import http.client
+import select
 import signal
 import threading
 import time
@@ -115,3 +117,77 @@
         [response] = results
         self.assertEqual(200, response.status)
         self.assertFalse(response.whole)
+
+
+class KeptConnectionTest(test_gateway_fleet.SiteTest):
+    """Guards against requests cut when the listener closes before the grace."""
+
+    NAME = 'gateway-1'
+    GRACE_S = 8.0
+    # After the listener has closed, while idle connections are still open.
+    SEND_AT_S = (2.8, 2.9, 3.0, 3.1)
+    ANSWER_S = 2.8
+
+    def setUp(self):
+        super().setUp()
+        self.site = self.start(2, grace_s=self.GRACE_S)
+        self._stopped_at = time.monotonic() + 1.0
+        self._answers: list[tuple[str, str, bool]] = []
+
+    def _use(self, path: str, send_at: float) -> None:
+        process = self.site.gateways[self.NAME]
+        connection = http.client.HTTPConnection(process.host, process.port)
+        with contextlib.closing(connection):
+            self._exchange(connection, f'{path}kept-{send_at}')
+            self.assertIsNotNone(connection.sock, 'not kept')
+            time.sleep(self._stopped_at + send_at - time.monotonic())
+            if select.select([connection.sock], [], [], 0)[0]:
+                return
+            path = f'{path}late-{send_at}'
+            self._answers.append((path, *self._exchange(connection, path)))
+
+    def _exchange(self, connection, path: str) -> tuple[object, bool]:
+        headers = {
+            'Host': sitefiles.HOST,
+            'Api-Key': sitefiles.KEY,
+            'X-Request-Id': path,
+            'X-Time-Budget-Ms': str(sitefiles.BUDGET_MS),
+        }
+        try:
+            connection.request('POST', path, b'goods', headers)
+            response = connection.getresponse()
+            response.read()
+        except (OSError, http.client.HTTPException) as error:
+            return repr(error), False
+        return response.status, True
+
+    def test_request_on_a_kept_connection_is_not_cut_before_its_timeout(self):
+        threads = [
+            threading.Thread(target=self._use, args=(path, send_at))
+            for path in ('/order/', '/draft/')
+            for send_at in self.SEND_AT_S
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(self._stopped_at - time.monotonic())
+        for name in ('desk-1', 'desk-2'):
+            self.site.set_behaviour(name, delay_ms=int(1000 * self.ANSWER_S))
+        for name in ('engine-1', 'engine-2'):
+            self.site.set_behaviour(
+                name, events=28, event_ms=int(1000 * self.ANSWER_S / 28)
+            )
+        gateway = self.site.gateways[self.NAME]
+        gateway.signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        ended_at = time.monotonic()
+        gateway.popen.wait(self.GRACE_S)
+        self.assertLess(time.monotonic() - ended_at, 1.0, 'slow exit')
+        runs = {run['target'] for run in self.site.runs()}
+        cut = [
+            item
+            for item in self._answers
+            if item[0] in runs and item[1:] != (200, True)
+        ]
+        self.assertEqual([], cut)
+        self.assertNotEqual(set(), runs & {item[0] for item in self._answers})
