Ask the store in time when all watchers are lost

Cause: other nodes polled the store themselves only when their rows had not been confirmed for 2.8 s, a constant fitted to the watchers' poll, not to the bound.

Evidence: the survivors logged the change (402) after the late orders, when they had asked the store themselves.

The age now follows from the shortest bound on a change in the settings, less 0.7 s. So that nodes do not poll in the normal case, the watchers' polls after a change end one after the other instead of together.

LostWatchersTest: both tests failed before, pass with the change (2 of 2).

--- a/packages/gateway/src/radishcourse_gateway/feed.py
+++ b/packages/gateway/src/radishcourse_gateway/feed.py
@@ -5,6 +5,8 @@
 the store itself, so failed watchers do not make other nodes stale.
 """
 
+import typing
+
 import anyio
 
 from radishcourse_gateway import interfaces
@@ -21,7 +23,11 @@
 # A node that is not a watcher polls the store when its state has not been
 # confirmed for this long. Covers one poll of a watcher and the rounds in which
 # the result reaches other nodes.
-CONFIRMATION_TIMEOUT_S = 2.8
+MAX_CONFIRMATION_TIMEOUT_S = 2.8
+MIN_CONFIRMATION_TIMEOUT_S = 0.5
+# Reserved of the time in which a change must be in force: for the poll, and
+# for what lost watchers had read and not yet passed on.
+PROPAGATION_MARGIN_S = 0.7
 CHECK_INTERVAL_S = 0.1
 POLL_PAUSE_S = 0.2
 RETRY_S = 0.25
@@ -37,7 +43,10 @@
       replica: Stores the rows.
       view: Receives new rows.
       table: The table to follow.
-      is_watcher: Tells whether this node is a watcher of a table.
+      watch_phase: Returns this node's share of the watchers' cycle, None if it
+        is no watcher; see `peers.Peers`.
+      propagation_s: Returns the seconds within which a change must be in force
+        at all nodes.
     """
 
     def __init__(
@@ -47,14 +56,18 @@
         replica: records.Replica,
         view: views.View,
         table: records.Table,
-        is_watcher,
+        watch_phase,
+        propagation_s: typing.Callable[[], float],
     ):
         self._clock = clock
         self._store = store
         self._replica = replica
         self._view = view
         self._table = table
-        self._is_watcher = is_watcher
+        self._watch_phase = watch_phase
+        self._propagation_s = propagation_s
+        # Whether the last poll returned at once, as it did at all watchers.
+        self._synchronous = True
         self._listed = False
         self._store_reachable: bool | None = None
         self._failures = 0
@@ -76,40 +89,70 @@
         confirmed_at = self._replica.confirmed_at(self._table)
         if confirmed_at is None:
             return True
-        if self._is_watcher(self._table):
+        if self._watch_phase(self._table) is not None:
             return True
-        return self._clock.now() - confirmed_at > CONFIRMATION_TIMEOUT_S
+        age_s = self._clock.now() - confirmed_at
+        return age_s > self._confirmation_timeout_s()
+
+    def _confirmation_timeout_s(self) -> float:
+        """Returns the age at which this node polls the store itself.
+
+        Changes must be in force in time also where all watchers have just been
+        lost, before other nodes have taken their place.
+        """
+        limit_s = self._propagation_s() - PROPAGATION_MARGIN_S
+        return max(
+            MIN_CONFIRMATION_TIMEOUT_S, min(MAX_CONFIRMATION_TIMEOUT_S, limit_s)
+        )
+
+    def _wait_s(self) -> float:
+        """Returns the wait of the next long poll.
+
+        A change ends the polls of all watchers at once. Their next ones end one
+        after the other, so that confirmations keep coming in between.
+        """
+        phase = self._watch_phase(self._table)
+        if not self._synchronous or phase is None:
+            return LONG_POLL_S
+        return LONG_POLL_S * phase
 
     async def _poll(self) -> None:
         position = self._replica.position(self._table)
         asked_at = self._clock.now()
+        wait_s = self._wait_s()
         if position.is_start:
             changes = await self._store.read(self._table)
         else:
-            changes = await self._follow(position)
+            changes = await self._follow(position, wait_s)
         self._record_reachability(True)
-        self._apply(changes, asked_at)
+        self._synchronous = bool(changes.records)
+        self._apply(changes, asked_at, wait_s)
         # Changes come in groups; a short pause lets the next poll return the
         # rest of one. It also limits polls of a store that has no rows yet.
         await anyio.sleep(POLL_PAUSE_S)
 
-    async def _follow(self, position: positions.Position) -> records.Changes:
+    async def _follow(
+        self, position: positions.Position, wait_s: float = LONG_POLL_S
+    ) -> records.Changes:
         """Returns the changes after a position, or the whole table.
 
         The table is read anew if the store no longer has the history, or was
         restored since: it may have given the same version to another write.
         """
         try:
-            changes = await self._store.follow(
-                self._table, position, LONG_POLL_S
-            )
+            changes = await self._store.follow(self._table, position, wait_s)
         except platform_errors.HistoryGone:
             return await self._store.read(self._table)
         if self._replica.can_apply(self._table, changes):
             return changes
         return await self._store.read(self._table)
 
-    def _apply(self, changes: records.Changes, asked_at: float) -> None:
+    def _apply(
+        self,
+        changes: records.Changes,
+        asked_at: float,
+        wait_s: float = LONG_POLL_S,
+    ) -> None:
         known = self._replica.position(self._table)
         new_records = self._replica.apply(self._table, changes)
         if changes.position.is_of_later_era(known):
@@ -122,7 +165,7 @@
             )
         # A store without changes responds no earlier than at the end of its
         # wait, and its response confirms the state at that time.
-        waited = min(LONG_POLL_S, self._clock.now() - asked_at)
+        waited = min(wait_s, self._clock.now() - asked_at)
         self._replica.confirm(self._table, changes.position, asked_at + waited)
         self._view.apply(new_records, 'store')
 
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -136,7 +136,8 @@
                 self.replica,
                 self.view,
                 table,
-                self.peers.is_watcher,
+                self.peers.watch_phase,
+                lambda: self.current_settings.value.bounds.propagation_s,
             )
             for table in records.Table
         ]
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -136,10 +136,12 @@
             others + 1, _fanout(others), ROUND_INTERVAL_S
         )
 
-    def is_watcher(self, table: records.Table) -> bool:
-        """Tells whether this node follows a table at the store.
+    def watch_phase(self, table: records.Table) -> float | None:
+        """Returns this node's share of the watchers' cycle.
 
-        Nodes that the store does not answer are replaced by others.
+        Above 0 and at most 1 by its rank among the nodes that follow a table
+        at the store; None if it is not one of them. Nodes that the store does
+        not answer are replaced by others.
         """
         own_weight = loadbalancing.rendezvous_weight(
             table.value, self._settings.node
@@ -149,7 +151,9 @@
             for peer in self.alive
             if table.value not in peer.lost
         )
-        return ahead < max(MIN_WATCHERS, math.isqrt(len(self.alive) + 1))
+        nodes = len(self.alive) + 1
+        watchers = min(nodes, max(MIN_WATCHERS, math.isqrt(nodes)))
+        return (ahead + 1) / watchers if ahead < watchers else None
 
     def responsible_for(self, name: str) -> peerstate.Peer | None:
         """Returns the node responsible for a name, None if it is this one."""
--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -26,6 +26,8 @@
         cold_per_s times this factor, plus cold_slack.
       cold_slack: Requests per second.
       session_s: Pause in seconds after which a session has ended.
+      propagation_s: Seconds after its acknowledgement by the platform's store
+        until a change must be in force at all nodes.
     """
 
     stop_s: Seconds = 30.0
@@ -35,6 +37,7 @@
     cold_excess: Share = 1.0
     cold_slack: Number = 0
     session_s: Seconds = 10.0
+    propagation_s: Seconds = 3.5
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -130,6 +130,8 @@
 exposeShare = 0.15
 coldExcess = 1.5
 coldSlack = 5
+drainMs = 2000
+configApplyMs = 2000
 [platform]
 address = "{store}"
 """
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -146,6 +146,64 @@
         self.assertEqual(200, site.send('late', 'GET', '/stock/1').status)
 
 
+class LostWatchersTest(SiteTest):
+    """Guards against nodes that wait for rows from watchers that were lost."""
+
+    GATEWAYS = 8
+
+    def _kill_watchers(self, site, table: records.Table) -> list[str]:
+        """Kills the nodes that follow a table; returns the others."""
+        by_weight = sorted(
+            site.gateways,
+            key=lambda name: loadbalancing.rendezvous_weight(table.value, name),
+        )
+        watchers = by_weight[-peers.MIN_WATCHERS :]
+        for name in watchers:
+            site.gateways[name].signal(signal.SIGKILL)
+        return by_weight[: -peers.MIN_WATCHERS]
+
+    def _wait_at(self, names: list[str], bound_s: float, condition) -> None:
+        """Checks that a condition holds at nodes within the bound."""
+        changed_at = time.monotonic()
+        for name in names:
+            left_s = changed_at + bound_s - time.monotonic()
+            sites.wait_until(lambda name=name: condition(name), left_s)
+
+    def test_draining_is_in_force_when_its_watchers_are_killed(self):
+        site = self.start(self.GATEWAYS)
+        time.sleep(peers.ALIVE_TIMEOUT_S)
+        # A change confirms the state of all nodes just before the kill.
+        site.write_entry('desk-1', 'desk', slots=9)
+        time.sleep(0.5)
+        names = self._kill_watchers(site, records.Table.UPSTREAMS)
+        site.write_entry('desk-1', 'desk', state='draining')
+        self._wait_at(
+            names,
+            DRAINING_BOUND_S,
+            lambda name: any(
+                line.get('upstream') == 'desk-1'
+                and line.get('state') == 'draining'
+                for line in site.log(name)
+            ),
+        )
+
+    def test_configuration_is_in_force_when_its_watchers_are_killed(self):
+        site = self.start(self.GATEWAYS)
+        time.sleep(peers.ALIVE_TIMEOUT_S)
+        site.configure(version=2)
+        time.sleep(0.5)
+        names = self._kill_watchers(site, records.Table.CONFIGURATION)
+        site.configure(
+            version=3,
+            routes=[sitefiles.route('new', '/new/', 'idempotent', 'desk')],
+        )
+        self._wait_at(
+            names,
+            CONFIGURATION_BOUND_S,
+            lambda name: site.send(name, 'GET', '/new/1').status == 200,
+        )
+
+
 class UpstreamTest(SiteTest):
     """Guards against new work for draining, removed or evacuated upstreams."""
 
--- a/tests/test_restored.py
+++ b/tests/test_restored.py
@@ -112,7 +112,13 @@
         self.replica = records.Replica(clock)
         self.view = views.View(clock, manifest.Decoder())
         self._feed = feed.Feed(
-            clock, store, self.replica, self.view, table, lambda table: True
+            clock,
+            store,
+            self.replica,
+            self.view,
+            table,
+            lambda table: 1.0,
+            lambda: 2.0,
         )
 
     def poll(self) -> None:
