Start engines again that crash after the soak's last fault

Both engines had been ended by a crashing prompt that was sent when its fault had just ended, and the soak started them again only within faults. Before it checks the recovery it starts workers now that have ended, as it does before a fault.

RecoveryTest failed before and passes.

--- a/tests/fleetsoak.py
+++ b/tests/fleetsoak.py
@@ -103,7 +103,9 @@
         future.result()
 
 
-def _check_recovery(soak: soakfaults.Soak) -> list[str]:
+def check_recovery(soak: soakfaults.Soak) -> list[str]:
+    """Returns a line for each gateway that does not serve after the faults."""
+    soakfaults.revive_all(soak)
     violations = []
     for name in soak.site.gateways:
         try:
@@ -148,7 +150,7 @@
             soakcalls.calling(site, CALLERS, seed) as calls,
         ):
             _run_faults(soak, rng, seconds)
-            violations = _check_recovery(soak)
+            violations = check_recovery(soak)
         runs, records = _read_logs(site.folder)
         violations += soakrules.check(
             soak.timeline, calls, runs, records, soakfaults.EVENTS_PER_STREAM
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -71,6 +71,12 @@
         soak.site.wait_workers(name)
 
 
+def revive_all(soak: 'Soak') -> None:
+    """Starts all workers again that have ended outside of a fault."""
+    for name in _permanent_workers(soak.site):
+        _revive(soak, name)
+
+
 @dataclasses.dataclass
 class Soak:
     """A site into which faults are injected.
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -7,8 +7,10 @@
 import testtools
 
 from tests import fleetsoak
+from tests import site as sites
 from tests import sitefiles
 from tests import soakcalls
+from tests import soakfaults
 from tests import soakrules
 
 SECONDS = 8.0
@@ -36,6 +38,20 @@
             self.assertEqual([], fleetsoak.run_seed(seed, seconds, None), cause)
 
 
+class RecoveryTest(testtools.TestCase):
+    """Guards against a recovery that fails as nobody starts crashed engines.
+
+    A prompt that was sent in the last moment of its fault ends them after it.
+    """
+
+    def test_engines_that_crashed_after_the_last_fault_are_started_again(self):
+        with sites.running(2, link_workers=True) as site:
+            soak = soakfaults.Soak(site, soakrules.Timeline())
+            for name in ('engine-1', 'engine-2'):
+                site.workers[name].kill()
+            self.assertEqual([], fleetsoak.check_recovery(soak))
+
+
 class SoakRulesTest(testtools.TestCase):
     """Guards against a soak that overlooks violations, or invents them."""
 
