--- a/packages/standins/src/radishcourse_standins/processes.py
+++ b/packages/standins/src/radishcourse_standins/processes.py
@@ -183,6 +183,11 @@
     return next(_ports)
 
 
+def reserved_range() -> int:
+    """Returns the number, from 0, of the range reserved by this process."""
+    return (free_port() - FIRST_PORT) // RANGE_PORTS
+
+
 def _reserved_ports():
     # The lock is held as long as its file is open.
     _lock, first = _reserve_range()
--- a/tests/site.py
+++ b/tests/site.py
@@ -9,7 +9,6 @@
 import http.client
 import itertools
 import json
-import os
 import pathlib
 import re
 import signal
@@ -214,7 +213,8 @@
 
     def start_gateway(self, name: str) -> processes.Process:
         """Starts a gateway at its own loopback address."""
-        host = f'127.{1 + os.getpid() % 200}.0.{next(_host_octets)}'
+        network = 1 + processes.reserved_range()
+        host = f'127.{network}.0.{next(_host_octets)}'
         front, ready, peer = (processes.free_port() for _ in range(3))
         store = self._link(name, self.store.address)
         settings = sitefiles.settings(
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -96,6 +96,11 @@
             ]
             self._pool.submit(self._call, sessions)
 
+    @property
+    def sessions(self) -> int:
+        """Number of sessions that have been answered."""
+        return len({session for _, session, _ in list(self.seen)})
+
     def _call(self, sessions: list[str]) -> None:
         for name in itertools.cycle(self._site.gateways):
             for session in sessions:
@@ -144,6 +149,7 @@
         callers = _LongSessions(site)
         self.addCleanup(callers.stop)
         time.sleep(2.0)
+        sites.wait_until(lambda: callers.sessions == LONG_SESSIONS)
         ordered_at = time.monotonic()
         _order(site)
         time.sleep(TIME_LIMIT_S / 2)
