Test bytes without end on every path of the program

The tests of bytes without end covered first answers only. Added: continuations of streams, health probes, replies of the store and of peers, bytes before any request, and callers that do not read, each with the resident memory; in radishcourse-node the same for streams, continuations and probes.

--- a/tests/rawsite.py
+++ b/tests/rawsite.py
@@ -29,7 +29,8 @@
     """Base of tests with workers whose answers are scripted.
 
     Attributes:
-      addresses: Addresses of the workers that were started last, by name.
+      started: The workers that were started last, by name.
+      addresses: Their addresses.
     """
 
     # Each case has retries left.
@@ -70,6 +71,7 @@
         script = rawworker.Script(*replies)
         names = [f'raw-{next(self._numbers)}' for _ in range(count)]
         started = {name: rawworker.RawWorker(name, script) for name in names}
+        self.started = started
         self.addresses = {
             name: worker.address for name, worker in started.items()
         }
--- a/tests/rawworker.py
+++ b/tests/rawworker.py
@@ -16,6 +16,7 @@
 ENDLESS_S = 6.0
 # Bounds what a caller that keeps all of it may gain.
 ENDLESS_PAUSE_S = 0.005
+FLOOD = b'\xff' * 256 * 1024
 # Connections that fill the queue of a listener which accepts none.
 QUEUE_FILLERS = 4
 PROBES = ('/health', '/v1/report', '/v1/state')
@@ -36,7 +37,8 @@
 
     WORKER: the worker itself. NONE: connections are refused. SILENT: attempts
     to connect get no response. MUTE: connections are accepted and get no
-    answer. OTHER: another worker, which answers 421.
+    answer. OTHER: another worker, which answers 421. FLOOD: connections are
+    accepted and get bytes without end, before any request.
     """
 
     WORKER = 'worker'
@@ -44,6 +46,7 @@
     SILENT = 'silent'
     MUTE = 'mute'
     OTHER = 'other'
+    FLOOD = 'flood'
 
 
 @dataclasses.dataclass
@@ -102,12 +105,16 @@
 
     Attributes:
       requests: Requests that arrived.
+      probe: Function from a health probe to its reply; None for a sound one.
+      probes: Number of probes that got such a reply.
     """
 
     def __init__(self, *replies: typing.Callable[[Request], Reply]):
         self._replies = replies
         self._lock = threading.Lock()
         self.requests: list[Request] = []
+        self.probe: typing.Callable[[Request], Reply] | None = None
+        self.probes = 0
 
     def reply(self, request: Request) -> Reply:
         """Records a request and returns its reply."""
@@ -187,6 +194,9 @@
     def _serve(self, connection: socket.socket, number: int) -> None:
         connection.settimeout(CONNECTION_TIMEOUT_S)
         with connection, contextlib.suppress(OSError):
+            if self.listener is Listener.FLOOD:
+                _send_endless(connection, FLOOD)
+                return
             while (request := _read_request(connection, number)) is not None:
                 if not self._answer(connection, request):
                     return
@@ -199,6 +209,12 @@
         if self.listener is Listener.OTHER or expected != self._name:
             connection.sendall(head(request, 421, length=0))
             return True
+        if request.target in PROBES and self._script.probe is not None:
+            self._script.probes += 1
+            reply = self._script.probe(request)
+            connection.sendall(reply.data)
+            _send_endless(connection, reply.endless)
+            return False
         if request.target in PROBES:
             body = b'{"boot":"raw","state":"warm","slots":64}'
             extra = {'X-Instance-Id': self._name}
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -1,9 +1,15 @@
 """Responses of upstreams that do not end until the gateway disconnects."""
 
 import concurrent.futures
+import pathlib
+import tempfile
 import threading
 import time
 
+import testtools
+
+from radishcourse_platform import http
+from radishcourse_standins import processes
 from tests import memory
 from tests import rawsite
 from tests import rawworker
@@ -152,31 +158,45 @@
 PIECE = b'x' * 16 * 1024
 
 
-def _raw(start: str, piece: bytes):
+def _endless(piece: bytes, start: bytes = b''):
+    """Returns a reply function that sends a start, then a piece forever."""
+    return lambda request: rawworker.Reply(start, endless=piece)
+
+
+def _endless_stream(piece: bytes):
+    """Returns the same after the head of a stream in chunks."""
+
     def reply(request: rawworker.Request) -> rawworker.Reply:
         head = rawworker.head(request, 200, chunked=True, **rawsite.STREAM)
-        data = {'nothing': b'', 'line': b'HTTP/1.1 200 ', 'head': head}[start]
-        return rawworker.Reply(data, endless=piece)
+        return rawworker.Reply(head, endless=piece)
 
     return reply
 
 
+def _unframed(request: rawworker.Request) -> rawworker.Reply:
+    return rawworker.Reply(rawworker.head(request, 200), endless=PIECE)
+
+
+INTERIM = b'HTTP/1.1 103 X\r\n\r\n' * 800
+NO_ANSWERS = {
+    'no HTTP': _endless(b'\0' * len(PIECE)),
+    'empty lines': _endless(b'\r\n' * len(PIECE)),
+    'status line': _endless(PIECE, b'HTTP/1.1 200 '),
+    'interim responses': _endless(INTERIM),
+    'size of a chunk': _endless_stream(b'0' * len(PIECE)),
+    'extension of a chunk': _endless_stream(b'1;' + PIECE),
+    'trailer': _endless_stream(b'0\r\nX-A: ' + PIECE),
+    'events without ids': _endless_stream(rawworker.chunk(b': x\n\n' * 3_000)),
+    'one event': _endless_stream(rawworker.chunk(PIECE)),
+}
+
+
 class NoAnswerTest(rawsite.RawSiteTest):
     """Guards against memory taken by bytes that are no answer in the protocol.
 
     Other callers' requests on the same gateway must be served meanwhile.
     """
 
-    REPLIES = {
-        'no HTTP': _raw('nothing', b'\0' * len(PIECE)),
-        'empty lines': _raw('nothing', b'\r\n' * len(PIECE)),
-        'status line': _raw('line', PIECE),
-        'size of a chunk': _raw('head', b'0' * len(PIECE)),
-        'extension of a chunk': _raw('head', b'1;' + PIECE),
-        'trailer': _raw('head', b'0\r\nX-A: ' + PIECE),
-        'events without ids': _raw('head', rawworker.chunk(b': x\n\n' * 3_000)),
-        'one event': _raw('head', rawworker.chunk(PIECE)),
-    }
     CALLERS = 8
 
     def _call_all(self, method: str, path: str) -> list[float]:
@@ -198,7 +218,7 @@
 
     def test_memory_and_other_callers(self):
         held = []
-        for name, reply in self.REPLIES.items():
+        for name, reply in NO_ANSWERS.items():
             for method, path in (
                 ('POST', '/raw-order/'),
                 ('GET', '/raw-stock/'),
@@ -216,3 +236,154 @@
                 ):
                     held.append((name, path, watch.growth_kb, took_s))
         self.assertEqual([], held)
+
+
+class EndlessPathTest(rawsite.RawSiteTest):
+    """Guards against memory taken on the less common paths of an answer."""
+
+    UNREAD_S = 3.0
+
+    def setUp(self):
+        super().setUp()
+        self.gateway = self.site.gateways['gateway-1']
+        self.held: list[tuple] = []
+
+    def _note(self, watch: memory.Watch, started_at: float, *case) -> None:
+        took_s = time.monotonic() - started_at
+        if watch.growth_kb > MAX_GROWTH_KB or took_s > DEADLINE_S:
+            self.held.append((*case, watch.growth_kb, took_s))
+
+    def test_continuation_of_a_stream(self):
+        for name, reply in NO_ANSWERS.items():
+            with (
+                self.workers(
+                    rawsite.cut_stream, reply, rawsite.sound_stream
+                ) as script,
+                memory.watching(self.gateway) as watch,
+            ):
+                started_at = time.monotonic()
+                response = self.call('POST', '/raw-draft/1')
+                self._note(watch, started_at, name)
+            self.assertGreater(len(script.requests), 1, name)
+            if response is not None and response.whole:
+                self.assertEqual(rawsite.ALL_EVENTS, response.body, name)
+        self.assertEqual([], self.held)
+
+    def test_health_probe_after_an_answer_without_length(self):
+        for name, reply in NO_ANSWERS.items():
+            first = rawsite.unframed(b'half', rawworker.Listener.WORKER)
+            with (
+                self.workers(first) as script,
+                memory.watching(self.gateway) as watch,
+            ):
+                script.probe = reply
+                started_at = time.monotonic()
+                self.call('GET', '/raw-stock/1')
+                self._note(watch, started_at, name)
+            self.assertGreater(script.probes, 0, name)
+        self.assertEqual([], self.held)
+
+    def test_bytes_before_any_request(self):
+        for method, path in (
+            ('POST', '/raw-order/1'),
+            ('GET', '/raw-stock/1'),
+            ('POST', '/raw-draft/1'),
+        ):
+            with (
+                self.workers(rawsite.sound_body),
+                memory.watching(self.gateway) as watch,
+            ):
+                for worker in self.started.values():
+                    worker.change_listener(rawworker.Listener.FLOOD)
+                started_at = time.monotonic()
+                self.assert_not_served(self.call(method, path), path)
+                self._note(watch, started_at, path)
+        self.assertEqual([], self.held)
+
+    def test_caller_that_does_not_read(self):
+        replies = {**NO_ANSWERS, 'body without length': _unframed}
+        for name, reply in replies.items():
+            for method, path in (
+                ('GET', '/raw-stock/1'),
+                ('POST', '/raw-draft/1'),
+            ):
+                with (
+                    self.workers(reply) as script,
+                    memory.watching(self.gateway) as watch,
+                ):
+                    started_at = time.monotonic()
+                    self.site.send_and_disconnect(
+                        'gateway-1', method, path, self.UNREAD_S
+                    )
+                    self._note(watch, started_at, name, path)
+                self.assertNotEqual([], script.requests, name)
+        self.assertEqual([], self.held)
+
+
+class EndlessNeighbourTest(testtools.TestCase):
+    """Guards against memory taken by the store or a peer that floods."""
+
+    WATCHED_S = 4.0
+    # Each of the two followed tables holds one reply of the store at most.
+    MAX_STORE_KB = 2 * http.MAX_BODY_BYTES // 1024 + MAX_GROWTH_KB
+
+    def _watch_gateway(self, reply, listener, is_store: bool) -> int:
+        """Returns how much a gateway with such a neighbour gains, in KiB."""
+        worker = rawworker.RawWorker('neighbour', rawworker.Script(reply))
+        worker.change_listener(listener)
+        self.addCleanup(worker.stop)
+        silent = f'127.0.0.1:{processes.free_port()}'
+        store, seed = silent, worker.address
+        if is_store:
+            store, seed = seed, store
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            processes.started(pathlib.Path(folder)) as started,
+        ):
+            host = f'127.{1 + processes.reserved_range()}.1.1'
+            ports = [processes.free_port() for _ in range(3)]
+            process = started.gateway(
+                'gateway-1',
+                host,
+                ports[0],
+                sitefiles.settings(
+                    'gateway-1', host, sitefiles.Ports(*ports), 0, [seed], store
+                ),
+            )
+            sites.wait_until(lambda: 'node_started' in process.log.read_text())
+            with memory.watching(process) as watch:
+                time.sleep(self.WATCHED_S)
+            self.assertIsNone(process.popen.poll())
+            return watch.growth_kb
+
+    def test_replies_of_the_store(self):
+        fast = b'x' * 256 * 1024
+        replies = {
+            'head': _endless(fast, b'HTTP/1.1 200 X\r\nX-A: '),
+            'interim responses': _endless(INTERIM),
+            'no HTTP': _endless(b'\0' * len(fast)),
+            'body': _endless(
+                rawworker.chunk(fast),
+                b'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n',
+            ),
+        }
+        held = {}
+        for name, reply in replies.items():
+            growth_kb = self._watch_gateway(
+                reply, rawworker.Listener.WORKER, is_store=True
+            )
+            if growth_kb > self.MAX_STORE_KB:
+                held[name] = growth_kb
+        self.assertEqual({}, held)
+
+    def test_store_that_floods_before_any_request(self):
+        growth_kb = self._watch_gateway(
+            _endless(PIECE), rawworker.Listener.FLOOD, is_store=True
+        )
+        self.assertLess(growth_kb, self.MAX_STORE_KB)
+
+    def test_peer_that_floods(self):
+        growth_kb = self._watch_gateway(
+            _endless(PIECE), rawworker.Listener.FLOOD, is_store=False
+        )
+        self.assertLess(growth_kb, MAX_GROWTH_KB)
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -23,8 +23,13 @@
 
 
 @contextlib.contextmanager
-def running(*replies):
-    """Yields a cluster of one node, and the script of its desk and engine."""
+def running(*replies, probe=None):
+    """Yields a cluster of one node, and the script of its desk and engine.
+
+    Args:
+      *replies: Replies of the desk and the engine.
+      probe: Reply to health probes from then on; None for a sound one.
+    """
     with (
         tempfile.TemporaryDirectory() as folder,
         processes.started(pathlib.Path(folder)) as started,
@@ -41,6 +46,7 @@
         cluster.apply(clusters.make_document(cluster))
         cluster.start_nodes()
         cluster.wait_ready()
+        script.probe = probe
         try:
             yield cluster, script
         finally:
@@ -251,11 +257,11 @@
         _endless_error,
     )
 
-    def _check(self, ask) -> None:
-        """Checks each reply to a request that `ask` sends."""
+    def _check(self, ask, wrap=lambda reply: reply) -> None:
+        """Checks each reply, as `wrap` sends it, to a request of `ask`."""
         held = []
         for reply in self.REPLIES:
-            with running(_answer_cancels(reply)) as (cluster, script):
+            with running(_answer_cancels(wrap(reply))) as (cluster, script):
                 started_at = time.monotonic()
                 with memory.watching(cluster.nodes['entry-0']) as watch:
                     ask(cluster)
@@ -294,3 +300,36 @@
             self.assertGreaterEqual(reply.status, 500)
 
         self._check(ask)
+
+    def test_continuation_of_a_stream(self):
+        resumptions = []
+
+        def resumed(reply):
+            def answer(request: rawworker.Request) -> rawworker.Reply:
+                if request.target == '/v1/resume':
+                    resumptions.append(request)
+                    return reply(request)
+                return _begin_stream(request)
+
+            return answer
+
+        self._check(lambda cluster: self._chat(cluster, stream=True), resumed)
+
+    def test_stream_of_a_caller_that_does_not_read(self):
+        def ask(cluster) -> None:
+            with streaming.Caller(cluster.nodes['entry-0']) as caller:
+                caller.ask(kind='tag', stream=True)
+                time.sleep(DEADLINE_S)
+
+        self._check(ask)
+
+    def test_health_probe_of_an_engine(self):
+        held = []
+        for reply in self.REPLIES:
+            with running(_begin_stream, probe=reply) as (cluster, script):
+                with memory.watching(cluster.nodes['entry-0']) as watch:
+                    time.sleep(2 * DEADLINE_S)
+                self.assertGreater(script.probes, 0)
+                if watch.growth_kb > MAX_GROWTH_KB:
+                    held.append((reply.__name__, watch.growth_kb))
+        self.assertEqual([], held)
