Test that the polls of watchers end one after the other

Nothing guarded the staggered polls that keep other nodes from polling the store, and no run showed their effect. WatcherTest passes, and fails with equal waits.

--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -6,6 +6,7 @@
 import anyio
 import testtools
 
+from radishcourse_gateway import feed
 from radishcourse_gateway import peers
 from radishcourse_gateway import records
 from radishcourse_node import timeouts
@@ -30,26 +31,53 @@
         raise wire_errors.Unreachable(address)
 
 
+class _Store:
+    """Store that records how long its long polls may wait.
+
+    Args:
+      replies: The rows of each reply.
+    """
+
+    def __init__(self, replies: list[list[records.Record]]):
+        self._replies = iter(replies)
+        self.waits_s: list[float] = []
+
+    async def follow(self, table, position, wait_s) -> records.Changes:
+        del table, position
+        self.waits_s.append(wait_s)
+        return records.Changes(next(self._replies), POSITION)
+
+
+def _make_peers(node: str, clock, replica=None, seeds=()) -> peers.Peers:
+    settings = types.SimpleNamespace(
+        node=node,
+        zone='zone-a',
+        peer_listen='127.0.0.1:1',
+        peer_key=b'key',
+        seeds=list(seeds),
+    )
+    return peers.Peers(
+        types.SimpleNamespace(value=settings),
+        clock,
+        random.Random(1),
+        replica or records.Replica(clock),
+        types.SimpleNamespace(apply=lambda rows, source: None),
+        timeouts.Timeouts(clock),
+    )
+
+
 class FleetStartTest(testtools.TestCase):
     """Guards against overload by whole tables when all nodes start at once."""
 
     def setUp(self):
         super().setUp()
-        self.replica = records.Replica(clocks.ManualClock(100.0))
-        settings = types.SimpleNamespace(
-            node='front-0',
-            zone='zone-a',
-            peer_listen='127.0.0.1:1',
-            peer_key=b'key',
-            seeds=[f'127.0.0.1:{port}' for port in range(2, 40)],
-        )
-        self.peers = peers.Peers(
-            types.SimpleNamespace(value=settings),
-            clocks.ManualClock(100.0),
-            random.Random(1),
+        clock = clocks.ManualClock(100.0)
+        self.replica = records.Replica(clock)
+        self.peers = _make_peers(
+            'front-0',
+            clock,
             self.replica,
-            types.SimpleNamespace(apply=lambda rows, source: None),
-            timeouts.Timeouts(clocks.ManualClock(100.0)),
+            [f'127.0.0.1:{port}' for port in range(2, 40)],
         )
         self.client = self.peers._client = _Client()
 
@@ -79,3 +107,53 @@
         reply = ttypes.SyncReply(None, [topic], [broken], None, [], [], [])
         self.peers._apply_rows(reply, 100.0)
         self.assertEqual([ROW], list(self.replica.rows(ROW.table)))
+
+
+class WatcherTest(testtools.TestCase):
+    """Guards against watchers whose confirmations all come at one moment.
+
+    The other nodes would then take their rows for stale and poll the store.
+    """
+
+    NODES = 8
+
+    def _phase(self, number: int) -> float | None:
+        """Returns the phase of a node that knows all others."""
+        clock = clocks.ManualClock(100.0)
+        node = _make_peers(f'front-{number}', clock)
+        for other in range(self.NODES):
+            record = ttypes.PeerRecord(
+                f'front-{other}', 'run', 'zone-a', f'127.0.0.1:{other + 2}', 0
+            )
+            node._note_peer(record, clock.now(), direct=True)
+        return node.watch_phase(records.Table.UPSTREAMS)
+
+    def test_few_nodes_watch_and_each_has_its_own_phase(self):
+        phases = [self._phase(number) for number in range(self.NODES)]
+        watching = sorted(phase for phase in phases if phase is not None)
+        self.assertEqual([1 / 3, 2 / 3, 1.0], watching)
+
+    def test_poll_after_a_change_waits_for_a_part_of_the_cycle(self):
+        clock, table = clocks.ManualClock(100.0), records.Table.UPSTREAMS
+        store = _Store([[ROW], [], []])
+        replica = records.Replica(clock)
+        replica.apply(
+            table, records.Changes([], positions.Position(1, 2), complete=True)
+        )
+        follower = feed.Feed(
+            clock,
+            store,
+            replica,
+            types.SimpleNamespace(apply=lambda rows, source: None),
+            table,
+            lambda table: 1 / 3,
+            lambda: 2.0,
+        )
+
+        async def poll() -> None:
+            for _ in range(3):
+                await follower._poll()
+
+        anyio.run(poll)
+        whole, part = feed.LONG_POLL_S, feed.LONG_POLL_S / 3
+        self.assertEqual([part, part, whole], store.waits_s)
