--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -34,6 +34,17 @@
             sites.wait_until(lambda name=name: condition(name), seconds)
 
 
+def _split_by_watching(
+    site: sites.Site, table: records.Table
+) -> tuple[list[str], list[str]]:
+    """Returns the nodes that do not follow a table, and those that do."""
+    by_weight = sorted(
+        site.gateways,
+        key=lambda name: loadbalancing.rendezvous_weight(table.value, name),
+    )
+    return by_weight[: -peers.MIN_WATCHERS], by_weight[-peers.MIN_WATCHERS :]
+
+
 class ConfigurationTest(SiteTest):
     """Guards against gateways that keep serving by an old configuration."""
 
@@ -57,12 +68,7 @@
 
     def test_change_is_in_force_when_the_store_refuses_its_watchers(self):
         site = self.start(6)
-        table = records.Table.CONFIGURATION.value
-        by_weight = sorted(
-            site.gateways,
-            key=lambda name: loadbalancing.rendezvous_weight(table, name),
-        )
-        watchers = by_weight[-peers.MIN_WATCHERS :]
+        _, watchers = _split_by_watching(site, records.Table.CONFIGURATION)
         # Long enough for a confirmation to have reached the others.
         time.sleep(peers.ALIVE_TIMEOUT_S)
         site.link_fault('refuse', *watchers)
@@ -153,14 +159,10 @@
 
     def _kill_watchers(self, site, table: records.Table) -> list[str]:
         """Kills the nodes that follow a table; returns the others."""
-        by_weight = sorted(
-            site.gateways,
-            key=lambda name: loadbalancing.rendezvous_weight(table.value, name),
-        )
-        watchers = by_weight[-peers.MIN_WATCHERS :]
+        others, watchers = _split_by_watching(site, table)
         for name in watchers:
             site.gateways[name].signal(signal.SIGKILL)
-        return by_weight[: -peers.MIN_WATCHERS]
+        return others
 
     def _wait_at(self, names: list[str], bound_s: float, condition) -> None:
         """Checks that a condition holds at nodes within the bound."""
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -39,9 +39,9 @@
 
 
 class RecoveryTest(testtools.TestCase):
-    """Guards against a recovery that fails as nobody starts crashed engines.
+    """Guards against a recovery check that fails because engines are down.
 
-    A prompt that was sent in the last moment of its fault ends them after it.
+    A prompt that was sent just before its fault ended may crash them after it.
     """
 
     def test_engines_that_crashed_after_the_last_fault_are_started_again(self):
