Count the retry budget over a sliding window

Callers saw a 500 or a broken stream although their route allowed another attempt: a node held at most its share of the fleet's slack as tokens, two of 182 at 71 nodes, so streams that broke together used it up.

Two tests of test_gateway_path relied on the small bucket to keep a cut stream of three events from being resumed twice. They now cut streams of ten events, which three attempts cannot complete, and check the number of attempts.

--- a/packages/gateway/src/radishcourse_gateway/retrybudgets.py
+++ b/packages/gateway/src/radishcourse_gateway/retrybudgets.py
@@ -1,7 +1,7 @@
 """This node's share of the retry budget that the fleet has per service."""
 
 from radishcourse_model import ids
-from radishcourse_policy import retrybudget
+from radishcourse_policy import retrywindow
 
 # Share of the permitted retries that nodes use. The rest is a margin, as the
 # bound is checked over sliding windows.
@@ -13,40 +13,44 @@
 class RetryBudgets:
     """Retry budgets by service.
 
-    A node earns tokens in proportion to its own requests. In addition it gets
-    an equal share of the fleet's slack. Repeats on a larger model are paid
-    from the same budget.
+    A node may retry a share of its own requests of the latest window. In
+    addition it gets an equal share of the fleet's slack. Repeats on a larger
+    model are paid from the same budget.
 
     Args:
-      gateway: Provides the settings and peers.
+      gateway: Provides the clock, settings and peers.
     """
 
     def __init__(self, gateway):
+        self._clock = gateway.environment.clock
         self._current_settings = gateway.current_settings
         self._peers = gateway.peers
-        self._budgets: dict[ids.ServiceId, retrybudget.RetryBudget] = {}
+        self._windows: dict[ids.ServiceId, retrywindow.RetryWindow] = {}
 
-    def _budget(self, service: ids.ServiceId) -> retrybudget.RetryBudget:
+    def _window(self, service: ids.ServiceId) -> retrywindow.RetryWindow:
+        if service not in self._windows:
+            self._windows[service] = retrywindow.RetryWindow(
+                self._clock, self._current_settings.value.bounds.repeat_window_s
+            )
+        return self._windows[service]
+
+    def _limits(self) -> tuple[float, float]:
+        """Returns the share of its requests and the slack of this node."""
         bounds = self._current_settings.value.bounds
         fleet_size = self._peers.fleet_size or ASSUMED_FLEET_NODES
-        cap = USABLE_SHARE * bounds.repeat_slack / fleet_size
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = retrybudget.RetryBudget(
-                USABLE_SHARE * bounds.repeat_share, reserve=cap, cap=cap
-            )
-            self._budgets[service] = budget
-        budget.resize(cap)
-        return budget
+        return (
+            USABLE_SHARE * bounds.repeat_share,
+            USABLE_SHARE * bounds.repeat_slack / fleet_size,
+        )
 
     def note_request(self, service: ids.ServiceId) -> None:
-        """Adds the tokens that a request earns."""
-        self._budget(service).note_request()
+        """Counts a request, which permits a share of a retry."""
+        self._window(service).note_request()
 
     def has_token(self, service: ids.ServiceId) -> bool:
-        """Tells whether a token is left for a retry."""
-        return self._budget(service).tokens >= 1
+        """Tells whether a retry is left."""
+        return self._window(service).left(*self._limits()) >= 1
 
     def spend(self, service: ids.ServiceId) -> bool:
-        """Takes a token for a retry; returns False if none is left."""
-        return self._budget(service).spend()
+        """Counts a retry; returns False if none is left."""
+        return self._window(service).spend(*self._limits())
--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -20,6 +20,7 @@
       repeat_share: Retry budget: attempts after the first, as a share of
         requests.
       repeat_slack: Retries allowed in addition to that share.
+      repeat_window_s: Seconds over which requests and retries are counted.
       exposure_share: Highest share of a service's requests that a bad version
         may get.
       cold_excess: The request rate to a cold upstream may be its service's
@@ -33,6 +34,7 @@
     stop_s: Seconds = 30.0
     repeat_share: Share = 0.2
     repeat_slack: Number = 10
+    repeat_window_s: Seconds = 10.0
     exposure_share: Share = 0.1
     cold_excess: Share = 1.0
     cold_slack: Number = 0
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -9,6 +9,12 @@
 from tests import site as sites
 from tests import sitefiles
 
+# Attempts that the routes of the site allow.
+MAX_ATTEMPTS = 3
+# Each attempt at an upstream that cuts its streams brings one event, so all
+# attempts together can't complete a stream of this length.
+CUT_EVENTS = 10
+
 
 class SiteTest(testtools.TestCase):
     """Base of tests that share one site for each class."""
@@ -164,11 +170,13 @@
             self.addCleanup(self.site.set_behaviour, name)
 
     def _inject_fault(
-        self, service: str, fault: str, count: int = 1000
+        self, service: str, fault: str, count: int = 1000, **settings
     ) -> None:
         for name in self.site.workers:
             if name.startswith(service):
-                self.site.set_behaviour(name, fault=fault, count=count)
+                self.site.set_behaviour(
+                    name, fault=fault, count=count, **settings
+                )
 
     def test_order_that_may_have_run_is_not_retried(self):
         for fault in ('close', 'truncate', 'foreign', 'unstamped'):
@@ -242,12 +250,13 @@
                 self.assertEqual(expected_ids, event_ids, fault)
 
     def test_stream_that_can_not_resume_does_not_look_complete(self):
-        self._inject_fault('engine', 'cut')
+        self._inject_fault('engine', 'cut', events=CUT_EVENTS)
         response = self.send('POST', '/draft/1', b'prompt')
         self.assertFalse(response.whole)
+        self.assertLessEqual(len(self.runs_of(response)), MAX_ATTEMPTS)
 
     def test_warnings_of_libraries_are_logged_as_events(self):
-        self._inject_fault('engine', 'cut')
+        self._inject_fault('engine', 'cut', events=CUT_EVENTS)
         self.send('POST', '/draft/1', b'prompt')
         [name] = self.site.gateways
         sites.wait_until(
