--- a/packages/gateway/src/radishcourse_gateway/interfaces.py
+++ b/packages/gateway/src/radishcourse_gateway/interfaces.py
@@ -49,6 +49,31 @@
     version: int
 
 
+class StoreRow(typing.NamedTuple):
+    """A row of a table that only this fleet writes.
+
+    Attributes:
+      position: Where in the store's history it was last written. Its version
+        is 0 if there is no row.
+      value: Its content, None if there is no row.
+    """
+
+    position: positions.Position
+    value: bytes | None
+
+
+class RowKey(typing.NamedTuple):
+    """Names a row.
+
+    Attributes:
+      table: The table.
+      key: The key within the table.
+    """
+
+    table: str
+    key: str
+
+
 class Store(typing.Protocol):
     """The platform's store.
 
@@ -94,6 +119,80 @@
           expected_version: Version that the row must have, 0 for none.
         """
 
+    async def read_row(self, table: str, key: str) -> StoreRow:
+        """Returns one row, also if there is none."""
+
+    async def write_rows(
+        self,
+        expected: dict[RowKey, int],
+        writes: dict[RowKey, bytes],
+        removals: typing.Iterable[RowKey] = (),
+    ) -> positions.Position:
+        """Writes and removes rows in one transaction.
+
+        Args:
+          expected: Versions that rows must have, 0 for none.
+          writes: New contents.
+          removals: Rows to remove; they need not exist.
+
+        Returns:
+          Where in the store's history the rows were written.
+
+        Raises:
+          Conflict: A row does not have its expected version.
+        """
+
+
+Check = typing.Callable[[], None]
+
+
+class ControlApi(typing.Protocol):
+    """The second interface of the platform, called by holders of duties.
+
+    Its coroutines raise `radishcourse_platform.errors.PlatformError` when the
+    call fails or there is no response; it may have taken effect then, unless
+    the error is `Unavailable`. `check` runs immediately before the call is
+    sent, after a connection was opened; what it raises ends the call unsent.
+    """
+
+    async def report_usage(
+        self,
+        holder: ids.NodeId,
+        token: int,
+        window: int,
+        counts: dict[str, int],
+        check: Check | None = None,
+    ) -> None:
+        """Reports the requests that ran in a window.
+
+        Args:
+          holder: The node that holds the duty.
+          token: Fencing token of its term.
+          window: Number of the window.
+          counts: Requests by name of the organisation.
+          check: Ends the call if it raises.
+        """
+
+    async def set_capacity(
+        self,
+        holder: ids.NodeId,
+        token: int,
+        service: ids.ServiceId,
+        zone: ids.ZoneId,
+        count: int,
+        check: Check | None = None,
+    ) -> None:
+        """Orders the number of upstreams of a service in a zone.
+
+        Args:
+          holder: The node that holds the duty.
+          token: Fencing token of its term.
+          service: The service.
+          zone: The availability zone.
+          count: Number of upstreams.
+          check: Ends the call if it raises.
+        """
+
 
 class Decoder(typing.Protocol):
     """Decodes rows."""
--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -6,8 +6,13 @@
 
 from radishcourse_model import ids
 from radishcourse_model import schema
+from radishcourse_policy import dutylease
 
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+# Shorter leases would end between two renewals on a busy VM.
+LeaseSeconds = typing.Annotated[float, msgspec.Meta(ge=0.3, le=3600)]
+WindowSeconds = typing.Annotated[float, msgspec.Meta(ge=0.5, le=86_400)]
+CallsPerSecond = typing.Annotated[float, msgspec.Meta(gt=0, le=10**6)]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=10)]
 Number = typing.Annotated[float, msgspec.Meta(ge=0, le=10**9)]
 
@@ -28,6 +33,13 @@
       session_s: Pause in seconds after which a session has ended.
       propagation_s: Seconds after its acknowledgement by the platform's store
         until a change must be in force at all nodes.
+      lease_s: Seconds for which one node holds a duty without renewing it.
+      thaw_s: Seconds after a pause of a node or a link within which the second
+        interface does not judge its calls.
+      usage_window_s: Length of the windows of usage reports in seconds.
+      usage_error: Highest relative error of a usage report.
+      usage_late_s: Seconds after the end of a window until its usage report is
+        due.
     """
 
     stop_s: Seconds = 30.0
@@ -38,6 +50,11 @@
     cold_slack: Number = 0
     session_s: Seconds = 10.0
     propagation_s: Seconds = 3.5
+    lease_s: LeaseSeconds = 3.0
+    thaw_s: Seconds = 0.3
+    usage_window_s: WindowSeconds = 5.0
+    usage_error: Share = 0.05
+    usage_late_s: Seconds = 10.0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -56,6 +73,11 @@
       value_per_1k_tokens: Value of a thousand weighted tokens of a request,
         in the unit of the models' costs.
       bounds: Limits of the installation.
+      control_api: Base URL of the platform's second interface, None for none.
+      duties: Duties that one node at a time performs; none without
+        `control_api`.
+      duties_per_s: Calls per second to the second interface that all nodes
+        together may make.
     """
 
     node: ids.NodeId
@@ -69,6 +91,9 @@
     peer_key: schema.Secret = 'unset-peer-key-of-gateways'
     value_per_1k_tokens: Number = 0.45
     bounds: Bounds = Bounds()
+    control_api: str | None = None
+    duties: frozenset[dutylease.Duty] = frozenset()
+    duties_per_s: CallsPerSecond = 2.0
 
 
 class CurrentSettings:
@@ -107,4 +132,6 @@
     'metrics_listen',
     'platform',
     'peer_key',
+    'control_api',
+    'duties',
 )
