--- a/packages/gateway/src/radishcourse_gateway/directory.py
+++ b/packages/gateway/src/radishcourse_gateway/directory.py
@@ -92,6 +92,21 @@
     costs: dict[ids.ModelId, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True)
+class Scaling:
+    """Limits within which the gateway orders a service's workers.
+
+    Attributes:
+      min_workers: Least number of workers in an availability zone.
+      max_workers: Largest number of workers in an availability zone.
+      boot_s: Seconds until a new worker serves.
+    """
+
+    min_workers: int
+    max_workers: int
+    boot_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Service:
     """A set of upstreams that serve the same requests.
@@ -103,6 +118,7 @@
         rate is not limited.
       engine: Properties of its model engines, None for other services.
       probe_path: Path at which its upstreams answer probes, None if unknown.
+      scaling: Limits of the number of its workers, None if it is fixed.
     """
 
     name: ids.ServiceId
@@ -110,6 +126,7 @@
     cold_per_s: float = 0.0
     engine: Engine | None = None
     probe_path: str | None = None
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -123,6 +123,36 @@
         engine = decoded.services['engine'].engine
         self.assertEqual({'small': 0.02, 'large': 0.2}, engine.costs)
 
+    def _decode_scaling(self, scaling) -> directory.Scaling | None:
+        services = [{'name': 'engine', 'scaling': scaling}]
+        decoded = self._decode({'version': 1, 'services': services})
+        return decoded.services['engine'].scaling
+
+    def test_scaling_of_a_service(self):
+        scaling = self._decode_scaling({'min': 10, 'max': 23, 'bootS': 8})
+        self.assertEqual(directory.Scaling(10, 23, 8.0), scaling)
+        self.assertIsNone(self._decode_scaling(None))
+
+    def test_malformed_scaling_is_unreadable(self):
+        valid = {'min': 10, 'max': 23, 'bootS': 8}
+        for fields in (
+            {'min': 24},
+            {'min': -1},
+            {'min': 2.5},
+            {'min': '10'},
+            {'max': None},
+            {'max': 2**60},
+            {'bootS': -1},
+            {'bootS': 'soon'},
+            {'bootS': 1e300},
+        ):
+            self.assertRaises(
+                errors.Unreadable, self._decode_scaling, {**valid, **fields}
+            )
+        for name in valid:
+            partial = {key: valid[key] for key in valid if key != name}
+            self.assertRaises(errors.Unreadable, self._decode_scaling, partial)
+
     def test_longest_prefix_wins(self):
         routes = [
             sitefiles.route('short', '/a/', 'idempotent', 'desk'),
