--- a/packages/standins/src/radishcourse_standins/measure/__main__.py
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -3,6 +3,7 @@
 import fire
 
 from radishcourse_standins.measure import admission
+from radishcourse_standins.measure import autoscaling
 from radishcourse_standins.measure import cascade
 from radishcourse_standins.measure import overload
 from radishcourse_standins.measure import placement
@@ -15,6 +16,7 @@
     'placement': placement.main,
     'admission': admission.main,
     'overload': overload.main,
+    'autoscaling': autoscaling.main,
 }
 
 
