Order the number of workers as a duty of one node

Nothing sent the policy's numbers to the second interface. The holder of the duty now decides once a second from its own load, its peers' reports and the list of upstreams, sends each number until it is accepted and again in a new term, and logs each decision with its inputs; a counter shows orders by outcome.

--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -9,6 +9,7 @@
 import anyio
 import uvicorn
 
+from radishcourse_gateway import autoscaler  # noqa: F401  Registers a duty.
 from radishcourse_gateway import crashes
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import errors
--- a/packages/node/src/radishcourse_node/events.py
+++ b/packages/node/src/radishcourse_node/events.py
@@ -63,6 +63,8 @@
     UPSTREAM_DOUBTED = 708
     PROMPT_QUARANTINED = 709
     QUARANTINE_ENDED = 710
+    SCALING_DECIDED = 711
+    SCALING_SENT = 712
 
 
 def log(event: Event, **fields: object) -> None:
--- a/packages/node/src/radishcourse_node/metrics.py
+++ b/packages/node/src/radishcourse_node/metrics.py
@@ -28,6 +28,7 @@
     def __init__(self):
         self._histograms: dict[tuple, histogram.HdrHistogram] = {}
         self._counters: collections.Counter[tuple] = collections.Counter()
+        self._named: collections.Counter[tuple] = collections.Counter()
 
     def record(
         self, series: Series, organisation: str, kind: str, seconds: float
@@ -45,6 +46,15 @@
         """Counts a request by its outcome."""
         self._counters[(organisation, kind, outcome)] += 1
 
+    def add(self, name: str, labels: dict[str, str]) -> None:
+        """Adds one to a counter of its own name.
+
+        Args:
+          name: Name of the counter.
+          labels: Values by label; the same labels for each call.
+        """
+        self._named[(name, *labels.items())] += 1
+
     def encode(self) -> dict[str, str]:
         """Returns the histograms in HdrHistogram's compressed format.
 
@@ -69,6 +79,12 @@
         for labels, count in self._counters.items():
             label_text = _labels(('organisation', 'kind', 'outcome'), labels)
             lines.append(f'radishcourse_requests_total{label_text} {count}')
+        for name in sorted({key[0] for key in self._named}):
+            lines.append(f'# TYPE {name} counter')
+            for (counter, *pairs), count in self._named.items():
+                if counter == name:
+                    label_text = _labels(*zip(*pairs, strict=True))
+                    lines.append(f'{name}{label_text} {count}')
         for series in Series:
             lines.append(f'# TYPE {series.value} summary')
             lines += self._render_series(series)
