Compare the number of workers with the best fixed ones in hindsight

Hindsight was beaten by fixed numbers on light patterns, so that it was no bound. It now also takes the best fixed number, and a pattern with heavy waves is added.

--- a/packages/standins/src/radishcourse_standins/measure/autoscaling.py
+++ b/packages/standins/src/radishcourse_standins/measure/autoscaling.py
@@ -1,8 +1,9 @@
 """Compares ways to choose the number of a service's workers.
 
 The policy is compared with fixed numbers, with a plain target utilisation that
-follows the reported work at once, and with hindsight, which knows the work that
-the same load brings when no request waits.
+follows the reported work at once, and with hindsight: the best of the numbers
+that follow from the work of the same load when no request waits, and of the
+fixed ones.
 """
 
 import math
@@ -18,7 +19,7 @@
 # Changes of direction within this time count as flapping.
 REVERSAL_S = 20.0
 PLAIN_SHARE = 0.7
-# The best of these shares of the slots is taken as hindsight.
+# Hindsight tries these shares of the slots.
 HINDSIGHT_SHARES = (0.5, 0.7, 0.9)
 
 _A, _B, _C, _D = scalingworld.ZONES
@@ -51,6 +52,7 @@
         swing=0.3, rolling=(_Phase(20, 44),), loads=(_Phase(35, 40, None, 1.6),)
     ),
     'evacuation': scalingworld.Pattern(evacuated=(_Phase(30, 60, _D),)),
+    'heavy waves': scalingworld.Pattern(load=0.9, swing=0.4, loads=_BURSTS),
     'half cut off': scalingworld.Pattern(
         swing=0.3, cut_off=(_Phase(20, 70, amount=0.5),)
     ),
@@ -145,26 +147,39 @@
     'chosen': chosen,
 }
 
+FIXED_POLICIES = ('fixed, start', 'fixed, least', 'fixed, most')
+
 
 def run(policy: str, pattern: str, seed: int) -> scalingworld.Result:
     """Runs one policy of POLICIES on one pattern of PATTERNS."""
     return scalingworld.World(PATTERNS[pattern], POLICIES[policy](), seed).run()
 
 
-def run_hindsight(pattern: str, seed: int) -> scalingworld.Result:
-    """Runs the best of the numbers that follow from the known work."""
+def run_hindsight(
+    pattern: str, seed: int, known: list[scalingworld.Result]
+) -> scalingworld.Result:
+    """Returns the best of numbers that follow from the known work.
+
+    Args:
+      pattern: Name of the pattern.
+      seed: Seed of the load.
+      known: Results of fixed numbers, of which one may be better.
+    """
     demand = (
         scalingworld.World(PATTERNS[pattern], fixed(None), seed, unlimited=True)
         .run()
         .demand
     )
     return max(
-        (
-            scalingworld.World(
-                PATTERNS[pattern], _hindsight(demand, share), seed
-            ).run()
-            for share in HINDSIGHT_SHARES
-        ),
+        [
+            *known,
+            *(
+                scalingworld.World(
+                    PATTERNS[pattern], _hindsight(demand, share), seed
+                ).run()
+                for share in HINDSIGHT_SHARES
+            ),
+        ],
         key=lambda result: result.net,
     )
 
@@ -173,16 +188,21 @@
     """Measures the number of workers."""
     rows, figures = [], []
     for pattern in PATTERNS:
+        results = {
+            policy: [run(policy, pattern, seed) for seed in range(seeds)]
+            for policy in POLICIES
+        }
+        fixed_results = zip(
+            *(results[policy] for policy in FIXED_POLICIES), strict=True
+        )
+        results['hindsight'] = [
+            run_hindsight(pattern, seed, list(known))
+            for seed, known in enumerate(fixed_results)
+        ]
         nets = {}
-        for policy in (*POLICIES, 'hindsight'):
-            results = [
-                run_hindsight(pattern, seed)
-                if policy == 'hindsight'
-                else run(policy, pattern, seed)
-                for seed in range(seeds)
-            ]
-            nets[policy] = sum(result.net for result in results)
-            rows += _rows(pattern, policy, results)
+        for policy, of_policy in results.items():
+            nets[policy] = sum(result.net for result in of_policy)
+            rows += _rows(pattern, policy, of_policy)
         best = max(nets, key=nets.get)
         figures.append(
             f'{pattern}: chosen has {nets["chosen"] / nets["hindsight"]:.4f} '
