Report usage as the duty of one node at a time

The platform wants the requests of each organisation by window, from one node at a time, and checks no tokens. Leases in the store choose the node; all nodes push their counts to it and to one deputy; it records a window before it sends it. Off without cloudApi duties.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -7,6 +7,7 @@
 from radishcourse_gateway import attempttimeout
 from radishcourse_gateway import crashes
 from radishcourse_gateway import directory as directories
+from radishcourse_gateway import duties
 from radishcourse_gateway import errors
 from radishcourse_gateway import escalations
 from radishcourse_gateway import eventstream
@@ -64,6 +65,7 @@
         self._load = gateway.load
         self._rollouts = gateway.rollouts
         self._limits = gateway.limits
+        self._duties: duties.Duties = gateway.duties
         self._announcements = announcements.Announcements(gateway)
         self._crashes: crashes.Crashes = gateway.crashes
         self._peers: peers.Peers = gateway.peers
@@ -248,6 +250,8 @@
         if state is answers.State.FOREIGN:
             raise errors.UpstreamError('answer to another request', True)
         not_run = state is answers.State.NOT_RUN
+        if not not_run:
+            self._duties.note_run(request, plan)
         if head.status != answers.MISDIRECTED_REQUEST:
             self._announcements.note_answer(listed, head)
             self._limits.note_answer(listed, head, wait.sent_at)
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -11,6 +11,7 @@
 
 from radishcourse_gateway import crashes
 from radishcourse_gateway import directory as directories
+from radishcourse_gateway import duties
 from radishcourse_gateway import errors
 from radishcourse_gateway import feed
 from radishcourse_gateway import forwarder
@@ -26,6 +27,7 @@
 from radishcourse_gateway import settings as gateway_settings
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
+from radishcourse_gateway import usagereports  # noqa: F401  Registers a duty.
 from radishcourse_gateway import verifier
 from radishcourse_gateway import view
 from radishcourse_node import connections
@@ -71,8 +73,10 @@
       store: The platform's store.
       decoder: Decodes the store's rows.
       load_settings: Reads the settings file again; raises `SettingsError`.
+      control_api: The platform's second interface, None if there is none.
 
     Attributes:
+      control_api: The platform's second interface, None if there is none.
       current_settings: The settings in force.
       timeouts: Timeouts that leave out the lateness of this process.
       metrics: Request metrics.
@@ -83,6 +87,7 @@
       rollouts: Roll-outs that are in progress.
       limits: Limits that upstreams name.
       crashes: Crashes of upstreams and quarantined prompts.
+      duties: Duties that one node at a time performs.
       pool: Idle connections to upstreams.
       targets: Chooses the upstream for an attempt.
       forwarder: Forwards requests to upstreams.
@@ -96,6 +101,7 @@
         store: interfaces.Store,
         decoder: interfaces.Decoder,
         load_settings: typing.Callable[[], gateway_settings.Settings],
+        control_api: interfaces.ControlApi | None = None,
     ):
         self.environment = environment
         self.current_settings = gateway_settings.CurrentSettings(settings)
@@ -103,6 +109,7 @@
         self._reload_requested = anyio.Event()
         self.header_names = header_names
         self.store = store
+        self.control_api = control_api
         clock = environment.clock
         self.timeouts = timeouts.Timeouts(clock)
         self.metrics = metrics.Metrics()
@@ -124,6 +131,8 @@
         self.peers.limits = self.limits
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
+        self.duties = duties.Duties(self)
+        self.peers.duties = self.duties
         self.view.on_replaced = self.crashes.note_absent
         self.verifier = verifier.Verifier(self)
         self.pool = upstreamconnections.Pool(clock, self.timeouts.fail_after)
@@ -232,6 +241,7 @@
                 self.crashes.quarantine.quarantined
             ),
         }
+        gauges.update(self.duties.gauges())
         for table in records.Table:
             confirmed_at = self.replica.confirmed_at(table)
             if confirmed_at is not None:
@@ -276,6 +286,7 @@
             await server.serve([serving.raw_socket(callers)])
             for number in _STOP_SIGNALS:
                 signal.signal(number, signal.SIG_IGN)
+            await self.duties.finish()
             tasks.cancel_scope.cancel()
         events.log(events.Event.NODE_STOPPED, node=settings.node)
 
@@ -284,6 +295,7 @@
         yield 'peers', self.peers.run
         yield 'rollouts', self.rollouts.run
         yield 'crashes', self.crashes.run
+        yield 'duties', self.duties.run
         yield 'settings', self._reload_settings
         yield 'sweep', functools.partial(self._sweep, server)
         for item in self._feeds:
@@ -399,14 +411,26 @@
 
 @contextlib.asynccontextmanager
 async def open_gateway(
-    environment, settings, header_names, store, decoder, load_settings
+    environment,
+    settings,
+    header_names,
+    store,
+    decoder,
+    load_settings,
+    control_api=None,
 ):
     """Yields a gateway and closes its connections on exit.
 
     The arguments are those of `Gateway`.
     """
     gateway = Gateway(
-        environment, settings, header_names, store, decoder, load_settings
+        environment,
+        settings,
+        header_names,
+        store,
+        decoder,
+        load_settings,
+        control_api,
     )
     try:
         yield gateway
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -109,6 +109,7 @@
         self.load = None
         self.crashes = None
         self.limits = None
+        self.duties = None
 
     @property
     def _settings(self) -> gateway_settings.Settings:
@@ -168,16 +169,25 @@
         return self._peers[node]
 
     async def call(
-        self, peer: peerstate.Peer, kind: messages.MessageKind, message
+        self,
+        peer: peerstate.Peer,
+        kind: messages.MessageKind,
+        message,
+        timeout_s: float = REQUEST_CALL_TIMEOUT_S,
     ):
-        """Calls a peer while a caller's request waits; returns the reply.
+        """Calls a peer and returns the reply.
+
+        Args:
+          peer: The peer.
+          kind: Kind of the message.
+          message: The message.
+          timeout_s: Limit on the call in seconds. By default that of a call
+            for which a caller's request waits.
 
         Raises:
           WireError: There is no valid reply in time.
         """
-        return await self._client.call(
-            peer.address, kind, message, REQUEST_CALL_TIMEOUT_S
-        )
+        return await self._client.call(peer.address, kind, message, timeout_s)
 
     def others_work(self, upstream: ids.UpstreamId) -> peerstate.OthersWork:
         """Returns the work of all other nodes at an upstream.
@@ -271,6 +281,8 @@
                 address, messages.MessageKind.SYNC, request, CALL_TIMEOUT_S
             )
             self._apply_reply(reply)
+            if self.duties is not None:
+                self.duties.merge(reply, asked_at)
             if with_rows:
                 self._apply_rows(reply, asked_at)
         except wire_errors.Unreachable:
@@ -337,6 +349,8 @@
             self.load.reported_work() if self.load else [],
             self._crash_evidence(request, now),
             (self.limits.reports() if self.limits else None) or None,
+            self.duties.reports() if self.duties else None,
+            self.duties.wall_ms() if self.duties else None,
         )
 
     def _crash_evidence(
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -49,6 +49,7 @@
       progress_at: When the latest part of that response arrived; None before.
       answer: Identifies the prompt in evidence of crashes.
       arrival: What has arrived of the latest attempt's answer.
+      metered: Whether the request has been counted for a usage report.
     """
 
     attempts: int = 0
@@ -70,6 +71,7 @@
     arrival: upstreamconnections.Arrival = dataclasses.field(
         default_factory=upstreamconnections.Arrival
     )
+    metered: bool = False
 
     @property
     def last_event(self) -> bytes | None:
--- a/packages/platform/src/radishcourse_platform/http.py
+++ b/packages/platform/src/radishcourse_platform/http.py
@@ -98,35 +98,57 @@
     Args:
       base_url: Scheme, IP address and port.
       timeout_s: Limit in seconds on a whole call, including the body.
+      max_body_bytes: Limit on the body of a response.
     """
 
-    def __init__(self, base_url: str, timeout_s: float = DEFAULT_TIMEOUT_S):
+    def __init__(
+        self,
+        base_url: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ):
         self._base_url = base_url.rstrip('/')
         self._timeout_s = timeout_s
+        self._max_body_bytes = max_body_bytes
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS
         )
 
     async def call(
-        self, method: str, path: str, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        before_send: typing.Callable[[], None] | None = None,
     ) -> Response:
         """Sends one request and returns its response.
 
+        Args:
+          method: HTTP method.
+          path: Path and query.
+          body: JSON body, None for none.
+          headers: More headers.
+          before_send: Called when a connection is open, immediately before the
+            first byte is sent. What it raises ends the call.
+
         Raises:
           Unavailable: The request was not sent, or was refused with 429
             (`RateLimited`) or 503 before it took effect.
           ResponseLost: The request may have been sent, but no complete
             response arrived in time.
         """
-        sent = _SentFlag()
-        headers = {'content-type': 'application/json'} if body else {}
+        sent = _SentFlag(before_send)
+        headers = dict(headers or {})
+        if body:
+            headers['content-type'] = 'application/json'
         try:
             with anyio.fail_after(self._timeout_s):
                 response = await request(
                     self._pool,
                     method,
                     self._base_url + path,
-                    MAX_BODY_BYTES,
+                    self._max_body_bytes,
                     headers=headers,
                     content=body,
                     extensions={'trace': sent.trace},
@@ -151,19 +173,26 @@
 class _SentFlag:
     """Records whether any byte of a request may have left the process."""
 
-    def __init__(self):
+    def __init__(self, before_send: typing.Callable[[], None] | None = None):
         self.started = False
+        self._before_send = before_send
 
     async def trace(self, event: str, info: object) -> None:
         del info
         if event.endswith('send_request_headers.started'):
+            if self._before_send is not None:
+                self._before_send()
             self.started = True
 
 
 @contextlib.asynccontextmanager
-async def open_client(base_url: str, timeout_s: float = DEFAULT_TIMEOUT_S):
+async def open_client(
+    base_url: str,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+    max_body_bytes: int = MAX_BODY_BYTES,
+):
     """Yields a `Client` and closes it on exit."""
-    client = Client(base_url, timeout_s)
+    client = Client(base_url, timeout_s, max_body_bytes)
     try:
         yield client
     finally:
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -253,6 +253,18 @@
   5: bool wanted
 }
 
+// What the sender knows of the lease of a duty. `node` is empty if it was
+// released. `version` and `era` are those at which its row was written, and
+// `age_ms` is the time for which the sender has known of them.
+struct DutyLease {
+  1: string duty
+  2: string node
+  3: i64 token
+  4: i64 version
+  5: i64 era
+  6: i32 age_ms
+}
+
 // `full` requests the nodes that the peer knows; `crash_digest` the evidence of
 // crashes if the peer's differs.
 struct Sync {
@@ -262,6 +274,8 @@
   4: optional i64 crash_digest
 }
 
+// `wall_ms` is the sender's wall clock, sent where nodes have to agree on the
+// time of the epoch.
 struct SyncReply {
   1: PeerRecord sender
   2: list<TopicState> topics
@@ -272,4 +286,37 @@
   7: list<UpstreamWork> work
   8: optional list<CrashEvidence> crashes
   9: optional list<UpstreamLimit> limits
+  10: optional list<DutyLease> duties
+  11: optional i64 wall_ms
+}
+
+// Requests that ran in a window, as parallel lists: names of organisations, and
+// cumulative counts.
+struct UsageCounts {
+  1: i64 window
+  2: list<string> organisations
+  3: list<i64> counts
+}
+
+// What a node has counted. It counts no more in windows below `complete_below`.
+struct NodeUsage {
+  1: string node
+  2: string incarnation
+  3: i64 complete_below
+  4: list<UsageCounts> windows
+}
+
+// Counts that have changed since the receiver acknowledged the last ones, and
+// the fixed counts of closed windows. `relay` tells that the sender can't reach
+// the holder of the duty.
+struct PushUsage {
+  1: list<NodeUsage> nodes
+  2: optional list<UsageCounts> fixed
+  3: optional bool relay
+  4: optional i64 closed_below
+}
+
+// `closed_below` is the first window that the sender does not know to be closed.
+struct PushUsageReply {
+  1: i64 closed_below
 }
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -3361,6 +3361,134 @@
         return not (self == other)
 
 
+class DutyLease(object):
+    """
+    Attributes:
+     - duty
+     - node
+     - token
+     - version
+     - era
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'duty',
+        'node',
+        'token',
+        'version',
+        'era',
+        'age_ms',
+    )
+
+
+    def __init__(self, duty=None, node=None, token=None, version=None, era=None, age_ms=None,):
+        self.duty = duty
+        self.node = node
+        self.token = token
+        self.version = version
+        self.era = era
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.duty = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DutyLease')
+        if self.duty is not None:
+            oprot.writeFieldBegin('duty', TType.STRING, 1)
+            oprot.writeString(self.duty.encode('utf-8') if sys.version_info[0] == 2 else self.duty)
+            oprot.writeFieldEnd()
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 2)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 3)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 4)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Sync(object):
     """
     Attributes:
@@ -3487,6 +3615,8 @@
      - work
      - crashes
      - limits
+     - duties
+     - wall_ms
 
     """
 
@@ -3500,10 +3630,12 @@
         'work',
         'crashes',
         'limits',
+        'duties',
+        'wall_ms',
     )
 
 
-    def __init__(self, sender=None, topics=None, rows=None, peers=None, reports=None, statuses=None, work=None, crashes=None, limits=None,):
+    def __init__(self, sender=None, topics=None, rows=None, peers=None, reports=None, statuses=None, work=None, crashes=None, limits=None, duties=None, wall_ms=None,):
         self.sender = sender
         self.topics = topics
         self.rows = rows
@@ -3513,6 +3645,8 @@
         self.work = work
         self.crashes = crashes
         self.limits = limits
+        self.duties = duties
+        self.wall_ms = wall_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3617,6 +3751,22 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.duties = []
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = DutyLease()
+                        _elem151.read(iprot)
+                        self.duties.append(_elem151)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.wall_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3634,57 +3784,176 @@
         if self.topics is not None:
             oprot.writeFieldBegin('topics', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.topics))
-            for iter146 in self.topics:
-                iter146.write(oprot)
+            for iter152 in self.topics:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter147 in self.rows:
-                iter147.write(oprot)
+            for iter153 in self.rows:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter148 in self.peers:
-                iter148.write(oprot)
+            for iter154 in self.peers:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter149 in self.reports:
-                iter149.write(oprot)
+            for iter155 in self.reports:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.statuses))
-            for iter150 in self.statuses:
-                iter150.write(oprot)
+            for iter156 in self.statuses:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter151 in self.work:
-                iter151.write(oprot)
+            for iter157 in self.work:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter152 in self.crashes:
-                iter152.write(oprot)
+            for iter158 in self.crashes:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter153 in self.limits:
-                iter153.write(oprot)
+            for iter159 in self.limits:
+                iter159.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.duties is not None:
+            oprot.writeFieldBegin('duties', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.duties))
+            for iter160 in self.duties:
+                iter160.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wall_ms is not None:
+            oprot.writeFieldBegin('wall_ms', TType.I64, 11)
+            oprot.writeI64(self.wall_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UsageCounts(object):
+    """
+    Attributes:
+     - window
+     - organisations
+     - counts
+
+    """
+
+    __slots__ = (
+        'window',
+        'organisations',
+        'counts',
+    )
+
+
+    def __init__(self, window=None, organisations=None, counts=None,):
+        self.window = window
+        self.organisations = organisations
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.organisations = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.organisations.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = iprot.readI64()
+                        self.counts.append(_elem172)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UsageCounts')
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 1)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.organisations is not None:
+            oprot.writeFieldBegin('organisations', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.organisations))
+            for iter173 in self.organisations:
+                oprot.writeString(iter173.encode('utf-8') if sys.version_info[0] == 2 else iter173)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.counts))
+            for iter174 in self.counts:
+                oprot.writeI64(iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3710,6 +3979,309 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class NodeUsage(object):
+    """
+    Attributes:
+     - node
+     - incarnation
+     - complete_below
+     - windows
+
+    """
+
+    __slots__ = (
+        'node',
+        'incarnation',
+        'complete_below',
+        'windows',
+    )
+
+
+    def __init__(self, node=None, incarnation=None, complete_below=None, windows=None,):
+        self.node = node
+        self.incarnation = incarnation
+        self.complete_below = complete_below
+        self.windows = windows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.complete_below = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.windows = []
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = UsageCounts()
+                        _elem180.read(iprot)
+                        self.windows.append(_elem180)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NodeUsage')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.complete_below is not None:
+            oprot.writeFieldBegin('complete_below', TType.I64, 3)
+            oprot.writeI64(self.complete_below)
+            oprot.writeFieldEnd()
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter181 in self.windows:
+                iter181.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PushUsage(object):
+    """
+    Attributes:
+     - nodes
+     - fixed
+     - relay
+     - closed_below
+
+    """
+
+    __slots__ = (
+        'nodes',
+        'fixed',
+        'relay',
+        'closed_below',
+    )
+
+
+    def __init__(self, nodes=None, fixed=None, relay=None, closed_below=None,):
+        self.nodes = nodes
+        self.fixed = fixed
+        self.relay = relay
+        self.closed_below = closed_below
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.nodes = []
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = NodeUsage()
+                        _elem187.read(iprot)
+                        self.nodes.append(_elem187)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.fixed = []
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = UsageCounts()
+                        _elem193.read(iprot)
+                        self.fixed.append(_elem193)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.relay = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.closed_below = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PushUsage')
+        if self.nodes is not None:
+            oprot.writeFieldBegin('nodes', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.nodes))
+            for iter194 in self.nodes:
+                iter194.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.fixed is not None:
+            oprot.writeFieldBegin('fixed', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.fixed))
+            for iter195 in self.fixed:
+                iter195.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.relay is not None:
+            oprot.writeFieldBegin('relay', TType.BOOL, 3)
+            oprot.writeBool(self.relay)
+            oprot.writeFieldEnd()
+        if self.closed_below is not None:
+            oprot.writeFieldBegin('closed_below', TType.I64, 4)
+            oprot.writeI64(self.closed_below)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PushUsageReply(object):
+    """
+    Attributes:
+     - closed_below
+
+    """
+
+    __slots__ = (
+        'closed_below',
+    )
+
+
+    def __init__(self, closed_below=None,):
+        self.closed_below = closed_below
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.closed_below = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PushUsageReply')
+        if self.closed_below is not None:
+            oprot.writeFieldBegin('closed_below', TType.I64, 1)
+            oprot.writeI64(self.closed_below)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -3959,6 +4531,16 @@
     (4, TType.I32, 'age_ms', None, None, ),  # 4
     (5, TType.BOOL, 'wanted', None, None, ),  # 5
 )
+all_structs.append(DutyLease)
+DutyLease.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'duty', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'node', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'token', None, None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
+)
 all_structs.append(Sync)
 Sync.thrift_spec = (
     None,  # 0
@@ -3979,6 +4561,36 @@
     (7, TType.LIST, 'work', (TType.STRUCT, [UpstreamWork, None], False), None, ),  # 7
     (8, TType.LIST, 'crashes', (TType.STRUCT, [CrashEvidence, None], False), None, ),  # 8
     (9, TType.LIST, 'limits', (TType.STRUCT, [UpstreamLimit, None], False), None, ),  # 9
+    (10, TType.LIST, 'duties', (TType.STRUCT, [DutyLease, None], False), None, ),  # 10
+    (11, TType.I64, 'wall_ms', None, None, ),  # 11
+)
+all_structs.append(UsageCounts)
+UsageCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window', None, None, ),  # 1
+    (2, TType.LIST, 'organisations', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'counts', (TType.I64, None, False), None, ),  # 3
+)
+all_structs.append(NodeUsage)
+NodeUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'complete_below', None, None, ),  # 3
+    (4, TType.LIST, 'windows', (TType.STRUCT, [UsageCounts, None], False), None, ),  # 4
+)
+all_structs.append(PushUsage)
+PushUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'nodes', (TType.STRUCT, [NodeUsage, None], False), None, ),  # 1
+    (2, TType.LIST, 'fixed', (TType.STRUCT, [UsageCounts, None], False), None, ),  # 2
+    (3, TType.BOOL, 'relay', None, None, ),  # 3
+    (4, TType.I64, 'closed_below', None, None, ),  # 4
+)
+all_structs.append(PushUsageReply)
+PushUsageReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'closed_below', None, None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/radishcourse_wire/messages.py
+++ b/packages/wire/src/radishcourse_wire/messages.py
@@ -14,6 +14,7 @@
     RELEASE_PERMIT = (4, ttypes.ReleasePermit, ttypes.ReleasePermitReply)
     SYNC = (5, ttypes.Sync, ttypes.SyncReply)
     SETTLE_SESSION = (6, ttypes.SettleSession, ttypes.SettleSessionReply)
+    PUSH_USAGE = (7, ttypes.PushUsage, ttypes.PushUsageReply)
 
     @property
     def number(self) -> int:
--- a/tests/site.py
+++ b/tests/site.py
@@ -33,6 +33,8 @@
       crash_point: When such a prompt crashes them.
       retry_slack: Bound of the gateways' settings with this meaning.
       grace_s: Bound of the gateways' settings with this meaning.
+      control_api: Address of the second interface; empty for none.
+      bounds: More bounds of the gateways' settings, by name.
 
     Attributes:
       store: The row store.
@@ -50,6 +52,8 @@
         crash_point: str = 'head',
         retry_slack: int = sitefiles.RETRY_SLACK,
         grace_s: float = sitefiles.GRACE_S,
+        control_api: str = '',
+        bounds: dict[str, float] | None = None,
     ):
         self._processes = started_processes
         self._link_workers = link_workers
@@ -58,6 +62,8 @@
         self._crash_point = crash_point
         self._retry_slack = retry_slack
         self._grace_s = grace_s
+        self._control_api = control_api
+        self._bounds = bounds
         self._addresses: dict[str, str] = {}
         self._launches: dict[str, tuple] = {}
         self.store = started_processes.stand_in('rowstore')
@@ -217,6 +223,9 @@
         host = f'127.{network}.0.{next(_host_octets)}'
         front, ready, peer = (processes.free_port() for _ in range(3))
         store = self._link(name, self.store.address)
+        control_api = self._control_api and self._link(
+            f'{name}/control', self._control_api
+        )
         settings = sitefiles.settings(
             name,
             host,
@@ -226,6 +235,8 @@
             store,
             self._retry_slack,
             self._grace_s,
+            control_api,
+            self._bounds,
         )
         self._launches[name] = (host, front, settings)
         process = self._processes.gateway(name, host, front, settings)
--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -95,6 +95,8 @@
     store: str,
     retry_slack: int = RETRY_SLACK,
     grace_s: float = GRACE_S,
+    control_api: str = '',
+    bounds: dict[str, float] | None = None,
 ) -> str:
     """Returns the settings file of a gateway.
 
@@ -107,7 +109,20 @@
       store: Address of the store.
       retry_slack: Retries of all gateways beyond their share of the requests.
       grace_s: Seconds between SIGTERM and SIGKILL.
+      control_api: Address of the second interface; empty for none.
+      bounds: More bounds by name.
     """
+    more = '\n'.join(
+        f'{key} = {value}' for key, value in (bounds or {}).items()
+    )
+    duties = ''
+    if control_api:
+        duties = f"""
+[cloudApi]
+address = "{control_api}"
+duties = ["metering", "unknown"]
+dutiesPerS = 20
+"""
     return f"""
 node = "{name}"
 ip = "{host}"
@@ -132,6 +147,7 @@
 coldSlack = 5
 drainMs = 2000
 configApplyMs = 2000
+{more}
 [platform]
 address = "{store}"
-"""
+{duties}"""
