--- a/packages/policy/src/radishcourse_policy/dutylease.py
+++ b/packages/policy/src/radishcourse_policy/dutylease.py
@@ -262,10 +262,9 @@
     def note_unclear(self) -> None:
         """Records that the last write failed, and may have taken effect.
 
-        A renewal is sent again with the same expectation; an acquisition is
-        resolved by reading the row.
+        The row tells whether it did. It is read before the next write.
         """
-        self._unclear = self._held is None
+        self._unclear = True
 
     def note_conflict(self) -> None:
         """Records that the row did not have the expected version.
