--- a/packages/gateway/src/radishcourse_gateway/usagepush.py
+++ b/packages/gateway/src/radishcourse_gateway/usagepush.py
@@ -110,17 +110,18 @@
                     )
 
     def _choose(self, holder: str, candidates) -> list[_Receiver]:
-        """Returns the holder and its deputy, as far as they are other nodes."""
+        """Returns the holder and its deputy, as far as they are other nodes.
+
+        A deputy that becomes the holder is a new receiver: it needs what this
+        node knows of others.
+        """
         deputy = next((p for p in candidates if p.node != holder), None)
         peers = [peer for peer in candidates if peer.node == holder]
         peers += [deputy] if deputy is not None else []
-        self._receivers = {
-            (peer.node, peer.incarnation): self._receivers.get(
-                (peer.node, peer.incarnation)
-            )
-            or _Receiver(peer)
-            for peer in peers
-        }
+        before, self._receivers = self._receivers, {}
+        for peer in peers:
+            key = (peer.node, peer.incarnation, peer.node == holder)
+            self._receivers[key] = before.get(key) or _Receiver(peer)
         receivers = list(self._receivers.values())
         self._deputy = receivers[-1] if deputy is not None else None
         return receivers
--- a/packages/gateway/src/radishcourse_gateway/usagereports.py
+++ b/packages/gateway/src/radishcourse_gateway/usagereports.py
@@ -221,10 +221,12 @@
         """Records a window's counts in the store, unless they are there.
 
         Raises:
-          PlatformError: The store did not respond. The counts are fixed, and
-            recorded in a later step.
+          PlatformError: The store did not respond; a later step tries again.
         """
-        counts = self._reports.fix(window, self._tallies.total(window))
+        # The store may have lost counts that were recorded, and sent.
+        counts = self._reports.recorded.get(window)
+        if counts is None:
+            counts = self._tallies.total(window)
         key = interfaces.RowKey(TABLE, str(window))
         first_row = window if self._rows_from is None else self._rows_from
         removed = range(
--- a/packages/policy/src/radishcourse_policy/usagewindows.py
+++ b/packages/policy/src/radishcourse_policy/usagewindows.py
@@ -221,8 +221,8 @@
 class Reports:
     """The reports of closed windows, as a holder or its deputy knows them.
 
-    The counts of a window are fixed before they are written, and sent only once
-    they are known to be recorded in the store.
+    The counts of a window are sent only once they are known to be recorded in
+    the store, which takes the first record of a window and no other.
 
     Attributes:
       recorded: Counts by window that are, or were, recorded in the store.
@@ -232,27 +232,15 @@
     """
 
     def __init__(self):
-        self._fixed: dict[int, Counts] = {}
         self.recorded: dict[int, Counts] = {}
         self.accepted: set[int] = set()
         self.next_window: int | None = None
         self.closed_below = 0
         self._term_start = 0
 
-    def fix(self, window: int, counts: Counts) -> Counts:
-        """Fixes the counts to record for a window, unless they are.
-
-        Returns:
-          The fixed counts, or those that were recorded before.
-        """
-        if window in self.recorded:
-            return self.recorded[window]
-        return self._fixed.setdefault(window, dict(counts))
-
     def record(self, window: int, counts: Counts) -> None:
         """Records that the store has, or had, these counts of a window."""
         self.recorded[window] = counts
-        self._fixed.pop(window, None)
         self.note_closed_below(window + 1)
 
     def note_closed_below(self, window: int) -> None:
@@ -300,7 +288,6 @@
 
     def forget(self, below: int) -> None:
         """Drops windows below one."""
-        for known in (self._fixed, self.recorded):
-            for window in [item for item in known if item < below]:
-                del known[window]
+        for window in [item for item in self.recorded if item < below]:
+            del self.recorded[window]
         self.accepted = {item for item in self.accepted if item >= below}
