Test usage reports of real gateways, and drop calls that timed out

Calls that were written while the link to the second interface was cut arrived when it was back, after those of the next holder: their connections were closed, but the system went on delivering.

--- a/packages/platform/src/radishcourse_platform/http.py
+++ b/packages/platform/src/radishcourse_platform/http.py
@@ -1,6 +1,8 @@
 """HTTP client that maps failures to the errors of this package."""
 
 import contextlib
+import socket
+import struct
 import typing
 
 import anyio
@@ -10,6 +12,13 @@
 
 DEFAULT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 16
+# Closes a connection with a reset. What the system has not delivered is dropped
+# then; else it would try for minutes.
+_RESET_ON_CLOSE = (
+    socket.SOL_SOCKET,
+    socket.SO_LINGER,
+    struct.pack('ii', 1, 0),
+)
 # Limit on a body of the platform. Its largest replies are objects that hold an
 # answer of a service, which has the same limit.
 MAX_BODY_BYTES = 16 * 2**20
@@ -99,6 +108,7 @@
       base_url: Scheme, IP address and port.
       timeout_s: Limit in seconds on a whole call, including the body.
       max_body_bytes: Limit on the body of a response.
+      reset_on_close: Whether a call that timed out must not be delivered later.
     """
 
     def __init__(
@@ -106,12 +116,14 @@
         base_url: str,
         timeout_s: float = DEFAULT_TIMEOUT_S,
         max_body_bytes: int = MAX_BODY_BYTES,
+        reset_on_close: bool = False,
     ):
         self._base_url = base_url.rstrip('/')
         self._timeout_s = timeout_s
         self._max_body_bytes = max_body_bytes
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS
+            max_connections=MAX_CONNECTIONS,
+            socket_options=[_RESET_ON_CLOSE] if reset_on_close else None,
         )
 
     async def call(
@@ -186,13 +198,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_client(
-    base_url: str,
-    timeout_s: float = DEFAULT_TIMEOUT_S,
-    max_body_bytes: int = MAX_BODY_BYTES,
-):
-    """Yields a `Client` and closes it on exit."""
-    client = Client(base_url, timeout_s, max_body_bytes)
+async def open_client(base_url: str, *arguments, **options):
+    """Yields a `Client`, made with the same arguments; closes it on exit."""
+    client = Client(base_url, *arguments, **options)
     try:
         yield client
     finally:
--- a/packages/standins/src/radishcourse_standins/controlapi.py
+++ b/packages/standins/src/radishcourse_standins/controlapi.py
@@ -46,6 +46,16 @@
     delay_s: float = 0.0
 
 
+class _Thaw(msgspec.Struct):
+    """Says that a link recovers or a node wakes now.
+
+    Attributes:
+      seconds: Time for which calls are taken but not judged.
+    """
+
+    seconds: float
+
+
 class _Usage(msgspec.Struct, rename='camel'):
     window_id: int
     counts: dict[str, int]
@@ -70,11 +80,13 @@
         self._reports: list[dict] = []
         self._orders: list[dict] = []
         self._refused = 0
+        self._judges_from = 0.0
         self.app = asgi.App()
         for method, path, handler in (
             ('POST', '/usage', self._usage),
             ('POST', '/scale', self._scale),
             ('POST', '/control/faults', self._set_faults),
+            ('POST', '/control/thaw', self._thaw),
             ('GET', '/control/calls', self._list),
         ):
             self.app.route(method, path)(handler)
@@ -128,7 +140,8 @@
             request.headers['x-lease-holder'],
             int(request.headers['x-fencing-token']),
         )
-        self._rules.note(call)
+        if call.at >= self._judges_from:
+            self._rules.note(call)
         return call
 
     async def _respond(self) -> asgi.Response:
@@ -145,6 +158,11 @@
         self._faults = request.json(Faults)
         return asgi.reply({})
 
+    async def _thaw(self, request: asgi.Request) -> asgi.Response:
+        seconds = request.json(_Thaw).seconds
+        self._judges_from = anyio.current_time() + seconds
+        return asgi.reply({})
+
     async def _list(self, request: asgi.Request) -> asgi.Response:
         del request
         return asgi.reply(
