Learn the speed of upstreams from their answers

All upstreams of a service were taken to be equally fast, so one that takes 1.7 times as long got as many requests as one that takes 0.7 times. A node now compares the time to the head per expected work and the pace of streams with the mean of the same route and model, by incarnation. An upstream that is not measurably different (four standard errors, 15%) counts as exactly 1, so that services with even upstreams are chosen as before. Slower upstreams are drawn less often and their expected time is longer; a slow phase is a penalty that is forgotten within a second.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -264,7 +264,7 @@
                 request, plan, listed, connection, head, not_run
             )
         self._load.note_response(listed.upstream.upstream_id, failed=False)
-        self._targets.note_head(request, plan, seconds)
+        self._targets.note_head(request, plan, listed, seconds)
         if self._escalations.escalate(request, plan, head):
             return NextStep.AGAIN
         if _is_stream(request, head):
@@ -357,9 +357,13 @@
         if not plan.begun:
             plan.version = listed.upstream.version
             headers = inboundrequest.caller_headers(head.headers)
-        with self._rollouts.counts.measure_pace(
-            listed, request.route.name, plan.model or ''
-        ) as note_events:
+        names = (request.route.name, plan.model or '')
+        with (
+            self._rollouts.counts.measure_pace(listed, *names) as note_events,
+            self._targets.expected_load.measure_pace(
+                listed, *names
+            ) as note_pace,
+        ):
             while True:
                 with self._attempt_timeout.between_events(request, plan):
                     complete = await splitter.receive(connection)
@@ -367,6 +371,7 @@
                     break
                 plan.progress_at = self._clock.now()
                 note_events(splitter.count - 1)
+                note_pace(splitter.count - 1)
                 if not plan.begun:
                     plan.begun = True
                     await out.start(head.status, headers)
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -237,7 +237,9 @@
             if confirmed_at is not None:
                 age = self.environment.clock.now() - confirmed_at
                 gauges[f'radishcourse_{table.value}_age_seconds'] = age
-        return self.metrics.render(gauges)
+        return self.metrics.render(
+            gauges, self.targets.expected_load.labelled_gauges()
+        )
 
     def set_log_sink(self, sink) -> None:
         """Sets the log sink whose dropped lines the metrics report."""
@@ -318,6 +320,7 @@
                 self.view.apply(self.replica.take_due(table), 'restored')
             self.load.forget(self.view.upstreams)
             self.crashes.forget(present)
+            self.targets.expected_load.forget(present)
             directory = self.view.directory
             if directory is not None:
                 limit = directory.limits.idle_timeout_s
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -6,6 +6,7 @@
 import typing
 
 from radishcourse_gateway import errors
+from radishcourse_gateway import expectedload
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
@@ -22,9 +23,6 @@
 # request: about one heartbeat, after which an upstream may be listed again. The
 # delays are spread over as long a time.
 RETRY_AFTER_S = 1.0
-# An upstream that this many other nodes have ejected is avoided here too. A
-# single node may itself be cut off.
-MIN_EJECTING_NODES = 2
 
 
 @dataclasses.dataclass
@@ -94,6 +92,9 @@
 
     Args:
       gateway: Provides the view, load, peers and roll-outs.
+
+    Attributes:
+      expected_load: Expected load and observed speed of upstreams.
     """
 
     def __init__(self, gateway):
@@ -105,6 +106,7 @@
         self._peers = gateway.peers
         self._rollouts = gateway.rollouts
         self._limits = gateway.limits
+        self.expected_load = expectedload.ExpectedLoad(gateway)
         self._prefill_rates = prefill.PrefillRates()
         self._mean_work = namedlimits.MeanWork()
 
@@ -206,18 +208,7 @@
     def _candidate(
         self, listed: views.ListedUpstream
     ) -> loadbalancing.Candidate:
-        upstream = listed.upstream.upstream_id
-        requests, waiting_s = self._load.own_work(upstream)
-        others = self._peers.others_work(upstream)
-        ejected = self._load.is_ejected(upstream)
-        return loadbalancing.Candidate(
-            upstream,
-            waiting_s + others.waiting_s,
-            requests + others.requests,
-            listed.upstream.slots,
-            ejected or others.ejecting_nodes >= MIN_EJECTING_NODES,
-            self._limits.is_limited(listed),
-        )
+        return self.expected_load.candidate(listed)
 
     def prefill_s(
         self,
@@ -274,9 +265,20 @@
         )
 
     def note_head(
-        self, request: inboundrequest.InboundRequest, plan: Plan, seconds: float
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: Plan,
+        listed: views.ListedUpstream,
+        seconds: float,
     ) -> None:
-        """Updates the prefill estimate with the time to a response's head."""
+        """Updates the estimates with the time to a response's head."""
+        self.expected_load.note_head(
+            listed,
+            request.route.name,
+            plan.model or '',
+            seconds,
+            self.prefill_s(request, plan),
+        )
         if request.size is not None:
             self._prefill_rates.update(
                 plan.service,
--- a/packages/node/src/radishcourse_node/metrics.py
+++ b/packages/node/src/radishcourse_node/metrics.py
@@ -56,15 +56,27 @@
             for (series, organisation, kind), item in self._histograms.items()
         }
 
-    def render(self, gauges: dict[str, float]) -> str:
+    def render(
+        self,
+        gauges: dict[str, float],
+        labelled: dict[tuple[str, str], dict[str, float]] | None = None,
+    ) -> str:
         """Returns the metrics in the Prometheus text format.
 
         Args:
           gauges: Gauge values by metric name.
+          labelled: Gauge values by the value of a label, by the metric's name
+            and the label's.
         """
         lines = []
         for name, value in gauges.items():
             lines += [f'# TYPE {name} gauge', f'{name} {value}']
+        for (name, label), values in (labelled or {}).items():
+            lines.append(f'# TYPE {name} gauge')
+            lines += [
+                f'{name}{_labels((label,), (item,))} {value}'
+                for item, value in values.items()
+            ]
         lines.append('# TYPE radishcourse_requests_total counter')
         for labels, count in self._counters.items():
             label_text = _labels(('organisation', 'kind', 'outcome'), labels)
--- a/packages/policy/src/radishcourse_policy/loadbalancing.py
+++ b/packages/policy/src/radishcourse_policy/loadbalancing.py
@@ -36,14 +36,19 @@
       slots: Requests that it runs at once.
       failing: Whether its latest requests failed.
       limited: Whether it names a limit, of which this node may use a share now.
+      speed: Time that it takes for the same work, relative to its service; 1
+        for upstreams that are not measurably different.
+      penalty_s: Expected delay as it has refused requests as full just now.
     """
 
     upstream: ids.UpstreamId
     waiting_s: float
-    in_flight: int
+    in_flight: float
     slots: int
     failing: bool = False
     limited: bool = False
+    speed: float = 1.0
+    penalty_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,7 +86,7 @@
         preferred = max(
             free, key=lambda item: rendezvous_weight(prompt.key, item.upstream)
         )
-    sampled = source.sample(free, min(SAMPLE_SIZE, len(free)))
+    sampled = _sample(free, min(SAMPLE_SIZE, len(free)), source)
     if preferred is not None:
         sampled.append(preferred)
     # A share of a limit that is not used is lost, and in a large fleet only a
@@ -94,11 +99,33 @@
         saved_s = prompt.saved_s if item is preferred else 0.0
         load_s = SECONDS_PER_REQUEST * item.in_flight
         excess_s = max(0, item.in_flight - item.slots)
-        return item.waiting_s + load_s + excess_s - saved_s
+        work_s = item.waiting_s + load_s + excess_s - saved_s
+        return item.speed * work_s + item.penalty_s
 
     return min(sampled, key=expected_s)
 
 
+def _sample(
+    candidates: list[Candidate], count: int, source: random.Random
+) -> list[Candidate]:
+    """Returns a random sample, in random order so that ties are at random.
+
+    An upstream that is twice as slow holds its slots twice as long, so it is
+    drawn half as often. Without this weight it would get as many requests as
+    the others wherever the reports of load are too old to tell them apart.
+    """
+    if all(item.speed == 1.0 for item in candidates):
+        return source.sample(candidates, count)
+    # The keys of weighted sampling without replacement: the first points of
+    # Poisson processes with the weights as rates.
+    keys = {
+        item.upstream: source.expovariate(1.0) * item.speed / item.slots
+        for item in candidates
+    }
+    ranked = sorted(candidates, key=lambda item: keys[item.upstream])
+    return ranked[:count]
+
+
 def rendezvous_weight(key: str, upstream: ids.UpstreamId) -> int:
     """Returns an upstream's weight for a key in rendezvous hashing.
 
--- /dev/null
+++ b/packages/policy/src/radishcourse_policy/upstreamspeed.py
@@ -0,0 +1,279 @@
+"""Speed of each upstream relative to its service, learned from its answers.
+
+The times of answers that pass anyway tell the speed: the time to the head per
+expected work, and the pace of streams, by model. They are compared with the
+mean of the same kind of request over all upstreams of the service.
+
+Load pattern: upstreams of one service that take 0.7 to 1.7 times the nominal
+time, and phases of 0.6 s in which an upstream takes 2.5 times as long. A phase
+is no property of the upstream, so it is remembered for a short time only and
+never takes the upstream out of service.
+"""
+
+import dataclasses
+import math
+import typing
+
+from radishcourse_model import ids
+
+# Answers within this time count as one observation: streams of one upstream
+# share its steps, and a slow phase lasts about as long.
+OBSERVATION_S = 0.6
+# Observations before an upstream may count as different, and the number over
+# which they are averaged, about half a minute of continuous streams.
+MIN_OBSERVATIONS = 8
+WINDOW_OBSERVATIONS = 48
+# An upstream counts as different if the mean logarithm differs from 0 by this
+# much and by this many standard errors, and as equal again below the lower
+# bound. The test is repeated with each observation, so four standard errors.
+MIN_DIFFERENCE = 0.15
+EQUAL_DIFFERENCE = 0.08
+STANDARD_ERRORS = 4.0
+# Least standard deviation of an observation; a few alike do not prove more.
+MIN_DEVIATION = 0.1
+# Weight of the newest observation in the variance over a service's upstreams.
+# Some upstreams happen to have no slow phase for many observations; their own
+# variance alone would prove them fast.
+VARIANCE_WEIGHT = 0.02
+# The mean is shrunk towards 0 as by so many observations of equal speed.
+PRIOR_OBSERVATIONS = 4.0
+# Bounds of the factor; times beyond them show a fault, not a speed.
+MAX_FACTOR = 4.0
+# Weight of the newest answer in the mean of its kind.
+KIND_MEAN_WEIGHT = 0.05
+# An answer this many times slower than its upstream's others begins a phase;
+# the memory of it halves in 0.2 s, a third of a phase.
+PHASE_RATIO = 1.8
+PHASE_MEMORY_S = 0.3
+# Events over which the pace of a stream is measured.
+PACE_EVENTS = 8
+# Shorter times tell more of this process than of the upstream.
+MIN_HEAD_S = 0.005
+MIN_PACE_S = 0.0005
+# Streams of an upstream share its steps. One with all slots in use is taken to
+# be this much slower than an empty one; on the users' engines it is 1.8 to 2.1
+# times. A smaller value errs towards equal speeds.
+OCCUPIED_SLOWDOWN = 1.0
+# A change by this factor is told to operators.
+TOLD_CHANGE = 1.25
+
+
+class Change(typing.NamedTuple):
+    """A change of an upstream's speed that operators should see.
+
+    Attributes:
+      factor: Its time relative to the service's mean; 1 for equal.
+      observations: Observations behind it.
+    """
+
+    factor: float
+    observations: int
+
+
+@dataclasses.dataclass
+class _Upstream:
+    count: int = 0
+    mean: float = 0.0
+    variance: float = 0.0
+    differs: bool = False
+    told: float = 1.0
+    # Sum and number of the answers since `began_at`.
+    began_at: float = 0.0
+    sum: float = 0.0
+    answers: int = 0
+    # Excess of the latest slow answer, and its time.
+    phase: float = 0.0
+    phase_at: float = 0.0
+
+    @property
+    def factor(self) -> float:
+        if not self.differs:
+            return 1.0
+        shrunk = self.mean * self.count / (self.count + PRIOR_OBSERVATIONS)
+        return min(MAX_FACTOR, max(1 / MAX_FACTOR, math.exp(shrunk)))
+
+    def observe(self, value: float, usual_variance: float) -> None:
+        self.count = min(self.count + 1, WINDOW_OBSERVATIONS)
+        difference = value - self.mean
+        self.mean += difference / self.count
+        self.variance += (
+            difference * (value - self.mean) - self.variance
+        ) / self.count
+        bound = EQUAL_DIFFERENCE
+        if not self.differs:
+            variance = max(self.variance, usual_variance)
+            deviation = max(MIN_DEVIATION, math.sqrt(variance))
+            error = deviation / math.sqrt(self.count)
+            bound = max(MIN_DIFFERENCE, STANDARD_ERRORS * error)
+        self.differs = self.count >= MIN_OBSERVATIONS and abs(self.mean) > bound
+
+
+class Speeds:
+    """Learned speeds of upstreams.
+
+    An upstream is identified by its incarnation, so that a restart or another
+    version starts anew.
+
+    Args:
+      clock: Source of time.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._upstreams: dict[tuple, _Upstream] = {}
+        self._kind_means: dict[tuple, float] = {}
+        self._variances: dict[str, float] = {}
+
+    def note_head(
+        self, incarnation: tuple, kind: tuple, seconds: float, prefill_s: float
+    ) -> Change | None:
+        """Records the time to the head of an answer.
+
+        Args:
+          incarnation: The upstream.
+          kind: The service, route and model.
+          seconds: Time from sending the request to the head of the answer.
+          prefill_s: Expected prefill time of the prompt.
+
+        Returns:
+          The change of its speed, if operators should see it.
+        """
+        # The base keeps short prompts comparable with long ones.
+        ratio = max(seconds, MIN_HEAD_S) / (0.05 + prefill_s)
+        return self._note(incarnation, ('head', *kind), math.log(ratio))
+
+    def note_pace(
+        self,
+        incarnation: tuple,
+        kind: tuple,
+        seconds: float,
+        events: int,
+        occupied: float,
+    ) -> Change | None:
+        """Records the time that a few events of a stream took.
+
+        Args:
+          incarnation: The upstream.
+          kind: The service, route and model.
+          seconds: Time in which the events arrived.
+          events: Their number.
+          occupied: Expected share of the upstream's slots that are occupied.
+
+        Returns:
+          The change of its speed, if operators should see it.
+        """
+        pace_s = max(seconds / events, MIN_PACE_S)
+        pace_s /= 1 + OCCUPIED_SLOWDOWN * min(1.0, occupied)
+        return self._note(incarnation, ('pace', *kind), math.log(pace_s))
+
+    def _note(
+        self, incarnation: tuple, kind: tuple, value: float
+    ) -> Change | None:
+        mean = self._kind_means.setdefault(kind, value)
+        self._kind_means[kind] = mean + KIND_MEAN_WEIGHT * (value - mean)
+        ratio = value - mean
+        now = self._clock.now()
+        known = self._upstreams.setdefault(incarnation, _Upstream(began_at=now))
+        excess = ratio - known.mean
+        if excess > math.log(PHASE_RATIO):
+            known.phase = min(excess, math.log(MAX_FACTOR))
+            known.phase_at = now
+        elif excess < math.log(PHASE_RATIO) / 2:
+            known.phase = 0.0
+        if known.answers and now - known.began_at >= OBSERVATION_S:
+            self._observe(known, kind[1], known.sum / known.answers)
+            known.began_at, known.sum, known.answers = now, 0.0, 0
+        known.sum += ratio
+        known.answers += 1
+        return self._change(known)
+
+    def _observe(self, known: _Upstream, service: str, value: float) -> None:
+        variance = self._variances.get(service, 0.0)
+        known.observe(value, variance)
+        square = (value - known.mean) ** 2
+        self._variances[service] = variance + VARIANCE_WEIGHT * (
+            square - variance
+        )
+
+    def _change(self, known: _Upstream) -> Change | None:
+        factor = known.factor
+        if factor == known.told or (
+            factor != 1.0
+            and abs(math.log(factor / known.told)) < math.log(TOLD_CHANGE)
+        ):
+            return None
+        known.told = factor
+        return Change(factor, known.count)
+
+    def factor(self, incarnation: tuple) -> float:
+        """Returns an upstream's time relative to the mean of its service.
+
+        It is exactly 1 while the upstream is not measurably different.
+        """
+        known = self._upstreams.get(incarnation)
+        return 1.0 if known is None else known.factor
+
+    def current(self, incarnation: tuple) -> float:
+        """Returns the factor together with a slow phase that may go on."""
+        known = self._upstreams.get(incarnation)
+        if known is None:
+            return 1.0
+        if not known.phase:
+            return known.factor
+        age_s = self._clock.now() - known.phase_at
+        return known.factor * math.exp(
+            known.phase * math.exp(-age_s / PHASE_MEMORY_S)
+        )
+
+    def learned(self) -> dict[tuple, float]:
+        """Returns the factors of the upstreams that count as different."""
+        return {
+            incarnation: known.factor
+            for incarnation, known in self._upstreams.items()
+            if known.differs
+        }
+
+    def forget(self, present: set[tuple]) -> None:
+        """Drops the upstreams that are not present."""
+        for incarnation in self._upstreams.keys() - present:
+            del self._upstreams[incarnation]
+
+
+@dataclasses.dataclass
+class PaceMeter:
+    """Cuts a stream into stretches whose pace can be compared.
+
+    Attributes:
+      began_at: When the stretch began, in seconds.
+      events: Events of the stream by then.
+    """
+
+    began_at: float
+    events: int = 0
+
+    def stretch(self, now: float, events: int) -> tuple[float, int] | None:
+        """Returns the seconds and events of a stretch that is complete.
+
+        Args:
+          now: The time.
+          events: Events of the stream so far.
+        """
+        count = events - self.events
+        if count < PACE_EVENTS:
+            return None
+        seconds = now - self.began_at
+        self.began_at, self.events = now, events
+        return seconds, count
+
+
+def capacity(slots: int, factor: float) -> float:
+    """Returns what an upstream works off, in slots of one of equal speed.
+
+    One that is twice as slow holds its slots twice as long.
+    """
+    return slots / factor
+
+
+def of_ids(learned: dict[tuple, float]) -> dict[ids.UpstreamId, float]:
+    """Returns learned factors by the upstream's id, for metrics."""
+    return {incarnation[0]: factor for incarnation, factor in learned.items()}
