Tell peers learned speeds, weigh refusals and long prompts

Every second entry of a report carries the node's own observations in two bytes, which leaving out the flag of upstreams that are not ejected has saved, so that a report never grows.

A refusal as full no longer ejects the upstream at this node, which sent all its requests to the others and was believed by peers for seconds. It adds an expected delay that fades within about one request's time. A prompt of a second of prefill or more compares eight upstreams and avoids those where shorter ones wait. Reports decay within two service times and differences below half a request are ties, since 37 of 71 nodes with the same news, 16 service times old, still chose alike by the rest of its weight.

--- a/packages/gateway/src/radishcourse_gateway/expectedload.py
+++ b/packages/gateway/src/radishcourse_gateway/expectedload.py
@@ -10,6 +10,7 @@
 from radishcourse_policy import evenload
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import upstreamspeed
+from radishcourse_wire.gen.peer import ttypes
 
 # An upstream that this many other nodes have ejected is avoided here too. A
 # single node may itself be cut off.
@@ -34,6 +35,8 @@
         self._peers = gateway.peers
         self._limits = gateway.limits
         self._speeds = upstreamspeed.Speeds(self._clock)
+        self._reports = 0
+        self._peers.speeds = self
         self._preferences = loadbalancing.Preferences()
         # Levels by service and version, and when they are to be renewed.
         self._levels: dict[tuple, tuple[float, evenload.Level]] = {}
@@ -54,6 +57,7 @@
             ejected or work.known.ejecting_nodes >= MIN_EJECTING_NODES,
             self._limits.is_limited(listed),
             self._speeds.current(listed.incarnation),
+            self._load.full_penalty_s(upstream),
         )
 
     def choose(
@@ -203,6 +207,36 @@
             observations=change.observations,
         )
 
+    def add_speeds(
+        self, work: list[ttypes.UpstreamWork]
+    ) -> list[ttypes.UpstreamWork]:
+        """Adds what this node has observed of speeds to a report of work.
+
+        Every second entry, by turns, has two bytes for it: as many as are
+        saved by leaving out for each that it is not ejected.
+        """
+        self._reports += 1
+        for item in work[self._reports % 2 :: 2]:
+            listed = self._view.upstreams.get(ids.UpstreamId(item.upstream))
+            if listed is not None and not item.doubted:
+                item.speed = self._speeds.report(listed.incarnation)
+        return work
+
+    def merge_speeds(
+        self, node: ids.NodeId, work: list[ttypes.UpstreamWork]
+    ) -> None:
+        """Adds what another node has observed of speeds."""
+        for item in work:
+            listed = self._view.upstreams.get(ids.UpstreamId(item.upstream))
+            if listed is not None and item.speed is not None:
+                change = self._speeds.merge(
+                    node,
+                    listed.incarnation,
+                    listed.upstream.service,
+                    item.speed,
+                )
+                self._log(listed, change)
+
     def labelled_gauges(self) -> dict[tuple[str, str], dict[str, float]]:
         """Returns gauges by metric name and label, and by the label's value."""
         speeds = upstreamspeed.of_ids(self._speeds.learned())
--- a/packages/gateway/src/radishcourse_gateway/load.py
+++ b/packages/gateway/src/radishcourse_gateway/load.py
@@ -14,8 +14,6 @@
 # them. It doubles with each consecutive failure.
 BASE_EJECTION_S = 0.5
 MAX_EJECTION_S = 8.0
-# Ejection time of a full upstream, which is free again after about one request.
-FULL_EJECTION_S = 0.2
 # Shorter times of requests count as this one.
 MIN_SERVICE_S = 0.01
 # Weight of the newest response in the moving average of failed responses, and
@@ -32,6 +30,9 @@
     failed_share: float = 0.0
     ejected_until: float = 0.0
     service_s: float | None = None
+    full: evenload.FullPenalty = dataclasses.field(
+        default_factory=evenload.FullPenalty
+    )
     cold_bucket: coldrate.TokenBucket | None = None
 
 
@@ -125,8 +126,26 @@
             health.failed_share = MAX_FAILED_SHARE / 2
 
     def note_full(self, upstream: ids.UpstreamId) -> None:
-        """Ejects an upstream that refused a request because it was full."""
-        self._eject(upstream, self._health(upstream), FULL_EJECTION_S, 'full')
+        """Records that an upstream refused a request because it was full."""
+        health = self._health(upstream)
+        service_s = self.service_s(upstream)
+        penalty_s = health.full.add(self._clock.now(), service_s)
+        events.log(
+            events.Event.UPSTREAM_DOUBTED,
+            upstream=upstream,
+            reason='full',
+            seconds=round(service_s, 3),
+            penalty_s=round(penalty_s, 3),
+            failures=health.failures,
+            failed_share=round(health.failed_share, 3),
+        )
+
+    def full_penalty_s(self, upstream: ids.UpstreamId) -> float:
+        """Returns the expected delay at an upstream that was full of late."""
+        health = self._by_upstream.get(upstream)
+        if health is None:
+            return 0.0
+        return health.full.seconds(self._clock.now(), self.service_s(upstream))
 
     def note_broken(self, upstream: ids.UpstreamId, reason: str) -> None:
         """Ejects an upstream after a failed connection or a timeout."""
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -111,6 +111,7 @@
         self.load = None
         self.crashes = None
         self.limits = None
+        self.speeds = None
 
     @property
     def _settings(self) -> gateway_settings.Settings:
@@ -339,11 +340,15 @@
             self._peer_records(now) if request.full else None,
             self.rollouts.reports() if self.rollouts else [],
             self.rollouts.statuses() if self.rollouts else [],
-            self.load.reported_work() if self.load else [],
+            self._reported_work(),
             self._crash_evidence(request, now),
             (self.limits.reports() if self.limits else None) or None,
         )
 
+    def _reported_work(self) -> list[ttypes.UpstreamWork]:
+        work = self.load.reported_work() if self.load else []
+        return self.speeds.add_speeds(work) if self.speeds else work
+
     def _crash_evidence(
         self, request: ttypes.Sync, now: float
     ) -> list[ttypes.CrashEvidence] | None:
@@ -411,6 +416,8 @@
         if peer is not None:
             peer.note_report(reply, now)
             self._work.replace(peer.node, peerstate.work_of(reply))
+            if self.speeds is not None:
+                self.speeds.merge_speeds(peer.node, reply.work or [])
         if self.limits is not None and reply.limits:
             self.limits.merge(reply.limits)
         if self.rollouts is not None:
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -248,8 +248,9 @@
     def _prompt(
         self, request: inboundrequest.InboundRequest, plan: Plan
     ) -> loadbalancing.Prompt:
+        prefill_s = self.prefill_s(request, plan)
         if request.prefix_key is None or request.size is None:
-            return loadbalancing.Prompt()
+            return loadbalancing.Prompt(prefill_s=prefill_s)
         size = request.size
         saved_work = prefill.weighted_tokens(
             size.prompt
@@ -260,6 +261,7 @@
             self._prefill_rates.seconds(
                 plan.service, plan.model or '', saved_work
             ),
+            prefill_s=prefill_s,
         )
 
     def note_head(
--- a/packages/policy/src/radishcourse_policy/evenload.py
+++ b/packages/policy/src/radishcourse_policy/evenload.py
@@ -17,28 +17,36 @@
 
 from radishcourse_model import ids
 
-# Time constant with which the weight of a load report decays, in mean service
-# times. With 1 and 2 the p99 time to the first token was higher in every
-# trial (docs/policies/placement.md).
+# Time constant with which the weight of an upstream's own load report decays,
+# in mean service times. With 1 and 2 the p99 time to the first token was higher
+# in every trial (docs/policies/placement.md).
 REPORT_DECAY_SERVICES = 0.5
+# The same for reports of single nodes. A slow upstream stays busier than others
+# for longer than a request takes, and the mean of many reports varies less:
+# with 0.5 and 1 the p99 time was higher (docs/design/even-load.md).
+NODE_REPORT_DECAY_SERVICES = 2.0
 # Mean service time until one was observed.
 DEFAULT_SERVICE_S = 1.0
 # Variance of the load of an upstream divided by its mean. At random it is 1;
-# more of the sample's deviation is then expected of the rest of the fleet.
-DISPERSION = 2.0
+# the greater, the more of the sample's deviation is expected of the others.
+# Slow upstreams and phases make it greater; 4 was better than 1 and 2.
+DISPERSION = 4.0
 # A report of an ejection is believed for this long. Most ejections are shorter,
 # but the next report of the node may come only after many seconds.
 EJECTION_REPORT_S = 2.0
 
 
-def report_weight(age_s: float, service_s: float) -> float:
+def report_weight(
+    age_s: float, service_s: float, decay: float = REPORT_DECAY_SERVICES
+) -> float:
     """Returns the weight of a report of load, from 1 for a new one to 0.
 
     Args:
       age_s: Age of the report.
       service_s: Mean time for which a request occupies a slot.
+      decay: Time constant of the weight, in service times.
     """
-    return math.exp(-age_s / (REPORT_DECAY_SERVICES * service_s))
+    return math.exp(-age_s / (decay * service_s))
 
 
 def aged(reported: float, mean: float, weight: float) -> float:
@@ -97,7 +105,7 @@
     ejecting: dict = dataclasses.field(default_factory=dict)
 
     def advance(self, now: float, service_s: float) -> None:
-        step = (now - self.at) / (REPORT_DECAY_SERVICES * service_s)
+        step = (now - self.at) / (NODE_REPORT_DECAY_SERVICES * service_s)
         if step > 0:
             weight = math.exp(-step)
             self.requests *= weight
@@ -240,7 +248,8 @@
     # The nodes that have not reported yet are taken to be like the others.
     scale = (nodes - 1) / max(1, len(report_ages_s)) if nodes > 1 else 0.0
     known_nodes = 1 + sum(
-        report_weight(age, service_s) for age in report_ages_s
+        report_weight(age_s, service_s, NODE_REPORT_DECAY_SERVICES)
+        for age_s in report_ages_s
     )
     requests = sum(
         item.requests + scale * item.known.reported_requests for item in items
@@ -295,6 +304,37 @@
     )
 
 
+class FullPenalty:
+    """Expected delay at an upstream that has refused requests as full.
+
+    Each refusal counts for about the time of a request, after which there is
+    room again, and it is weighed against the load of the others. An ejection
+    would send all requests of a node to the others at once, which are close to
+    full by then.
+    """
+
+    def __init__(self):
+        self._refusals = 0.0
+        self._at = 0.0
+
+    def _left(self, now: float, service_s: float) -> float:
+        return self._refusals * math.exp((self._at - now) / service_s)
+
+    def add(self, now: float, service_s: float) -> float:
+        """Adds a refusal at a time; returns the delay from now on."""
+        self._refusals, self._at = self._left(now, service_s) + 1, now
+        return self.seconds(now, service_s)
+
+    def seconds(self, now: float, service_s: float) -> float:
+        """Returns the delay at a time.
+
+        Args:
+          now: The time.
+          service_s: Mean time of a request at the upstream.
+        """
+        return self._left(now, service_s) * service_s
+
+
 def spread(loads: list[tuple[float, float]]) -> float:
     """Returns the busiest upstream's load as a multiple of the mean.
 
--- a/packages/policy/src/radishcourse_policy/loadbalancing.py
+++ b/packages/policy/src/radishcourse_policy/loadbalancing.py
@@ -21,6 +21,15 @@
 
 # Upstreams that are compared besides the preferred one.
 SAMPLE_SIZE = 2
+# The same where upstreams differ in speed, and for long prompts, which are too
+# few to make the nodes choose alike.
+UNEVEN_SAMPLE_SIZE = 3
+LONG_SAMPLE_SIZE = 8
+# A prompt is long if its prefill takes this time: the shortest goal for the
+# time to the first event is 1.5 s, and what waits behind it would miss that.
+LONG_PREFILL_S = 1.0
+# Waiting prefill with which a short prompt is likely among what waits.
+SHORT_WAITING_S = 0.05
 # Upstreams of which a choice looks at the load. With a third of the upstreams
 # failing, all of them fail once in 43 million choices.
 SHORTLIST_SIZE = 16
@@ -31,6 +40,10 @@
 # Expected delay by each request in progress, which slows the steps of the
 # others a little. It balances requests also while none waits.
 SECONDS_PER_REQUEST = 0.01
+# Differences of less than about half a request are ties, which are broken at
+# random. Reports that have lost nearly all weight would otherwise still decide:
+# 37 of 71 nodes with the same news, 16 service times old, chose one of four.
+TIE_S = SECONDS_PER_REQUEST / 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,11 +82,18 @@
       saved_s: Prefill time that the cached prefix saves.
       ranked: Upstreams that are preferred for the prefix, the first most; if
         empty, they are found among those to choose from.
+      prefill_s: Expected time of the whole prefill.
     """
 
     key: str | None = None
     saved_s: float = 0.0
     ranked: tuple[ids.UpstreamId, ...] = ()
+    prefill_s: float = 0.0
+
+    @property
+    def is_long(self) -> bool:
+        """Whether its prefill holds up others for seconds."""
+        return self.prefill_s >= LONG_PREFILL_S
 
 
 def choose(
@@ -94,7 +114,7 @@
     if not free:
         return None
     preferred = _preferred(free, prompt)
-    sampled = _sample(free, min(SAMPLE_SIZE, len(free)), source)
+    sampled = _sample(free, prompt, source)
     if preferred is not None:
         sampled.append(preferred)
     # A share of a limit that is not used is lost, and in a large fleet only a
@@ -103,14 +123,18 @@
     if limited:
         sampled.append(source.choice(limited))
 
-    def expected_s(item: Candidate) -> float:
+    def expected_ties(item: Candidate) -> int:
         saved_s = prompt.saved_s if item is preferred else 0.0
         load_s = SECONDS_PER_REQUEST * item.in_flight
         excess_s = max(0, item.in_flight - item.slots)
         work_s = item.waiting_s + load_s + excess_s - saved_s
-        return item.speed * work_s + item.penalty_s
+        if prompt.is_long:
+            # What waits there already would wait for this prefill as well.
+            share = min(1.0, item.waiting_s / SHORT_WAITING_S)
+            work_s += share * (prompt.prefill_s - saved_s)
+        return round((item.speed * work_s + item.penalty_s) / TIE_S)
 
-    return min(sampled, key=expected_s)
+    return min(sampled, key=expected_ties)
 
 
 def _preferred(free: list[Candidate], prompt: Prompt) -> Candidate | None:
@@ -176,7 +200,7 @@
 
 
 def _sample(
-    candidates: list[Candidate], count: int, source: random.Random
+    candidates: list[Candidate], prompt: Prompt, source: random.Random
 ) -> list[Candidate]:
     """Returns a random sample, in random order so that ties are at random.
 
@@ -184,7 +208,12 @@
     drawn half as often. Without this weight it would get as many requests as
     the others wherever the reports of load are too old to tell them apart.
     """
-    if all(item.speed == 1.0 for item in candidates):
+    is_even = all(item.speed == 1.0 for item in candidates)
+    count = SAMPLE_SIZE if is_even else UNEVEN_SAMPLE_SIZE
+    if prompt.is_long:
+        count = LONG_SAMPLE_SIZE
+    count = min(count, len(candidates))
+    if is_even:
         return source.sample(candidates, count)
     # The keys of weighted sampling without replacement: the first points of
     # Poisson processes with the weights as rates.
--- a/packages/policy/src/radishcourse_policy/upstreamspeed.py
+++ b/packages/policy/src/radishcourse_policy/upstreamspeed.py
@@ -70,14 +70,36 @@
     observations: int
 
 
+# Other nodes' observations are pooled with the own ones, of so many nodes for
+# an upstream. They came when this node had known it for TOLD_DELAY_S, by when
+# news of its restart have reached all nodes.
+MAX_TOLD_NODES = 24
+TOLD_DELAY_S = 3.0
+# What a node tells is packed into one byte: its number of observations, of one
+# of these classes, and the mean in steps.
+TOLD_COUNTS = (1, 3, 8, 20)
+TOLD_STEP = 0.1
+MAX_TOLD_STEPS = 7
+TOLD_OFFSET = len(TOLD_COUNTS) * (2 * MAX_TOLD_STEPS + 1) // 2
+# Variance of observations until a node has made its own: that of the slow
+# phases.
+UNKNOWN_VARIANCE = 0.12
+
+
 @dataclasses.dataclass
 class _Upstream:
+    first_at: float
     count: int = 0
     mean: float = 0.0
     variance: float = 0.0
+    # Observations and mean by node, and their sums.
+    told_by: dict = dataclasses.field(default_factory=dict)
+    told_count: int = 0
+    told_sum: float = 0.0
     differs: bool = False
-    told: float = 1.0
-    # Sum and number of the answers since `began_at`.
+    factor: float = 1.0
+    logged: float = 1.0
+    # Sum and number of the answers of the latest observation.
     began_at: float = 0.0
     sum: float = 0.0
     answers: int = 0
@@ -86,26 +108,62 @@
     phase_at: float = 0.0
 
     @property
-    def factor(self) -> float:
-        if not self.differs:
-            return 1.0
-        shrunk = self.mean * self.count / (self.count + PRIOR_OBSERVATIONS)
-        return min(MAX_FACTOR, max(1 / MAX_FACTOR, math.exp(shrunk)))
+    def pooled_mean(self) -> float:
+        count = self.count + self.told_count
+        if not count:
+            return 0.0
+        return (self.mean * self.count + self.told_sum) / count
 
-    def observe(self, value: float, usual_variance: float) -> None:
+    def observe(self, value: float) -> None:
         self.count = min(self.count + 1, WINDOW_OBSERVATIONS)
         difference = value - self.mean
         self.mean += difference / self.count
         self.variance += (
             difference * (value - self.mean) - self.variance
         ) / self.count
+
+    def refine(self, value: float) -> None:
+        """Adds an answer to the latest observation, which is their mean."""
+        before = self.sum / self.answers
+        self.sum += value
+        self.answers += 1
+        self.mean += (self.sum / self.answers - before) / self.count
+
+    def add_told(self, node: ids.NodeId, count: int, mean: float) -> None:
+        self.remove_told(node)
+        if len(self.told_by) >= MAX_TOLD_NODES:
+            self.remove_told(next(iter(self.told_by)))
+        self.told_by[node] = (count, mean)
+        self.told_count += count
+        self.told_sum += count * mean
+
+    def remove_told(self, node: ids.NodeId) -> None:
+        count, mean = self.told_by.pop(node, (0, 0.0))
+        self.told_count -= count
+        self.told_sum -= count * mean
+
+    def judge(self, now: float, usual_variance: float) -> None:
+        """Decides whether it is measurably different."""
+        # Nodes see the same phases, so that together they know no more than
+        # one that sees all of them.
+        count = min(
+            self.count + self.told_count,
+            WINDOW_OBSERVATIONS,
+            (now - self.first_at) / OBSERVATION_S,
+        )
+        mean = self.pooled_mean
         bound = EQUAL_DIFFERENCE
-        if not self.differs:
+        if not self.differs and count:
             variance = max(self.variance, usual_variance)
             deviation = max(MIN_DEVIATION, math.sqrt(variance))
-            error = deviation / math.sqrt(self.count)
+            error = deviation / math.sqrt(count)
             bound = max(MIN_DIFFERENCE, STANDARD_ERRORS * error)
-        self.differs = self.count >= MIN_OBSERVATIONS and abs(self.mean) > bound
+        self.differs = count >= MIN_OBSERVATIONS and abs(mean) > bound
+        self.factor = 1.0
+        if self.differs:
+            shrunk = mean * count / (count + PRIOR_OBSERVATIONS)
+            self.factor = math.exp(shrunk)
+            self.factor = min(MAX_FACTOR, max(1 / MAX_FACTOR, self.factor))
 
 
 class Speeds:
@@ -173,37 +231,87 @@
         self._kind_means[kind] = mean + KIND_MEAN_WEIGHT * (value - mean)
         ratio = value - mean
         now = self._clock.now()
-        known = self._upstreams.setdefault(incarnation, _Upstream(began_at=now))
-        excess = ratio - known.mean
+        known = self._known(incarnation, now)
+        excess = ratio - known.pooled_mean
         if excess > math.log(PHASE_RATIO):
             known.phase = min(excess, math.log(MAX_FACTOR))
             known.phase_at = now
         elif excess < math.log(PHASE_RATIO) / 2:
             known.phase = 0.0
-        if known.answers and now - known.began_at >= OBSERVATION_S:
-            self._observe(known, kind[1], known.sum / known.answers)
-            known.began_at, known.sum, known.answers = now, 0.0, 0
-        known.sum += ratio
-        known.answers += 1
+        self._observe(known, kind[1], ratio, now)
         return self._change(known)
 
-    def _observe(self, known: _Upstream, service: str, value: float) -> None:
-        variance = self._variances.get(service, 0.0)
-        known.observe(value, variance)
-        square = (value - known.mean) ** 2
-        self._variances[service] = variance + VARIANCE_WEIGHT * (
-            square - variance
+    def _known(self, incarnation: tuple, now: float) -> _Upstream:
+        return self._upstreams.setdefault(
+            incarnation, _Upstream(first_at=now, began_at=now)
         )
 
+    def _observe(
+        self, known: _Upstream, service: str, value: float, now: float
+    ) -> None:
+        variance = self._variances.get(service, 0.0)
+        if not known.answers or now - known.began_at >= OBSERVATION_S:
+            known.began_at, known.sum, known.answers = now, value, 1
+            known.observe(value)
+            square = (value - known.mean) ** 2
+            variance += VARIANCE_WEIGHT * (square - variance)
+            self._variances[service] = variance
+        else:
+            known.refine(value)
+        known.judge(now, variance)
+
     def _change(self, known: _Upstream) -> Change | None:
         factor = known.factor
-        if factor == known.told or (
+        if factor == known.logged or (
             factor != 1.0
-            and abs(math.log(factor / known.told)) < math.log(TOLD_CHANGE)
+            and abs(math.log(factor / known.logged)) < math.log(TOLD_CHANGE)
         ):
             return None
-        known.told = factor
-        return Change(factor, known.count)
+        known.logged = factor
+        return Change(factor, known.count + known.told_count)
+
+    def report(self, incarnation: tuple) -> int | None:
+        """Returns what this node tells others of an upstream, in one byte.
+
+        It tells its own observations only, so that none counts twice.
+        """
+        known = self._upstreams.get(incarnation)
+        if known is None or not known.count:
+            return None
+        steps = round(known.mean / TOLD_STEP)
+        steps = max(-MAX_TOLD_STEPS, min(MAX_TOLD_STEPS, steps))
+        size = max(
+            index
+            for index, count in enumerate(TOLD_COUNTS)
+            if count <= known.count
+        )
+        return (steps + MAX_TOLD_STEPS) * len(TOLD_COUNTS) + size - TOLD_OFFSET
+
+    def merge(
+        self, node: ids.NodeId, incarnation: tuple, service: str, report: int
+    ) -> Change | None:
+        """Adds what another node tells of an upstream.
+
+        Args:
+          node: The node; what it told before is replaced.
+          incarnation: The upstream.
+          service: Its service.
+          report: What the node's `report` returned; other values are ignored.
+
+        Returns:
+          The change of its speed, if operators should see it.
+        """
+        steps, size = divmod(report + TOLD_OFFSET, len(TOLD_COUNTS))
+        if not 0 <= steps <= 2 * MAX_TOLD_STEPS:
+            return None
+        now = self._clock.now()
+        known = self._known(incarnation, now)
+        if now - known.first_at < TOLD_DELAY_S:
+            return None
+        mean = TOLD_STEP * (steps - MAX_TOLD_STEPS)
+        known.add_told(node, TOLD_COUNTS[size], mean)
+        known.judge(now, self._variances.get(service, UNKNOWN_VARIANCE))
+        return self._change(known)
 
     def factor(self, incarnation: tuple) -> float:
         """Returns an upstream's time relative to the mean of its service.
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -215,12 +215,14 @@
 
 // Requests that a node has in progress at an upstream, the expected prefill
 // time of their prompts that are still queued, and whether its latest requests
-// there failed; left out if they did not.
+// there failed; left out if they did not. `speed` tells what the sender has
+// observed of the upstream's speed, see the policy's `upstreamspeed`.
 struct UpstreamWork {
   1: string upstream
   2: i32 requests
   3: i32 waiting_ms
   4: optional bool doubted
+  5: optional i32 speed
 }
 
 // A run of an upstream that ended under an answer, a digest of the prompt, and
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2911,6 +2911,7 @@
      - requests
      - waiting_ms
      - doubted
+     - speed
 
     """
 
@@ -2919,14 +2920,16 @@
         'requests',
         'waiting_ms',
         'doubted',
+        'speed',
     )
 
 
-    def __init__(self, upstream=None, requests=None, waiting_ms=None, doubted=None,):
+    def __init__(self, upstream=None, requests=None, waiting_ms=None, doubted=None, speed=None,):
         self.upstream = upstream
         self.requests = requests
         self.waiting_ms = waiting_ms
         self.doubted = doubted
+        self.speed = speed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2957,6 +2960,11 @@
                     self.doubted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.speed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2983,6 +2991,10 @@
             oprot.writeFieldBegin('doubted', TType.BOOL, 4)
             oprot.writeBool(self.doubted)
             oprot.writeFieldEnd()
+        if self.speed is not None:
+            oprot.writeFieldBegin('speed', TType.I32, 5)
+            oprot.writeI32(self.speed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3932,6 +3944,7 @@
     (2, TType.I32, 'requests', None, None, ),  # 2
     (3, TType.I32, 'waiting_ms', None, None, ),  # 3
     (4, TType.BOOL, 'doubted', None, None, ),  # 4
+    (5, TType.I32, 'speed', None, None, ),  # 5
 )
 all_structs.append(CrashRecord)
 CrashRecord.thrift_spec = (
