Refuse what cannot be served and divide capacity in a shortage

Requests were sent to upstreams at once and waited there until their deadlines passed. The gateway now refuses a request before its first attempt if the wait to the first token plus the least running time exceeds the time left, and in a shortage divides the capacity by max-min fairness among organisations and by priority within them, with a floor. Both the reported work and recent waits, including attempts that still wait, must show the shortage.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from radishcourse_gateway import admissions
 from radishcourse_gateway import announcements
 from radishcourse_gateway import attemptlog
 from radishcourse_gateway import attempttimeout
@@ -70,6 +71,7 @@
         self._targets = gateway.targets
         self._verifier: verifier.Verifier = gateway.verifier
         self._pool: upstreamconnections.Pool = gateway.pool
+        self._admissions = admissions.Admissions(gateway)
         self._retry_budgets = retrybudgets.RetryBudgets(gateway)
         self._attempt_timeout = attempttimeout.AttemptTimeout(
             gateway, self._retry_budgets
@@ -101,6 +103,7 @@
         plan.service = self._targets.choose_service(request)
         plan.answer = crashes.make_answer(request, plan.service)
         await self._refuse_quarantined(plan)
+        self._admissions.admit(request, plan)
         await self._rollouts.sessions.note(plan.service, request.session)
         last_failure: _AttemptFailed | None = None
         counted = False
@@ -126,6 +129,8 @@
                     return await self._give_up(request, plan, out, failure)
                 continue
             if step is NextStep.DONE:
+                seconds = self._clock.now() - plan.head_at
+                self._admissions.note_done(request, plan, seconds)
                 return plan
 
     async def _refuse_quarantined(self, plan: targets.Plan) -> None:
@@ -198,6 +203,7 @@
         attemptlog.log_start(request, plan, listed, started_at)
         with (
             self._load.count(entry.upstream_id, prefill_s) as finish_prefill,
+            self._admissions.watch(plan),
             self._rollouts.count(entry.service, entry.version),
             self._rollouts.counts.wait_head(
                 listed, request.route.name, plan.model or '', prefill_s
@@ -265,6 +271,7 @@
             )
         self._load.note_response(listed.upstream.upstream_id, failed=False)
         self._targets.note_head(request, plan, seconds)
+        self._admissions.note_head(request, plan)
         if self._escalations.escalate(request, plan, head):
             return NextStep.AGAIN
         if _is_stream(request, head):
--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -40,6 +40,32 @@
     propagation_s: Seconds = 3.5
 
 
+class Overload(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Decisions of one node while a service has too few free slots.
+
+    Attributes:
+      enabled: Whether requests are refused before the upstreams' queues are
+        full, larger models are left out and streams that fall behind move.
+      window_s: Seconds for which responses and requests count.
+      min_samples: Attempts within that time that an estimate needs.
+      goal_factor: Multiple of the shortest goal of a service's requests above
+        which its waits are a shortage.
+      drain_s: Seconds in which the queue is to shrink to that wait.
+      floor_share: Lowest share of requests sent of any organisation and
+        priority, relative to the share over all requests.
+      reserved_retries: Tokens of the retry budget that larger models leave to
+        failed requests, while there were failures lately.
+    """
+
+    enabled: bool = True
+    window_s: typing.Annotated[float, msgspec.Meta(ge=0.5, le=60)] = 3.0
+    min_samples: typing.Annotated[int, msgspec.Meta(ge=1, le=64)] = 8
+    goal_factor: typing.Annotated[float, msgspec.Meta(ge=0.05, le=10)] = 0.4
+    drain_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=60)] = 2.0
+    floor_share: typing.Annotated[float, msgspec.Meta(ge=0.25, le=1)] = 0.3
+    reserved_retries: typing.Annotated[float, msgspec.Meta(ge=0, le=10)] = 1.0
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one gateway process.
 
@@ -56,6 +82,7 @@
       value_per_1k_tokens: Value of a thousand weighted tokens of a request,
         in the unit of the models' costs.
       bounds: Limits of the installation.
+      overload: Decisions while a service has too few free slots.
     """
 
     node: ids.NodeId
@@ -69,6 +96,7 @@
     peer_key: schema.Secret = 'unset-peer-key-of-gateways'
     value_per_1k_tokens: Number = 0.45
     bounds: Bounds = Bounds()
+    overload: Overload = Overload()
 
 
 class CurrentSettings:
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -16,6 +16,7 @@
 from radishcourse_policy import crashevidence
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import namedlimits
+from radishcourse_policy import overload
 from radishcourse_policy import prefill
 
 # Mean delay after which a caller should retry when no upstream can take its
@@ -49,6 +50,7 @@
       progress_at: When the latest part of that response arrived; None before.
       answer: Identifies the prompt in evidence of crashes.
       arrival: What has arrived of the latest attempt's answer.
+      wait: Identifies the latest attempt among those that wait for a head.
     """
 
     attempts: int = 0
@@ -70,6 +72,7 @@
     arrival: upstreamconnections.Arrival = dataclasses.field(
         default_factory=upstreamconnections.Arrival
     )
+    wait: object = None
 
     @property
     def last_event(self) -> bytes | None:
@@ -252,6 +255,38 @@
             ),
         )
 
+    def service_room(self, service: ids.ServiceId) -> overload.Room:
+        """Returns the capacity of a service's upstreams and the work there.
+
+        The best upstream is looked for among those that could take a request
+        now: cold and failing ones count only if there are no others.
+        """
+        now = self._clock.now()
+        listed = self._view.usable(service)
+        candidates = {
+            item.incarnation: self._candidate(item) for item in listed
+        }
+        open_ones = [item for item in listed if not self._is_paused(item)]
+        usable = list(self._within_limits(open_ones, True).values())
+        warm = [item for item in usable if now >= item.cold_until] or usable
+        best = [candidates[item.incarnation] for item in warm or listed]
+        best = [item for item in best if not item.failing] or best
+        every = candidates.values()
+        return overload.Room(
+            slots=sum(item.slots for item in every),
+            in_flight=sum(item.in_flight for item in every),
+            mean_waiting_s=sum(item.waiting_s for item in every)
+            / max(1, len(every)),
+            best_waiting_s=min((item.waiting_s for item in best), default=0.0),
+            best_excess=min(
+                (
+                    max(0, item.in_flight + 1 - item.slots) / item.slots
+                    for item in best
+                ),
+                default=0.0,
+            ),
+        )
+
     def waiting_s(self, listed: views.ListedUpstream) -> float:
         """Returns the expected seconds that a prompt waits at an upstream."""
         return self._candidate(listed).waiting_s
--- a/packages/node/src/radishcourse_node/events.py
+++ b/packages/node/src/radishcourse_node/events.py
@@ -63,6 +63,7 @@
     UPSTREAM_DOUBTED = 708
     PROMPT_QUARANTINED = 709
     QUARANTINE_ENDED = 710
+    REQUEST_SHED = 721
 
 
 def log(event: Event, **fields: object) -> None:
--- a/packages/node/src/radishcourse_node/metrics.py
+++ b/packages/node/src/radishcourse_node/metrics.py
@@ -28,6 +28,7 @@
     def __init__(self):
         self._histograms: dict[tuple, histogram.HdrHistogram] = {}
         self._counters: collections.Counter[tuple] = collections.Counter()
+        self._overload: collections.Counter[tuple] = collections.Counter()
 
     def record(
         self, series: Series, organisation: str, kind: str, seconds: float
@@ -45,6 +46,12 @@
         """Counts a request by its outcome."""
         self._counters[(organisation, kind, outcome)] += 1
 
+    def count_overload(
+        self, organisation: str, kind: str, decision: str
+    ) -> None:
+        """Counts a decision that was taken for lack of free slots."""
+        self._overload[(organisation, kind, decision)] += 1
+
     def encode(self) -> dict[str, str]:
         """Returns the histograms in HdrHistogram's compressed format.
 
@@ -69,6 +76,10 @@
         for labels, count in self._counters.items():
             label_text = _labels(('organisation', 'kind', 'outcome'), labels)
             lines.append(f'radishcourse_requests_total{label_text} {count}')
+        lines.append('# TYPE radishcourse_overload_total counter')
+        for labels, count in self._overload.items():
+            label_text = _labels(('organisation', 'kind', 'decision'), labels)
+            lines.append(f'radishcourse_overload_total{label_text} {count}')
         for series in Series:
             lines.append(f'# TYPE {series.value} summary')
             lines += self._render_series(series)
--- a/packages/standins/src/radishcourse_standins/measure/__main__.py
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -8,6 +8,7 @@
 from radishcourse_standins.measure import placement
 from radishcourse_standins.measure import report
 from radishcourse_standins.measure import rollout
+from radishcourse_standins.measure import shortage
 
 COMMANDS = {
     'cascade': cascade.main,
@@ -15,6 +16,7 @@
     'placement': placement.main,
     'admission': admission.main,
     'overload': overload.main,
+    'shortage': shortage.main,
 }
 
 
