Continue streams elsewhere that can't end by their deadline

A stream at a slow upstream ran until its deadline and then broke off. Now its pace is measured over 1.2 s, and it is continued once at another upstream if it can't end in time while the service's usual pace would; it resumes after its last event as a stalled one does, and the retry budget pays.

--- a/packages/gateway/src/radishcourse_gateway/admissions.py
+++ b/packages/gateway/src/radishcourse_gateway/admissions.py
@@ -4,20 +4,30 @@
 import dataclasses
 import functools
 
+from radishcourse_gateway import attempttimeout
 from radishcourse_gateway import errors
 from radishcourse_gateway import inboundrequest
+from radishcourse_gateway import retrybudgets
 from radishcourse_gateway import settings as gateway_settings
+from radishcourse_gateway import streampaces
 from radishcourse_gateway import targets
 from radishcourse_model import ids
 from radishcourse_node import events
 from radishcourse_node import metrics
 from radishcourse_policy import overload
+from radishcourse_policy import streampace
 
 # The capacity and work of a service are read again after this time, since each
 # reading goes through all of its upstreams.
 ROOM_TTL_S = 0.2
 # Cost of a request without token counts, in thousands of weighted tokens.
 DEFAULT_COST = 1.0
+# A full upstream has a free slot after about the time of one request, which
+# is taken to be so long until it is known.
+OVERLOADED_RETRY_S = 0.5
+# Upstreams that have refused a request as full, after which the time for
+# another attempt is judged.
+MAX_FULL = 2
 # Decisions that are logged in a second; the others are counted.
 MAX_LOGGED_PER_S = 20
 
@@ -42,9 +52,16 @@
 
     Args:
       gateway: Provides the settings, targets and metrics.
+      retry_budgets: Pay for streams that move.
+      attempt_timeout: Tells whether a stream may move.
     """
 
-    def __init__(self, gateway):
+    def __init__(
+        self,
+        gateway,
+        retry_budgets: retrybudgets.RetryBudgets,
+        attempt_timeout: attempttimeout.AttemptTimeout,
+    ):
         self._clock = gateway.environment.clock
         self._random = gateway.environment.random
         self._current_settings = gateway.current_settings
@@ -54,6 +71,9 @@
         self._limits_of: gateway_settings.Overload | None = None
         self._limits = overload.Limits()
         self._log = _BoundedLog(self._clock)
+        self._stream_paces = streampaces.StreamPaces(
+            gateway, retry_budgets, attempt_timeout
+        )
 
     @property
     def _settings(self) -> gateway_settings.Overload:
@@ -160,12 +180,50 @@
         )
         return False
 
+    def has_time(
+        self, request: inboundrequest.InboundRequest, plan: targets.Plan
+    ) -> bool:
+        """Tells whether a request refused by full upstreams may be sent again.
+
+        After two refusals there must be time for the shortest response, or,
+        if that is unknown, for as long as an attempt took so far.
+        """
+        refused = len(plan.tried)
+        if plan.may_have_run or refused < MAX_FULL:
+            return True
+        if not self._settings.enabled:
+            return True
+        now = self._clock.now()
+        needed_s = self._service(plan.service).admission.least_s(
+            now, _kind(request, plan.model)
+        )
+        if needed_s is None:
+            needed_s = (now - request.arrived_at) / refused
+        return needed_s <= request.deadline - now
+
+    def refuse_full(
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: targets.Plan,
+        failure: Exception,
+    ) -> errors.Refusal:
+        """Returns the refusal of a request that no upstream has taken."""
+        left_s = request.deadline - self._clock.now()
+        admission = self._service(plan.service).admission
+        self._note(request, 'full')
+        return errors.Refusal(
+            errors.Reason.OVERLOADED,
+            str(failure),
+            admission.retry_after_s(OVERLOADED_RETRY_S, left_s),
+        )
+
     @contextlib.contextmanager
     def watch(self, plan: targets.Plan):
         """Returns a context in which an attempt waits for its head."""
         times = self._service(plan.service).admission.times
         attempt = object()
         plan.wait = attempt
+        plan.pace, plan.pace_events = streampace.Progress(), 0
         times.note_sent(attempt, self._clock.now())
         try:
             yield
@@ -200,6 +258,48 @@
         """
         times = self._service(plan.service).admission.times
         times.note_run(_kind(request, plan.model), seconds)
+        self._stream_paces.note_done(request, plan)
+
+    def check_pace(
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: targets.Plan,
+        count: int,
+    ) -> None:
+        """Ends an attempt whose stream can't end in time, if another may.
+
+        Args:
+          request: The request.
+          plan: Its state.
+          count: Events of the attempt that its caller was sent.
+
+        Raises:
+          UpstreamError: The stream is to be continued at another upstream.
+        """
+        if not self._stream_paces.note_events(plan, count):
+            return
+        if not self._settings.enabled:
+            return
+        now = self._clock.now()
+        admission = self._service(plan.service).admission
+        judgement = self._stream_paces.judge(
+            request, plan, admission.usual_head_s(now)
+        )
+        if not judgement.behind:
+            return
+        self._note(request, 'stream_moved')
+        self._log.write(
+            events.Event.STREAM_MOVED,
+            request=request.request_id,
+            service=plan.service,
+            model=plan.model,
+            events=plan.events,
+            remaining=round(judgement.remaining, 1),
+            pace_s=round(judgement.pace_s, 4),
+            usual_s=round(judgement.usual_s, 4),
+            left_s=round(request.deadline - now, 3),
+        )
+        raise self._stream_paces.move(judgement)
 
     def _note(
         self, request: inboundrequest.InboundRequest, decision: str
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -20,9 +20,6 @@
 from radishcourse_gateway import verifier
 from radishcourse_policy import answers
 
-# A full upstream has a free slot after about the time of one request.
-OVERLOADED_RETRY_S = 0.5
-
 
 class NextStep(enum.Enum):
     """Whether an attempt completed the request or another one follows."""
@@ -60,7 +57,6 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._clock = gateway.environment.clock
-        self._random = gateway.environment.random
         self._header_names = gateway.header_names
         self._load = gateway.load
         self._rollouts = gateway.rollouts
@@ -71,11 +67,13 @@
         self._targets = gateway.targets
         self._verifier: verifier.Verifier = gateway.verifier
         self._pool: upstreamconnections.Pool = gateway.pool
-        self._admissions = admissions.Admissions(gateway)
         self._retry_budgets = retrybudgets.RetryBudgets(gateway)
         self._attempt_timeout = attempttimeout.AttemptTimeout(
             gateway, self._retry_budgets
         )
+        self._admissions = admissions.Admissions(
+            gateway, self._retry_budgets, self._attempt_timeout
+        )
         self._escalations = escalations.Escalations(
             gateway,
             self._retry_budgets,
@@ -163,6 +161,8 @@
             return len(plan.tried) < 2 * max(2, request.route.max_attempts)
         if plan.attempts >= request.route.max_attempts:
             return False
+        if failure.not_run and not self._admissions.has_time(request, plan):
+            return False
         paid, plan.retry_paid = plan.retry_paid, False
         return paid or await self._retry_budgets.wait_and_spend(
             plan.service, self._attempt_timeout.token_wait_s(request, plan)
@@ -186,10 +186,8 @@
             await responses.send_buffered(request, plan, response, out)
             return plan
         if not plan.may_have_run:
-            raise refusal or errors.Refusal(
-                errors.Reason.OVERLOADED,
-                str(failure),
-                OVERLOADED_RETRY_S * (0.5 + self._random.random()),
+            raise refusal or self._admissions.refuse_full(
+                request, plan, failure
             )
         raise errors.Refusal(errors.Reason.UPSTREAM_FAILED, str(failure))
 
@@ -383,6 +381,7 @@
                     plan.begun = True
                     await out.start(head.status, headers)
                 await out.write(complete)
+                self._admissions.check_pace(request, plan, splitter.count)
         await self._verifier.verify_end(plan, listed, splitter)
         if not plan.begun:
             plan.begun = True
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -18,6 +18,7 @@
 from radishcourse_policy import namedlimits
 from radishcourse_policy import overload
 from radishcourse_policy import prefill
+from radishcourse_policy import streampace
 
 # Mean delay after which a caller should retry when no upstream can take its
 # request: about one heartbeat, after which an upstream may be listed again. The
@@ -51,6 +52,10 @@
       answer: Identifies the prompt in evidence of crashes.
       arrival: What has arrived of the latest attempt's answer.
       wait: Identifies the latest attempt among those that wait for a head.
+      pace: Progress of the latest attempt's stream.
+      pace_events: Events of that stream.
+      events: Events that the caller has received.
+      moved: Whether the stream was continued elsewhere since it fell behind.
     """
 
     attempts: int = 0
@@ -73,6 +78,12 @@
         default_factory=upstreamconnections.Arrival
     )
     wait: object = None
+    pace: streampace.Progress = dataclasses.field(
+        default_factory=streampace.Progress
+    )
+    pace_events: int = 0
+    events: int = 0
+    moved: bool = False
 
     @property
     def last_event(self) -> bytes | None:
--- a/packages/node/src/radishcourse_node/events.py
+++ b/packages/node/src/radishcourse_node/events.py
@@ -65,6 +65,7 @@
     QUARANTINE_ENDED = 710
     REQUEST_SHED = 721
     ANSWER_KEPT = 722
+    STREAM_MOVED = 723
 
 
 def log(event: Event, **fields: object) -> None:
--- a/packages/policy/src/radishcourse_policy/overload.py
+++ b/packages/policy/src/radishcourse_policy/overload.py
@@ -34,6 +34,9 @@
 # Range of the random factor of Retry-After, so that callers who were refused
 # together do not return together.
 RETRY_SPREAD = (0.5, 1.5)
+# Windows that the usual time to the head is taken from if there are few recent
+# responses. It refuses nothing, so older ones do no harm.
+USUAL_WINDOWS = 4
 # Refused requests that are remembered, and for how long: callers' deadlines are
 # at most 25 s away.
 MAX_REFUSED = 1024
@@ -208,6 +211,23 @@
             now, self.limits.window_s, self.limits.min_samples, 0.25
         )
 
+    def usual_head_s(self, now: float) -> float | None:
+        """Returns the median time to the head, None with too few samples."""
+        window_s = USUAL_WINDOWS * self.limits.window_s
+        return self.times.head_s(now, window_s, self.limits.min_samples, 0.5)
+
+    def least_s(self, now: float, kind: tuple[str, str]) -> float | None:
+        """Returns the least expected time of a response.
+
+        None with too few samples.
+        """
+        observed_s = self._observed_s(now)
+        if observed_s is None:
+            return None
+        return observed_s + self.times.least_run_s(
+            kind, self.limits.min_samples
+        )
+
     def decide(
         self,
         now: float,
@@ -320,9 +340,7 @@
           read_room: Returns the service's capacity and work.
         """
         limits = self.limits
-        head_s = self.times.head_s(
-            now, limits.window_s, limits.min_samples, 0.5
-        )
+        head_s = self.usual_head_s(now)
         if head_s is None:
             return RepeatDecision(Repeat.ALLOWED)
         run_s = self.times.mean_run_s(larger, limits.min_samples) or 0.0
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -8,6 +8,7 @@
 import testtools
 
 from radishcourse_gateway import admissions
+from radishcourse_gateway import attempttimeout
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import errors
 from radishcourse_gateway import inboundrequest
@@ -51,6 +52,8 @@
       peers: The size of the fleet.
       targets: Capacity and work.
       metrics: The metrics.
+      timeouts: Not used.
+      view: Lists two upstreams.
     """
 
     def __init__(self, clock, nodes: int = NODES, **fields):
@@ -65,6 +68,8 @@
         self.peers = types.SimpleNamespace(fleet_size=nodes)
         self.targets = types.SimpleNamespace(service_room=lambda service: FULL)
         self.metrics = metrics.Metrics()
+        self.timeouts = None
+        self.view = types.SimpleNamespace(usable=lambda service: [1, 2])
 
 
 class RetryBudgetTest(testtools.TestCase):
@@ -154,7 +159,17 @@
         super().setUp()
         self.clock = clocks.ManualClock(100.0)
         self.gateway = _Gateway(self.clock)
-        self.admissions = admissions.Admissions(self.gateway)
+        self.admissions = self._make_admissions()
+
+    def _make_admissions(self) -> admissions.Admissions:
+        budgets = retrybudgets.RetryBudgets(self.gateway)
+        for _ in range(10):
+            budgets.note_request(SERVICE)
+        return admissions.Admissions(
+            self.gateway,
+            budgets,
+            attempttimeout.AttemptTimeout(self.gateway, budgets),
+        )
 
     def _request(self, left_s: float = 5.0, **fields):
         now = self.clock.now()
@@ -215,7 +230,7 @@
 
     def test_nothing_is_refused_when_it_is_turned_off(self):
         self.gateway = _Gateway(self.clock, enabled=False)
-        self.admissions = admissions.Admissions(self.gateway)
+        self.admissions = self._make_admissions()
         self._serve(head_s=6.0)
         self.admissions.admit(self._request(), self._plan())
 
@@ -277,3 +292,31 @@
     def test_larger_model_runs_when_nothing_is_known(self):
         may_escalate = self.admissions.may_escalate
         self.assertTrue(may_escalate(self._request(), self._plan(), LARGE))
+
+    def test_third_full_upstream_is_not_asked_without_time_for_it(self):
+        plan = self._plan()
+        request = self._request(left_s=0.6, arrived_at=self.clock.now() - 1)
+        plan.tried.add('first')
+        self.assertTrue(self.admissions.has_time(request, plan))
+        plan.tried.add('second')
+        # Nothing is known, but two attempts took half a second each.
+        self.assertTrue(self.admissions.has_time(request, plan))
+        late = self._request(left_s=0.4, arrived_at=self.clock.now() - 1)
+        self.assertFalse(self.admissions.has_time(late, plan))
+        # Responses are known to come at once.
+        self._serve(head_s=0.1, run_s=0.1)
+        deadline = self.clock.now() + 0.4
+        late = dataclasses.replace(late, deadline=deadline)
+        self.assertTrue(self.admissions.has_time(late, plan))
+        self.clock.advance(10.0)
+        self._serve(head_s=0.5, run_s=0.1)
+        deadline = self.clock.now() + 0.4
+        late = dataclasses.replace(late, deadline=deadline)
+        self.assertFalse(self.admissions.has_time(late, plan))
+
+    def test_refusal_by_full_upstreams_leaves_time_to_return(self):
+        for left_s in (0.1, 0.6, 5.0):
+            refusal = self.admissions.refuse_full(
+                self._request(left_s=left_s), self._plan(), Exception('full')
+            )
+            self.assertTrue(0 < refusal.retry_after_s <= left_s / 3)
