--- a/packages/policy/src/radishcourse_policy/overload.py
+++ b/packages/policy/src/radishcourse_policy/overload.py
@@ -13,6 +13,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import random
 import typing
 
@@ -316,9 +317,9 @@
           left_s: Time to the caller's deadline.
         """
         retry_s = backlog_s * self._random.uniform(*RETRY_SPREAD)
-        return min(
-            max(MIN_RETRY_S, retry_s), MAX_RETRY_SHARE * max(0.0, left_s)
-        )
+        most_s = MAX_RETRY_SHARE * max(0.0, left_s)
+        # Rounded down, as the header has two decimals.
+        return math.floor(100 * min(max(MIN_RETRY_S, retry_s), most_s)) / 100
 
     def judge_repeat(
         self,
--- a/packages/policy/src/radishcourse_policy/servicetimes.py
+++ b/packages/policy/src/radishcourse_policy/servicetimes.py
@@ -10,6 +10,9 @@
 
 # Answered attempts that are kept.
 MAX_SAMPLES = 64
+# Share of the times to the head that are shorter than one without waiting. Some
+# responses, such as errors, are quicker than the others.
+SHORT_SHARE = 0.1
 # Heads within this time are enough, if there are `min_samples` of them; else
 # older ones count as well.
 FRESH_S = 1.0
@@ -115,8 +118,8 @@
     def slot_s(self, min_samples: int) -> float | None:
         """Returns for how long a request holds a slot, None if unknown.
 
-        This is the shortest time to the head and the mean time from there to
-        the end, as the other times to the head include waiting.
+        This is a short time to the head and the mean time from there to the
+        end, as most times to the head include waiting in a shortage.
 
         Args:
           min_samples: With fewer responses it is unknown.
@@ -124,5 +127,5 @@
         runs = [seconds for kind in self._runs.values() for seconds in kind]
         if len(runs) < max(1, min_samples) or not self._heads:
             return None
-        least_head_s = min(seconds for _, seconds in self._heads)
-        return least_head_s + statistics.fmean(runs)
+        heads = sorted(seconds for _, seconds in self._heads)
+        return heads[int(SHORT_SHARE * len(heads))] + statistics.fmean(runs)
