--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from radishcourse_gateway import admissions
 from radishcourse_gateway import announcements
 from radishcourse_gateway import attemptlog
 from radishcourse_gateway import attempttimeout
@@ -20,9 +21,6 @@
 from radishcourse_gateway import verifier
 from radishcourse_policy import answers
 
-# A full upstream has a free slot after about the time of one request.
-OVERLOADED_RETRY_S = 0.5
-
 
 class NextStep(enum.Enum):
     """Whether an attempt completed the request or another one follows."""
@@ -60,7 +58,6 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._clock = gateway.environment.clock
-        self._random = gateway.environment.random
         self._header_names = gateway.header_names
         self._load = gateway.load
         self._rollouts = gateway.rollouts
@@ -76,9 +73,15 @@
         self._attempt_timeout = attempttimeout.AttemptTimeout(
             gateway, self._retry_budgets
         )
-        self._escalations = escalations.Escalations(
+        self._admissions = admissions.Admissions(
             gateway, self._retry_budgets, self._attempt_timeout
         )
+        self._escalations = escalations.Escalations(
+            gateway,
+            self._retry_budgets,
+            self._attempt_timeout,
+            self._admissions,
+        )
 
     async def forward(
         self, request: inboundrequest.InboundRequest, out
@@ -103,6 +106,7 @@
         plan.service = self._targets.choose_service(request)
         plan.answer = crashes.make_answer(request, plan.service)
         await self._refuse_quarantined(plan)
+        self._admissions.admit(request, plan)
         await self._rollouts.sessions.note(plan.service, request.session)
         last_failure: _AttemptFailed | None = None
         counted = False
@@ -124,10 +128,12 @@
             except _AttemptFailed as failure:
                 last_failure = failure
                 plan.tried.add(listed.incarnation)
-                if not self._may_retry(request, plan, failure):
+                if not await self._may_retry(request, plan, failure):
                     return await self._give_up(request, plan, out, failure)
                 continue
             if step is NextStep.DONE:
+                seconds = self._clock.now() - plan.head_at
+                self._admissions.note_done(request, plan, seconds)
                 return plan
 
     async def _refuse_quarantined(self, plan: targets.Plan) -> None:
@@ -140,7 +146,7 @@
             await self._peers.catch_up()
         self._crashes.refuse_quarantined(plan)
 
-    def _may_retry(self, request, plan, failure: _AttemptFailed) -> bool:
+    async def _may_retry(self, request, plan, failure) -> bool:
         now = self._clock.now()
         if now >= request.deadline:
             return False
@@ -157,8 +163,12 @@
             return len(plan.tried) < 2 * max(2, request.route.max_attempts)
         if plan.attempts >= request.route.max_attempts:
             return False
+        if failure.not_run and not self._admissions.has_time(request, plan):
+            return False
         paid, plan.retry_paid = plan.retry_paid, False
-        return paid or self._retry_budgets.spend(plan.service)
+        return paid or await self._retry_budgets.wait_and_spend(
+            plan.service, self._attempt_timeout.token_wait_s(request, plan)
+        )
 
     async def _give_up(
         self, request, plan, out, failure: _AttemptFailed, refusal=None
@@ -178,10 +188,8 @@
             await responses.send_buffered(request, plan, response, out)
             return plan
         if not plan.may_have_run:
-            raise refusal or errors.Refusal(
-                errors.Reason.OVERLOADED,
-                str(failure),
-                OVERLOADED_RETRY_S * (0.5 + self._random.random()),
+            raise refusal or self._admissions.refuse_full(
+                request, plan, failure
             )
         raise errors.Refusal(errors.Reason.UPSTREAM_FAILED, str(failure))
 
@@ -200,6 +208,7 @@
         attemptlog.log_start(request, plan, listed, started_at)
         with (
             self._load.count(entry.upstream_id, prefill_s) as finish_prefill,
+            self._admissions.watch(plan),
             self._rollouts.count(entry.service, entry.version),
             self._rollouts.counts.wait_head(
                 listed, request.route.name, plan.model or '', prefill_s
@@ -269,6 +278,7 @@
             )
         self._load.note_response(listed.upstream.upstream_id, failed=False)
         self._targets.note_head(request, plan, listed, seconds)
+        self._admissions.note_head(request, plan)
         if self._escalations.escalate(request, plan, head):
             return NextStep.AGAIN
         if _is_stream(request, head):
@@ -380,6 +390,7 @@
                     plan.begun = True
                     await out.start(head.status, headers)
                 await out.write(complete)
+                self._admissions.check_pace(request, plan, splitter.count)
         await self._verifier.verify_end(plan, listed, splitter)
         if not plan.begun:
             plan.begun = True
--- a/packages/gateway/src/radishcourse_gateway/retrybudgets.py
+++ b/packages/gateway/src/radishcourse_gateway/retrybudgets.py
@@ -1,5 +1,7 @@
 """This node's share of the retry budget that the fleet has per service."""
 
+import anyio
+
 from radishcourse_model import ids
 from radishcourse_policy import retrywindow
 
@@ -8,6 +10,11 @@
 USABLE_SHARE = 0.8
 # Fleet size that is assumed while no other node is known to be alive.
 ASSUMED_FLEET_NODES = 32
+# Time after a failed attempt for which repeats on a larger model leave tokens
+# for more of them: the window over which the retries are bounded.
+FAILURE_S = 10.0
+# Time between two looks for a token.
+POLL_INTERVAL_S = 0.02
 
 
 class RetryBudgets:
@@ -15,7 +22,8 @@
 
     A node may retry a share of its own requests of the latest window. In
     addition it gets an equal share of the fleet's slack. Repeats on a larger
-    model are paid from the same budget.
+    model are paid from the same budget, but leave a reserve while attempts
+    fail: when an upstream is lost, its streams need their retries at once.
 
     Args:
       gateway: Provides the clock, settings and peers.
@@ -26,6 +34,7 @@
         self._current_settings = gateway.current_settings
         self._peers = gateway.peers
         self._windows: dict[ids.ServiceId, retrywindow.RetryWindow] = {}
+        self._failed_at: dict[ids.ServiceId, float] = {}
 
     def _window(self, service: ids.ServiceId) -> retrywindow.RetryWindow:
         if service not in self._windows:
@@ -34,14 +43,15 @@
             )
         return self._windows[service]
 
+    def _slack(self) -> float:
+        fleet_size = self._peers.fleet_size or ASSUMED_FLEET_NODES
+        slack = self._current_settings.value.bounds.repeat_slack
+        return USABLE_SHARE * slack / fleet_size
+
     def _limits(self) -> tuple[float, float]:
         """Returns the share of its requests and the slack of this node."""
         bounds = self._current_settings.value.bounds
-        fleet_size = self._peers.fleet_size or ASSUMED_FLEET_NODES
-        return (
-            USABLE_SHARE * bounds.repeat_share,
-            USABLE_SHARE * bounds.repeat_slack / fleet_size,
-        )
+        return USABLE_SHARE * bounds.repeat_share, self._slack()
 
     def note_request(self, service: ids.ServiceId) -> None:
         """Counts a request, which permits a share of a retry."""
@@ -52,5 +62,41 @@
         return self._window(service).left(*self._limits()) >= 1
 
     def spend(self, service: ids.ServiceId) -> bool:
-        """Counts a retry; returns False if none is left."""
+        """Counts the retry of a failed attempt; False if none is left."""
+        self._failed_at[service] = self._clock.now()
         return self._window(service).spend(*self._limits())
+
+    def spend_for_larger(self, service: ids.ServiceId) -> bool:
+        """Counts a repeat on a larger model; False if it may have none."""
+        reserve = 0.0
+        failed_at = self._failed_at.get(service)
+        if failed_at is not None and self._clock.now() - failed_at < FAILURE_S:
+            overload = self._current_settings.value.overload
+            # With few retries a larger model may still take the last one.
+            reserve = min(overload.reserved_retries, max(0, self._slack() - 1))
+        window = self._window(service)
+        share, slack = self._limits()
+        return window.left(share, slack) >= 1 + reserve and window.spend(
+            share, slack
+        )
+
+    async def wait_and_spend(
+        self, service: ids.ServiceId, limit_s: float
+    ) -> bool:
+        """Counts a retry as soon as requests have earned one.
+
+        Args:
+          service: The service.
+          limit_s: Seconds after which it gives up.
+        """
+        if self.spend(service):
+            return True
+        overload = self._current_settings.value.overload
+        if not overload.enabled or self._slack() < 1:
+            return False
+        give_up_at = self._clock.now() + limit_s
+        while self._clock.now() < give_up_at:
+            await anyio.sleep(POLL_INTERVAL_S)
+            if self.spend(service):
+                return True
+        return False
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -17,7 +17,9 @@
 from radishcourse_policy import crashevidence
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import namedlimits
+from radishcourse_policy import overload
 from radishcourse_policy import prefill
+from radishcourse_policy import streampace
 
 # Mean delay after which a caller should retry when no upstream can take its
 # request: about one heartbeat, after which an upstream may be listed again. The
@@ -48,6 +50,11 @@
       answer: Identifies the prompt in evidence of crashes.
       arrival: What has arrived of the latest attempt's answer.
       metered: Whether the request has been counted for a usage report.
+      wait: Identifies the latest attempt among those that wait for a head.
+      pace: Progress of the latest attempt's stream.
+      pace_events: Events of that stream.
+      events: Events that the caller has received.
+      moved: Whether the stream was continued elsewhere since it fell behind.
     """
 
     attempts: int = 0
@@ -70,6 +77,13 @@
         default_factory=upstreamconnections.Arrival
     )
     metered: bool = False
+    wait: object = None
+    pace: streampace.Progress = dataclasses.field(
+        default_factory=streampace.Progress
+    )
+    pace_events: int = 0
+    events: int = 0
+    moved: bool = False
 
     @property
     def last_event(self) -> bytes | None:
@@ -243,6 +257,38 @@
             ),
         )
 
+    def service_room(self, service: ids.ServiceId) -> overload.Room:
+        """Returns the capacity of a service's upstreams and the work there.
+
+        The best upstream is looked for among those that could take a request
+        now: cold and failing ones count only if there are no others.
+        """
+        now = self._clock.now()
+        listed = self._view.usable(service)
+        candidates = {
+            item.incarnation: self._candidate(item) for item in listed
+        }
+        open_ones = [item for item in listed if not self._is_paused(item)]
+        usable = list(self._within_limits(open_ones, True).values())
+        warm = [item for item in usable if now >= item.cold_until] or usable
+        best = [candidates[item.incarnation] for item in warm or listed]
+        best = [item for item in best if not item.failing] or best
+        every = candidates.values()
+        return overload.Room(
+            slots=sum(item.slots for item in every),
+            in_flight=sum(item.in_flight for item in every),
+            mean_waiting_s=sum(item.waiting_s for item in every)
+            / max(1, len(every)),
+            best_waiting_s=min((item.waiting_s for item in best), default=0.0),
+            best_excess=min(
+                (
+                    max(0, item.in_flight + 1 - item.slots) / item.slots
+                    for item in best
+                ),
+                default=0.0,
+            ),
+        )
+
     def waiting_s(self, listed: views.ListedUpstream) -> float:
         """Returns the expected seconds that a prompt waits at an upstream."""
         return self._candidate(listed).waiting_s
--- a/packages/node/src/radishcourse_node/events.py
+++ b/packages/node/src/radishcourse_node/events.py
@@ -73,6 +73,9 @@
     QUARANTINE_ENDED = 710
     SCALING_DECIDED = 711
     SCALING_SENT = 712
+    REQUEST_SHED = 721
+    ANSWER_KEPT = 722
+    STREAM_MOVED = 723
 
 
 def log(event: Event, **fields: object) -> None:
--- a/packages/standins/src/radishcourse_standins/measure/__main__.py
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -9,6 +9,7 @@
 from radishcourse_standins.measure import placement
 from radishcourse_standins.measure import report
 from radishcourse_standins.measure import rollout
+from radishcourse_standins.measure import shortage
 
 COMMANDS = {
     'cascade': cascade.main,
@@ -17,6 +18,7 @@
     'admission': admission.main,
     'overload': overload.main,
     'autoscaling': autoscaling.main,
+    'shortage': shortage.main,
 }
 
 
