Correct counts of a node whose clock was far ahead

A node whose wall clock is wrong when it starts took windows of the future for complete and would have counted in those alone until then. What it counted ahead goes to the window that has begun once the median of all clocks is known. With two nodes the clock that goes on is followed.

--- a/packages/gateway/src/radishcourse_gateway/duties.py
+++ b/packages/gateway/src/radishcourse_gateway/duties.py
@@ -24,7 +24,8 @@
 STEP_INTERVAL_S = 0.25
 # The time of the epoch less this node's clock is computed anew this often.
 BASE_INTERVAL_S = 0.5
-FINISH_TIMEOUT_S = 0.5
+# Below gateway.CONNECTION_CLOSE_S, which is left then before SIGKILL.
+FINISH_TIMEOUT_S = 0.3
 
 
 class TermEnded(model_errors.RadishcourseError):
@@ -143,7 +144,8 @@
         }
         # By node, its wall time less this node's clock.
         self._wall_bases: dict[str, float] = {}
-        self._base, self._based_at = 0.0, float('-inf')
+        self._base: float | None = None
+        self._based_at = float('-inf')
         self._handlers = {
             duty: _handlers[duty](gateway) for duty in self._keepers
         }
@@ -173,7 +175,7 @@
             }
             self._based_at = now
             self._base = usagewindows.true_base(
-                self._clock.wall() - now, self._wall_bases.values()
+                self._clock.wall() - now, self._wall_bases.values(), self._base
             )
         return now + self._base
 
--- a/packages/gateway/src/radishcourse_gateway/leasekeeper.py
+++ b/packages/gateway/src/radishcourse_gateway/leasekeeper.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import functools
 import secrets
 
 import anyio
@@ -19,6 +20,8 @@
 KEEP_INTERVAL_S = 0.1
 # The rank takes a hash for each node.
 RANK_INTERVAL_S = 1.0
+# Weights of nodes that are kept: twice the largest fleet.
+MAX_WEIGHTS = 2048
 # Pauses after a failed call to the store, doubled with each one.
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 2.0
@@ -269,5 +272,6 @@
             )
 
 
+@functools.lru_cache(MAX_WEIGHTS)
 def _weight(duty: dutylease.Duty, node: str) -> float:
     return loadbalancing.rendezvous_weight(f'duty/{duty.value}', node)
--- a/packages/policy/src/radishcourse_policy/usagewindows.py
+++ b/packages/policy/src/radishcourse_policy/usagewindows.py
@@ -43,17 +43,27 @@
     return max(MIN_KEPT_WINDOWS, math.ceil(KEEP_S / length_s))
 
 
-def true_base(own_base: float, others: typing.Iterable[float]) -> float:
+def true_base(
+    own_base: float,
+    others: typing.Iterable[float],
+    previous: float | None = None,
+) -> float:
     """Returns the difference between the time of the epoch and the own clock.
 
     The median of all nodes, so that a node whose wall clock jumped counts with
-    the others.
+    the others. Of the two in the middle of an even number, it is the one that
+    goes on from the previous result.
 
     Args:
       own_base: Wall time less the clock's time of this node.
       others: The same difference by the wall times of other nodes.
+      previous: The previous result, None without one.
     """
-    return statistics.median_low([own_base, *others])
+    bases = [own_base, *others]
+    low, high = statistics.median_low(bases), statistics.median_high(bases)
+    if previous is not None and abs(high - previous) < abs(low - previous):
+        return high
+    return low
 
 
 class Source(typing.NamedTuple):
@@ -127,9 +137,20 @@
         counts[organisation] = counts.get(organisation, 0) + 1
 
     def complete(self, below: int) -> None:
-        """Records that this node does not count in windows below one."""
+        """Records that this node does not count in windows below one.
+
+        If the time had been far ahead and was corrected, what was counted ahead
+        belongs to the window that has begun.
+        """
         tally = self._tallies[self._own]
-        tally.complete_below = max(tally.complete_below, below)
+        if tally.complete_below <= below + MAX_AHEAD:
+            tally.complete_below = max(tally.complete_below, below)
+            return
+        tally.complete_below = below
+        counts = tally.windows.setdefault(below, {})
+        for window in [item for item in tally.windows if item > below]:
+            for name, count in tally.windows.pop(window).items():
+                counts[name] = counts.get(name, 0) + count
 
     def merge(
         self,
@@ -187,9 +208,9 @@
 
     def forget(self, below: int) -> None:
         """Drops windows below one, and other sources without a window left."""
-        self._first_kept = max(self._first_kept, below)
+        self._first_kept = below
         for source, tally in list(self._tallies.items()):
-            for window in [w for w in tally.windows if w < self._first_kept]:
+            for window in [item for item in tally.windows if item < below]:
                 del tally.windows[window]
             if (
                 source != self._own
--- a/tests/test_usagewindows.py
+++ b/tests/test_usagewindows.py
@@ -39,6 +39,18 @@
         self.assertEqual({}, self.tallies.total(10))
         self.assertEqual({'first': 1}, self.tallies.total(11))
 
+    def test_time_that_was_far_ahead_is_corrected(self):
+        # Else a node whose clock was wrong at its start never counts again.
+        self.tallies.complete(1000)
+        self.tallies.note(1000, 'first')
+        self.tallies.complete(10)
+        self.tallies.note(10, 'first')
+        self.assertEqual({'first': 2}, self.tallies.total(10))
+        self.tallies.forget(990)
+        self.tallies.forget(9)
+        self.tallies.merge(OTHER, 10, {10: {'first': 1}}, 10)
+        self.assertEqual({'first': 1}, self.tallies.total(10))
+
     def test_windows_far_ahead_or_dropped_are_ignored(self):
         self.tallies.forget(9)
         for window in (8, 13, 10**9):
@@ -122,5 +134,10 @@
             100.0, usagewindows.true_base(100.0, [100.0, 900.0, -50.0, 100.2])
         )
 
+    def test_one_of_two_clocks_that_jumped_is_not_followed(self):
+        for jumped in (-3600.0, 3700.0):
+            base = usagewindows.true_base(100.0, [jumped], 100.1)
+            self.assertEqual(100.0, base)
+
     def test_lone_node_has_only_its_own_clock(self):
         self.assertEqual(7.0, usagewindows.true_base(7.0, []))
