--- a/packages/policy/src/radishcourse_policy/autoscaling.py
+++ b/packages/policy/src/radishcourse_policy/autoscaling.py
@@ -49,6 +49,8 @@
 MAX_PAUSE_S = 5.0
 # Least time from one addition to the next, in which reports can change.
 ADDITION_INTERVAL_S = 2.0
+# Longer boots count as this one, so that the window of the peak stays short.
+MAX_BOOT_S = 600.0
 # A step down takes this share of the workers, and one at least.
 STEP_SHARE = 1 / 8
 # Least share of the ordered workers that must be listed for a step down.
@@ -181,9 +183,13 @@
             self._fleet.popleft()
         return self._fleet[0][1]
 
+    @property
+    def _boot_s(self) -> float:
+        return min(self.limits.boot_s, MAX_BOOT_S)
+
     @property
     def _window_s(self) -> float:
-        return WAVE_S + self.limits.boot_s
+        return WAVE_S + self._boot_s
 
     @property
     def _bounds(self) -> tuple[int, int]:
@@ -246,7 +252,7 @@
         if more is not None and state.most_listed >= low:
             return self._order(state, inputs.now, *more)
         observed_s = inputs.now - state.seen_at
-        if inputs.rolling or observed_s < self.limits.boot_s:
+        if inputs.rolling or observed_s < self._boot_s:
             return None, Reason.OBSERVING
         if state.most_listed > high:
             # Steps lead from here to the limit.
@@ -281,7 +287,7 @@
         return None
 
     def _may_grow(self, state: _Zone, now: float) -> bool:
-        dwell_s = self.limits.boot_s / 2
+        dwell_s = self._boot_s / 2
         if state.grown:
             dwell_s = ADDITION_INTERVAL_S
         return now - state.changed_at >= dwell_s
@@ -291,7 +297,7 @@
 
         Workers that drain hold open sessions; the next ones go after them.
         """
-        dwell_s = self._window_s if state.grown else self.limits.boot_s
+        dwell_s = self._window_s if state.grown else self._boot_s
         load = inputs.load
         return (
             inputs.may_shrink
--- a/packages/policy/src/radishcourse_policy/workload.py
+++ b/packages/policy/src/radishcourse_policy/workload.py
@@ -128,9 +128,10 @@
 
 def _add_work(snapshot: Snapshot, loads: dict[ids.ZoneId, ZoneLoad]) -> None:
     fresh = snapshot.fresh_reports
-    by_upstream: collections.Counter = collections.Counter()
+    by_upstream: dict[ids.UpstreamId, float] = collections.defaultdict(float)
     for report in fresh:
-        by_upstream.update(report.requests)
+        for upstream, requests in report.requests.items():
+            by_upstream[upstream] += requests
     factor = max(1.0, snapshot.nodes / len(fresh))
     for upstream, requests in by_upstream.items():
         worker = snapshot.workers.get(upstream)
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -308,6 +308,8 @@
         self.assertEqual([], self.step(90))
 
     def test_peer_that_never_reported_is_no_idle_one(self):
+        # The clock of a machine that has just booted.
+        self.gateway.clock.advance(-99.0)
         for peer in self.gateway.peers.alive:
             peer.reported_at, peer.work = 0.0, {}
         self.assertEqual([], self.step(20, fresh=False))
--- a/tests/test_autoscaling.py
+++ b/tests/test_autoscaling.py
@@ -176,6 +176,26 @@
         # The window begins when the zone is back.
         self.assertEqual([], self.play(5, _snapshot(workers, 0.1)))
 
+    def test_no_worker_leaves_while_one_is_cold(self):
+        self.adopt(20)
+        cold = _workers(ZONE, 19) | _workers(ZONE, 1, state=COLD, first=19)
+        self.assertEqual([], self.play(60, _snapshot(cold, 0.1)))
+        warm = _snapshot(_workers(ZONE, 20), 0.1)
+        self.assertEqual([18], self.play(3, warm))
+
+    def test_worker_added_for_a_queue_stays_for_a_wave_and_a_boot(self):
+        self.adopt()
+        self.play(30, _snapshot(_workers(ZONE, 12), 0.6))
+        workers = _workers(ZONE, 12)
+        snapshot = _snapshot(workers, 0.2)
+        busy = dict.fromkeys(itertools.islice(workers, 2), 2 * SLOTS)
+        snapshot.reports.append(workload.Report(0.0, busy))
+        snapshot = dataclasses.replace(snapshot, nodes=5)
+        self.assertEqual([13], self.play(1, snapshot))
+        steady = _snapshot(_workers(ZONE, 13), 0.5, nodes=5)
+        self.assertEqual([], self.play(int(WINDOW_S) - 1, steady))
+        self.assertEqual([12], self.play(3, steady))
+
     def test_no_worker_leaves_a_lost_zone(self):
         self.adopt(20)
         lost = _snapshot(_workers(OTHER, 12), 0.1)
