Compare local counts with a shared sum in the shortage run

The shares of organisations are judged by the counts of each node, as a sum over all nodes would need gossip.

--- a/packages/standins/src/radishcourse_standins/measure/shortage.py
+++ b/packages/standins/src/radishcourse_standins/measure/shortage.py
@@ -9,6 +9,7 @@
 import typing
 
 from radishcourse_model import ids
+from radishcourse_policy import fairshares
 from radishcourse_policy import overload
 from radishcourse_standins.measure import report
 from radishcourse_standins.measure import shortageload
@@ -111,11 +112,39 @@
         return decision.retry_after_s
 
 
-POLICIES: dict[str, typing.Callable[[random.Random], shortagesim.Policy]] = {
-    'first come': FirstComeFirstServed,
-    'unservable': UnservableOnly,
-    'strict priority': StrictPriority,
-    'shares': Shares,
+class SharedCounts(Shares):
+    """Shares by the counts of all nodes, as if they were known at once."""
+
+    def __init__(self, source: random.Random, counts: fairshares.FairShares):
+        super().__init__(source)
+        self.admission.shares = counts
+
+
+def _share_counts(sources: list[random.Random]) -> list[shortagesim.Policy]:
+    counts = fairshares.FairShares(sources[0])
+    return [SharedCounts(source, counts) for source in sources]
+
+
+MakePolicies = typing.Callable[[list[random.Random]], list[shortagesim.Policy]]
+
+
+def by_node(
+    policy: typing.Callable[[random.Random], shortagesim.Policy],
+) -> MakePolicies:
+    """Returns a function that makes a policy for each node."""
+
+    def make(sources: list[random.Random]) -> list[shortagesim.Policy]:
+        return [policy(source) for source in sources]
+
+    return make
+
+
+POLICIES: dict[str, MakePolicies] = {
+    'first come': by_node(FirstComeFirstServed),
+    'unservable': by_node(UnservableOnly),
+    'strict priority': by_node(StrictPriority),
+    'shares': by_node(Shares),
+    'shared counts': _share_counts,
 }
 
 
@@ -173,10 +202,10 @@
     """Measures value, worst organisation, kind and window of each policy."""
     rows, figures = [], []
     for name, case in shortageload.CASES.items():
-        for policy, make_policy in POLICIES.items():
+        for policy, make_policies in POLICIES.items():
             results, faults = [], 0
             for seed in SEEDS:
-                simulation = shortagesim.Simulation(case, make_policy, seed)
+                simulation = shortagesim.Simulation(case, make_policies, seed)
                 simulation.run()
                 results.append(measures(simulation.requests))
                 faults += simulation.faults
--- a/packages/standins/src/radishcourse_standins/measure/shortagesim.py
+++ b/packages/standins/src/radishcourse_standins/measure/shortagesim.py
@@ -70,7 +70,8 @@
 
     Args:
       case: The load pattern.
-      make_policy: Returns the policy of a node.
+      make_policies: Returns the policies of the nodes, from their sources
+        of random numbers.
       seed: Seed of the load and of the nodes.
 
     Attributes:
@@ -78,15 +79,14 @@
       faults: Refusals while less than half of the slots were in use.
     """
 
-    def __init__(self, case: shortageload.Case, make_policy, seed: int):
+    def __init__(self, case: shortageload.Case, make_policies, seed: int):
         self._case = case
         self._source = random.Random(seed + 1000)
         self.requests = shortageload.make_requests(case, seed)
         self._upstreams = [Upstream() for _ in range(shortageload.UPSTREAMS)]
-        self._policies = [
-            make_policy(random.Random(seed * 100 + node))
-            for node in range(NODES)
-        ]
+        self._policies = make_policies(
+            [random.Random(seed * 100 + node) for node in range(NODES)]
+        )
         self._own = [[0] * shortageload.UPSTREAMS for _ in range(NODES)]
         self._reported = [[0] * shortageload.UPSTREAMS for _ in range(NODES)]
         self._events: list = []
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -241,7 +241,7 @@
         results = []
         for seed in self._SEEDS:
             simulation = shortagesim.Simulation(
-                shortageload.CASES[case], policy, seed
+                shortageload.CASES[case], shortage.by_node(policy), seed
             )
             simulation.run()
             self.assertEqual(0, simulation.faults)
