--- a/tests/memory.py
+++ b/tests/memory.py
@@ -8,6 +8,12 @@
 INTERVAL_S = 0.05
 
 
+def resident_kb(pid: int) -> int:
+    """Returns the resident memory of a process in KiB."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    return int(re.search(r'VmRSS:\s+(\d+)', status)[1])
+
+
 class Watch:
     """Resident memory of a process.
 
@@ -19,16 +25,13 @@
     """
 
     def __init__(self, pid: int):
-        self._status = pathlib.Path(f'/proc/{pid}/status')
-        self._before_kb = self._resident_kb()
+        self._pid = pid
+        self._before_kb = resident_kb(pid)
         self.growth_kb = 0
 
-    def _resident_kb(self) -> int:
-        return int(re.search(r'VmRSS:\s+(\d+)', self._status.read_text())[1])
-
     def note(self) -> None:
         """Records how much it has gained by now."""
-        growth_kb = self._resident_kb() - self._before_kb
+        growth_kb = resident_kb(self._pid) - self._before_kb
         self.growth_kb = max(self.growth_kb, growth_kb)
 
 
--- a/tests/site.py
+++ b/tests/site.py
@@ -33,6 +33,8 @@
       crash_point: When such a prompt crashes them.
       retry_slack: Bound of the gateways' settings with this meaning.
       grace_s: Bound of the gateways' settings with this meaning.
+      memory_mb: Memory of the gateways' VMs in MB.
+      max_fds: Descriptors that a gateway may open.
 
     Attributes:
       store: The row store.
@@ -50,6 +52,8 @@
         crash_point: str = 'head',
         retry_slack: int = sitefiles.RETRY_SLACK,
         grace_s: float = sitefiles.GRACE_S,
+        memory_mb: int = sitefiles.MEMORY_MB,
+        max_fds: int = sitefiles.MAX_FDS,
     ):
         self._processes = started_processes
         self._link_workers = link_workers
@@ -58,6 +62,8 @@
         self._crash_point = crash_point
         self._retry_slack = retry_slack
         self._grace_s = grace_s
+        self._memory_mb = memory_mb
+        self._max_fds = max_fds
         self._addresses: dict[str, str] = {}
         self._launches: dict[str, tuple] = {}
         self.store = started_processes.stand_in('rowstore')
@@ -226,6 +232,8 @@
             store,
             self._retry_slack,
             self._grace_s,
+            self._memory_mb,
+            self._max_fds,
         )
         self._launches[name] = (host, front, settings)
         process = self._processes.gateway(name, host, front, settings)
@@ -419,6 +427,8 @@
     crash_point: str = 'head',
     retry_slack: int = sitefiles.RETRY_SLACK,
     grace_s: float = sitefiles.GRACE_S,
+    memory_mb: int = sitefiles.MEMORY_MB,
+    max_fds: int = sitefiles.MAX_FDS,
     **fields,
 ):
     """Yields a running site with two desks, two engines and gateways."""
@@ -434,6 +444,8 @@
             crash_point,
             retry_slack,
             grace_s,
+            memory_mb,
+            max_fds,
         )
         site.configure(**fields)
         for name in ('desk-1', 'desk-2'):
--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -10,6 +10,8 @@
 BUDGET_MS = 5000
 GRACE_S = 6
 RETRY_SLACK = 56
+MEMORY_MB = 200
+MAX_FDS = 4100
 
 
 class Ports(typing.NamedTuple):
@@ -95,6 +97,8 @@
     store: str,
     retry_slack: int = RETRY_SLACK,
     grace_s: float = GRACE_S,
+    memory_mb: int = MEMORY_MB,
+    max_fds: int = MAX_FDS,
 ) -> str:
     """Returns the settings file of a gateway.
 
@@ -107,6 +111,8 @@
       store: Address of the store.
       retry_slack: Retries of all gateways beyond their share of the requests.
       grace_s: Seconds between SIGTERM and SIGKILL.
+      memory_mb: Memory of the VM in MB.
+      max_fds: Descriptors that the process may open.
     """
     return f"""
 node = "{name}"
@@ -122,7 +128,8 @@
 readiness = "{host}:{ports.ready}"
 control = "{host}:{ports.peer}"
 [limits]
-memoryMb = 200
+memoryMb = {memory_mb}
+maxFds = {max_fds}
 [bounds]
 graceS = {grace_s}
 budgetRatio = 0.9
