Bound memory, connections and work that clients can cause

Nothing counted the bytes of all bodies, frames and unread responses together, one connection's events kept the event loop, and no listener had a limit on its connections. Names of prompt parts and the number of headers are bounded, too.

The crowd's watch now notes the process once more at its end: two short crowds had ended before its first look, so that their bounds were not checked. Crowd and bounds are unchanged.

--- a/packages/gateway/src/radishcourse_gateway/errors.py
+++ b/packages/gateway/src/radishcourse_gateway/errors.py
@@ -52,6 +52,7 @@
     BODY_TOO_SLOW = ('body_too_slow', 408)
     NO_UPSTREAM = ('no_upstream', 503)
     OVERLOADED = ('overloaded', 503)
+    NO_MEMORY = ('no_memory', 503)
     PROMPT_QUARANTINED = ('prompt_quarantined', 503)
     UPSTREAM_FAILED = ('upstream_failed', 502)
     TIMEOUT = ('timeout', 504)
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -345,6 +345,7 @@
             await self._verifier.verify_end(plan, listed)
             await responses.send_buffered(request, plan, response, out)
             return
+        request.hold_response(0)
         await responses.forward_long(plan, connection, response, out)
         await self._verifier.verify_end(plan, listed)
         await out.end()
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -32,6 +32,7 @@
 from radishcourse_node import environment as environments
 from radishcourse_node import events
 from radishcourse_node import metrics
+from radishcourse_node import resources
 from radishcourse_node import serving
 from radishcourse_node import timeouts
 
@@ -76,6 +77,7 @@
       current_settings: The settings in force.
       timeouts: Timeouts that leave out the lateness of this process.
       metrics: Request metrics.
+      resources: What callers and other clients may use.
       replica: The node's copy of the followed tables.
       view: Configuration, roll-out orders, zones and upstreams.
       load: This node's requests in progress and failures by upstream.
@@ -106,6 +108,7 @@
         clock = environment.clock
         self.timeouts = timeouts.Timeouts(clock)
         self.metrics = metrics.Metrics()
+        self.resources = resources.from_settings(clock, settings)
         self.replica = records.Replica(clock)
         self.view = view.View(clock, decoder)
         self.load = load.Load(clock)
@@ -116,6 +119,7 @@
             self.replica,
             self.view,
             self.timeouts,
+            self.resources,
         )
         self.rollouts = rollouts.Rollouts(self)
         self.peers.rollouts = self.rollouts
@@ -231,6 +235,7 @@
             'radishcourse_parts_quarantined': len(
                 self.crashes.quarantine.quarantined
             ),
+            **self.resources.account.gauges(),
         }
         for table in records.Table:
             confirmed_at = self.replica.confirmed_at(table)
@@ -256,7 +261,9 @@
             probes.append(await serving.listen(settings.metrics_listen))
         peer_listener = await serving.listen(settings.peer_listen)
         server = self._make_server()
-        probe_server = serving.make_server(pages.Pages(self), http='h11')
+        probe_server = serving.make_server(
+            pages.Pages(self), http=self._protocol(self.resources.pages)
+        )
         events.log(
             events.Event.NODE_STARTED,
             node=settings.node,
@@ -292,14 +299,20 @@
     def _make_server(self) -> uvicorn.Server:
         return serving.make_server(
             requesthandler.RequestHandler(self),
-            http=functools.partial(
-                connections.Connection, header_limit_s=HEADER_TIMEOUT_S
-            ),
+            http=self._protocol(self.resources.callers),
             date_header=False,
             h11_max_incomplete_event_size=MAX_HEAD_BYTES,
             timeout_keep_alive=DEFAULT_IDLE_TIMEOUT_S,
         )
 
+    def _protocol(self, limit: resources.ConnectionLimit):
+        return functools.partial(
+            connections.Connection,
+            header_limit_s=HEADER_TIMEOUT_S,
+            shared=self.resources,
+            limit=limit,
+        )
+
     async def _sweep(self, server: uvicorn.Server) -> None:
         """Drops the state of upstreams that are no longer listed.
 
--- a/packages/gateway/src/radishcourse_gateway/inboundrequest.py
+++ b/packages/gateway/src/radishcourse_gateway/inboundrequest.py
@@ -12,6 +12,10 @@
 Headers = list[tuple[bytes, bytes]]
 # Nodes remember sessions, so a longer id is replaced by its digest.
 MAX_SESSION_LENGTH = 64
+# Also of the names of prompt parts, which the choice of upstreams remembers.
+MAX_PART_LENGTH = 64
+# A prompt with more parts is treated as one without any.
+MAX_PARTS = 256
 
 
 class PromptParts(typing.NamedTuple):
@@ -46,6 +50,7 @@
       size: Prompt and output tokens, None when the caller sends no counts.
       parts: Parts of the prompt.
       session: Id shared by the requests of a session, empty without one.
+      hold_response: Called with the number of bytes held of a response.
     """
 
     request_id: str
@@ -60,6 +65,7 @@
     size: modelchoice.RequestSize | None = None
     parts: PromptParts = PromptParts()
     session: str = ''
+    hold_response: typing.Callable[[int], object] = lambda size: None
 
     @property
     def prefix_key(self) -> str | None:
@@ -112,9 +118,14 @@
 ) -> str:
     """Returns the id of a request's session, empty without one."""
     value = first_value(headers, header_names.session) or b''
-    if len(value) > MAX_SESSION_LENGTH:
-        return hashlib.blake2b(value, digest_size=16).hexdigest()
-    return value.decode('latin-1')
+    return _shorten(value, MAX_SESSION_LENGTH)
+
+
+def _shorten(name: bytes, max_length: int) -> str:
+    """Returns a name that callers chose; a long one's digest."""
+    if len(name) > max_length:
+        return hashlib.blake2b(name, digest_size=16).hexdigest()
+    return name.decode('latin-1')
 
 
 def read_prompt_parts(
@@ -123,12 +134,12 @@
     """Returns the parts of a prompt, in order."""
     value = first_value(headers, header_names.prompt_parts) or b''
     parts = [item.strip().partition(b':') for item in value.split(b',') if item]
-    if not parts:
+    if not parts or len(parts) > MAX_PARTS:
         return PromptParts()
     *shared, own = parts
     return PromptParts(
-        tuple(name.decode('latin-1') for name, _, _ in shared),
-        own[0].decode('latin-1'),
+        tuple(_shorten(name, MAX_PART_LENGTH) for name, _, _ in shared),
+        _shorten(own[0], MAX_PART_LENGTH),
         sum(int(size) for _, _, size in shared if size.isdigit()),
     )
 
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -18,6 +18,7 @@
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
 from radishcourse_node import events
+from radishcourse_node import resources
 from radishcourse_node import timeouts
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import quarantine
@@ -68,6 +69,7 @@
       replica: Rows to exchange.
       view: Updated with rows that are new.
       own_timeouts: Limits calls, and tells when this process was paused.
+      shared: What other nodes may use of this process.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         replica: records.Replica,
         view: views.View,
         own_timeouts: timeouts.Timeouts,
+        shared: resources.Resources,
     ):
         self._current_settings = current_settings
         self._clock = clock
@@ -96,7 +99,9 @@
         self._client = peer_client.Client(
             own_credentials, own_timeouts.fail_after
         )
-        self.server = peer_server.Server(own_credentials, _log_rejection)
+        self.server = peer_server.Server(
+            own_credentials, shared.reject_peer, shared.peers, shared.open_frame
+        )
         self.server.register(messages.MessageKind.SYNC, self._answer_sync)
         self._rounds = 0
         self._started_at = clock.now()
@@ -468,7 +473,3 @@
 
 def _fanout(peers: int) -> int:
     return SMALL_FANOUT if peers < SMALL_FLEET_NODES else FANOUT
-
-
-def _log_rejection(reason: str) -> None:
-    events.log(events.Event.PEER_REJECTED, reason=reason)
--- a/packages/gateway/src/radishcourse_gateway/requesthandler.py
+++ b/packages/gateway/src/radishcourse_gateway/requesthandler.py
@@ -15,6 +15,7 @@
 from radishcourse_node import bodies
 from radishcourse_node import connections
 from radishcourse_node import events
+from radishcourse_node import heldbytes
 from radishcourse_node import metrics
 
 # Upstreams respond with an error when a request's time budget is used up; that
@@ -26,6 +27,8 @@
 STARTING_RETRY_S = 0.5
 # A caller that sends slowly is likely to stay slow for a while.
 SLOW_CALLER_RETRY_S = 1.0
+# The bodies that used up the memory end or are cut off within about this time.
+NO_MEMORY_RETRY_S = 1.0
 # Another node can take a request that would outlast this one's stop.
 DRAINING_RETRY_S = 0.05
 
@@ -111,21 +114,29 @@
         self._view = gateway.view
         self._forwarder = gateway.forwarder
         self._metrics: metrics.Metrics = gateway.metrics
+        self._account = gateway.resources.account
 
     async def __call__(self, scope, receive, send) -> None:
         """Handles one HTTP request."""
         if scope['type'] != 'http':
             return
-        with self._gateway.count_request():
-            await self._serve(scope, receive, send)
+        with (
+            self._gateway.count_request(),
+            bodies.Reader(self._account) as body_reader,
+        ):
+            await self._serve(scope, receive, send, body_reader)
 
-    async def _serve(self, scope, receive, send) -> None:
+    async def _serve(self, scope, receive, send, body_reader) -> None:
         arrived_at = self._clock.now()
         out = ResponseWriter(send, self._clock, lambda: self._gateway.draining)
         connection = scope['state'][connections.STATE_KEY]
+        response = self._account.open(heldbytes.Kind.RESPONSE, connection.abort)
         request = None
         try:
-            request = await self._read_request(scope, receive, arrived_at)
+            request = await self._read_request(
+                scope, receive, arrived_at, body_reader
+            )
+            request.hold_response = response.try_resize
             out.on_complete = functools.partial(
                 self._record_outcome, request, out
             )
@@ -156,6 +167,7 @@
             )
             await self._send_internal_error(out, connection)
         finally:
+            response.release()
             out.complete()
 
     async def _send_internal_error(
@@ -199,21 +211,16 @@
         )
 
     async def _read_request(
-        self, scope, receive, arrived_at
+        self, scope, receive, arrived_at, body_reader
     ) -> inboundrequest.InboundRequest:
         headers = scope['headers']
         directory = self._view.directory
         if directory is None:
-            limits = directories.Limits()
-            await self._read_body(
-                receive, limits.body_bytes, limits.header_timeout_s
-            )
             raise errors.Refusal(
                 errors.Reason.NO_CONFIGURATION,
                 'the node has no configuration yet',
                 self._jitter(STARTING_RETRY_S),
             )
-        limits = directory.limits
         host = (inboundrequest.first_value(headers, b'host') or b'').decode(
             'latin-1'
         )
@@ -227,7 +234,7 @@
             )
         organisation = self._authenticate(directory, route, headers)
         body = await self._read_body(
-            receive, limits.body_bytes, limits.header_timeout_s
+            body_reader, receive, headers, directory.limits
         )
         if self._gateway.may_outlast_stop(route):
             raise errors.Refusal(
@@ -285,9 +292,13 @@
             )
         return organisation
 
-    async def _read_body(self, receive, limit: int, limit_s: float) -> bytes:
+    async def _read_body(
+        self, body_reader, receive, headers, limits: directories.Limits
+    ) -> bytes:
         try:
-            return await bodies.read(receive, limit, limit_s)
+            return await body_reader.read(
+                receive, headers, limits.body_bytes, limits.header_timeout_s
+            )
         except bodies.TooLarge as error:
             raise errors.Refusal(
                 errors.Reason.BODY_TOO_LARGE, str(error)
@@ -296,6 +307,12 @@
             raise errors.Refusal(
                 errors.Reason.BODY_TOO_SLOW, str(error), SLOW_CALLER_RETRY_S
             ) from error
+        except bodies.NoMemory as error:
+            raise errors.Refusal(
+                errors.Reason.NO_MEMORY,
+                str(error),
+                self._jitter(NO_MEMORY_RETRY_S),
+            ) from error
 
     def _jitter(self, seconds: float) -> float:
         return seconds * (0.5 + self._random.random())
--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -67,6 +67,9 @@
         else:
             parts.append(part)
             size += len(part)
+            # If it gives way, the caller's connection is closed and this task
+            # cancelled.
+            request.hold_response(size)
     return BufferedResponse(head, b''.join(parts), complete)
 
 
--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -7,6 +7,7 @@
 from radishcourse_model import ids
 from radishcourse_model import schema
 
+Count = typing.Annotated[int, msgspec.Meta(ge=1, le=2**31)]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=10)]
 Number = typing.Annotated[float, msgspec.Meta(ge=0, le=10**9)]
@@ -56,6 +57,10 @@
       value_per_1k_tokens: Value of a thousand weighted tokens of a request,
         in the unit of the models' costs.
       bounds: Limits of the installation.
+      memory_mb: Memory of the VM in MB (2**20 bytes), from which the limits on
+        bytes held for clients follow; None sets no limits.
+      max_fds: Descriptors that the process may open, from which the limits on
+        connections follow; None sets no limits.
     """
 
     node: ids.NodeId
@@ -69,6 +74,8 @@
     peer_key: schema.Secret = 'unset-peer-key-of-gateways'
     value_per_1k_tokens: Number = 0.45
     bounds: Bounds = Bounds()
+    memory_mb: Count | None = None
+    max_fds: Count | None = None
 
 
 class CurrentSettings:
@@ -107,4 +114,6 @@
     'metrics_listen',
     'platform',
     'peer_key',
+    'memory_mb',
+    'max_fds',
 )
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -20,6 +20,7 @@
 # that the upstream is gone or packets are lost.
 CONNECT_TIMEOUT_S = 0.2
 READ_BYTES = 32 * 1024
+SEND_BYTES = 64 * 1024
 # An upstream whose VM lost power neither responds nor closes its connections;
 # the kernel closes a connection after this time without an acknowledgement.
 TCP_USER_TIMEOUT_MS = 1500
@@ -164,17 +165,17 @@
         self._arrival = arrival
         self._requests += 1
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self._parser.send(request)
+        pieces = [self._parser.send(request)]
         if body:
-            data += self._parser.send(h11.Data(body))
-        data += self._parser.send(h11.EndOfMessage())
+            pieces.append(self._parser.send(h11.Data(body)))
+        pieces.append(self._parser.send(h11.EndOfMessage()))
         self._send_pending = True
-        if len(data) <= SMALL_REQUEST_BYTES:
-            await self._send(data)
+        if sum(map(len, pieces)) <= SMALL_REQUEST_BYTES:
+            await self._send(b''.join(pieces))
             return await self.receive_head()
         head, failure = None, None
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send, data)
+            tasks.start_soon(self._send, *pieces)
             try:
                 head = await self.receive_head()
             except errors.UpstreamError as error:
@@ -185,11 +186,13 @@
             raise failure
         return head
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, *pieces: bytes) -> None:
         # Send errors are ignored: whether a response arrives decides the
-        # outcome.
+        # outcome. The transport copies what the upstream does not read.
         with contextlib.suppress(*_STREAM_ERRORS):
-            await self._stream.send(data)
+            for piece in map(memoryview, pieces):
+                for start in range(0, len(piece), SEND_BYTES):
+                    await self._stream.send(piece[start : start + SEND_BYTES])
             self._send_pending = False
 
     async def receive_head(self) -> Head:
--- a/packages/node/src/radishcourse_node/app.py
+++ b/packages/node/src/radishcourse_node/app.py
@@ -22,9 +22,12 @@
 from radishcourse_node import pages
 from radishcourse_node import replies
 from radishcourse_node import requests
+from radishcourse_node.filters import authentication
 from radishcourse_node.filters import parsing
 
 LAST_EVENT_TIMEOUT_S = 0.5
+# A job holds its body, the messages decoded from it, and what it sends on.
+JOB_COPIES = 4
 _KEY_HEADER = 'idempotency-key'
 
 
@@ -48,17 +51,20 @@
         if handler is not None:
             await replies.send_response(send, await handler())
             return
-        with self._node.count_request():
-            await self._serve(scope, receive, send)
+        with (
+            self._node.count_request(),
+            bodies.Reader(self._node.resources.account, JOB_COPIES) as reader,
+        ):
+            await self._serve(scope, receive, send, reader)
 
-    async def _serve(self, scope, receive, send) -> None:
+    async def _serve(self, scope, receive, send, body_reader) -> None:
         request_id = ids.RequestId(
             f'{self._node.incarnation}-{secrets.token_hex(6)}'
         )
         connection = scope['state'][connections.STATE_KEY]
         job = None
         try:
-            job = await self._read_job(scope, receive, request_id)
+            job = await self._read_job(scope, receive, request_id, body_reader)
             with _cancel_on_disconnect(connection, job) as cancel_scope:
                 await self._answer(send, connection, job)
         except errors.Refusal as refusal:
@@ -88,11 +94,20 @@
                 await self._send_stream(send, job, answer)
             await reader.finish()
 
-    async def _read_job(self, scope, receive, request_id) -> jobs.Job:
+    async def _read_job(
+        self, scope, receive, request_id, body_reader
+    ) -> jobs.Job:
         arrived_at = self._clock.now()
         headers = requests.read_headers(scope['headers'])
+        # What the filters would refuse in any case is refused before the body.
+        authentication.identify(self._node.configuration, headers)
+        parsing.check_path(scope['path'])
         body = await requests.read_body(
-            receive, self._settings.max_body_bytes, self._settings.body_limit_s
+            body_reader,
+            receive,
+            scope['headers'],
+            self._settings.max_body_bytes,
+            self._settings.body_limit_s,
         )
         return jobs.Job(
             request_id=request_id,
--- a/packages/node/src/radishcourse_node/connections.py
+++ b/packages/node/src/radishcourse_node/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 import sys
 
@@ -9,64 +10,47 @@
 from uvicorn.protocols.http import h11_impl
 
 from radishcourse_node import errors
+from radishcourse_node import heldbytes
+from radishcourse_node import inputs
 from radishcourse_node import replies
+from radishcourse_node import resources
+from radishcourse_node import transports
 from radishcourse_node.controllers import readers
 
 # Bounds the kernel buffer of a caller that does not read. At a round trip of
 # 10 ms it still allows 12 MB/s for each connection.
 SEND_BUFFER_BYTES = 128 * 1024
+# Most bytes that are read before they are parsed, also of requests sent ahead.
+READ_BYTES = 64 * 1024
 # Delay before idle connections are closed at shutdown, because a request may
 # already be on its way on them.
 IDLE_CLOSE_DELAY_S = 1.0
+# A caller may read a response only after it has sent its whole body. Up to this
+# many announced bytes the rest is read as part of the request; a longer rest,
+# or one of unknown length, is discarded and the connection closed.
+KEPT_REST_BYTES = 64 * 1024
+CLOSE_HEADER = (b'connection', b'close')
 STATE_KEY = 'connection'
+# Largest head where the server sets no other limit.
+MAX_HEAD_BYTES = 16 * 1024
+# A header takes ten times its bytes of memory if it is a few bytes long.
+MAX_HEADERS = 256
+HEADER_BYTES = 300
 
 
-class _BatchingTransport:
-    """Batches the writes of one event loop iteration into one.
+class Phase(enum.IntEnum):
+    """What a connection does, in the order in which connections are closed.
 
-    The system call is the largest cost of a token, so tokens that arrived in
-    one read from the engine are sent in one call.
+    A connection that waits for its caller is idle, has an incomplete request
+    or a response that the caller does not read.
     """
 
-    def __init__(self, transport: asyncio.Transport, loop):
-        self._transport = transport
-        self._loop = loop
-        self._parts: list[bytes] = []
-        self._size = 0
-
-    def write(self, data: bytes) -> None:
-        """Schedules a write for the next event loop iteration."""
-        if not self._parts:
-            self._loop.call_soon(self._flush)
-        self._parts.append(data)
-        self._size += len(data)
-
-    def get_write_buffer_size(self) -> int:
-        """Bytes that are not yet in the kernel's send buffer."""
-        return self._size + self._transport.get_write_buffer_size()
-
-    def close(self) -> None:
-        """Writes the pending bytes and closes."""
-        self._flush()
-        self._transport.close()
-
-    def set_write_buffer_limits(self, high: int) -> None:
-        """Sets the buffer size at which writing is paused, in bytes."""
-        self._flush()
-        self._transport.set_write_buffer_limits(high=high)
-
-    def _flush(self) -> None:
-        if self._parts:
-            data = b''.join(self._parts)
-            self._parts.clear()
-            self._size = 0
-            self._transport.write(data)
-
-    def __getattr__(self, name: str):
-        return getattr(self._transport, name)
-
-
-class Connection(h11_impl.H11Protocol):
+    CLOSING = 0
+    WAITING = 1
+    SERVING = 2
+
+
+class Connection(h11_impl.H11Protocol, asyncio.BufferedProtocol):
     """A caller's connection; the ASGI scope's state refers to it.
 
     The connection is closed if the headers of a request, or the rest of a
@@ -76,15 +60,37 @@
       on_disconnect: Called when the connection is lost, or None.
     """
 
+    # One buffer serves all connections: its bytes are parsed at once.
+    _read_buffer = memoryview(bytearray(READ_BYTES))
+
     def __init__(
-        self, config, server_state, app_state, _loop=None, header_limit_s=10.0
+        self,
+        config,
+        server_state,
+        app_state,
+        _loop=None,
+        header_limit_s=10.0,
+        *,
+        shared: resources.Resources,
+        limit: resources.ConnectionLimit,
     ):
         state = {**app_state, STATE_KEY: self}
         super().__init__(config, server_state, state, _loop)
+        self._app, self.app = self.app, self._run_app
+        self.conn = inputs.Parser(
+            config.h11_max_incomplete_event_size or MAX_HEAD_BYTES
+        )
         self.on_disconnect = None
+        self._turns = shared.turns
+        self._limit = limit
         self._header_limit_s = header_limit_s
         self._request_timer: asyncio.TimerHandle | None = None
         self._disconnected = False
+        self._waits_for_turn = False
+        self._active_at = self.loop.time()
+        self._unparsed = shared.account.open(heldbytes.Kind.INPUT, self.abort)
+        self._head = shared.account.open(heldbytes.Kind.INPUT, self.abort)
+        self._unread = shared.account.open(heldbytes.Kind.UNREAD, self.abort)
 
     def held_bytes(self) -> int:
         """Written bytes that are not yet in the kernel's send buffer."""
@@ -106,6 +112,21 @@
         """Closes the connection and discards unsent bytes."""
         self.transport.abort()
 
+    def closing_order(self) -> tuple[int, float]:
+        """Returns the key by which connections over the limit are closed."""
+        return self._phase(), self._active_at
+
+    def _phase(self) -> Phase:
+        if self.transport.is_closing():
+            return Phase.CLOSING
+        serving = (
+            self.cycle is not None
+            and not self.cycle.response_complete
+            and not self.cycle.more_body
+            and not self.is_paused()
+        )
+        return Phase.SERVING if serving else Phase.WAITING
+
     def _set_limits(self) -> None:
         self.transport.set_write_buffer_limits(
             high=readers.HIGH_WATERMARK_BYTES
@@ -113,33 +134,148 @@
 
     def connection_made(self, transport) -> None:
         """Limits the buffers and the time for the first request."""
-        super().connection_made(_BatchingTransport(transport, self.loop))
+        super().connection_made(
+            transports.BatchingTransport(transport, self.loop, self)
+        )
         self._set_limits()
         transport.get_extra_info('socket').setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
         self._update_request_timer()
+        self._limit.add(self)
 
     def connection_lost(self, exc) -> None:
         """Cancels the work for a caller that has disconnected."""
         self._disconnected = True
+        self._limit.remove(self)
+        self._unparsed.release()
+        self._head.release()
+        self._unread.release()
         self._update_request_timer()
         super().connection_lost(exc)
         if self.on_disconnect is not None:
             self.on_disconnect()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next bytes."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handles the bytes in the buffer, or discards them when closing."""
+        if not self.transport.discards(nbytes):
+            self.data_received(bytes(self._read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parses the data and limits the time for an incomplete request."""
+        self._active_at = self.loop.time()
         super().data_received(data)
         self._update_request_timer()
 
+    def handle_events(self) -> None:
+        """Handles the events of one turn; the rest follows in later turns."""
+        if self._waits_for_turn:
+            return
+        self.conn.start_turn()
+        super().handle_events()
+        self._unparsed.try_resize(self.conn.unparsed_bytes)
+        stopped = self.conn.stopped and not self.transport.is_closing()
+        self.transport.hold_reading(stopped)
+        if stopped:
+            self._waits_for_turn = True
+            self._turns.add(self._continue_input)
+
+    def _continue_input(self) -> None:
+        self._waits_for_turn = False
+        if not self._disconnected and not self.transport.is_closing():
+            try:
+                self.handle_events()
+            except Exception:
+                self.abort()
+                raise
+            self._update_request_timer()
+
+    def note_unread(self, size: int) -> None:
+        """Records the number of bytes that the caller has not read."""
+        self._unread.try_resize(size)
+
+    def resume_writing(self) -> None:
+        """Continues the response: the caller has read on."""
+        self._active_at = self.loop.time()
+        self.note_unread(self.held_bytes())
+        super().resume_writing()
+
     def eof_received(self) -> None:
         """Refuses a request whose body ended early."""
+        if self.transport.is_closing():
+            return
         if self.conn.their_state is h11.SEND_BODY:
             with contextlib.suppress(h11.LocalProtocolError):
                 self.conn.receive_data(b'')
                 self.handle_events()
 
+    async def _run_app(self, scope, receive, send) -> None:
+        """Runs the application; adds the header of a closing response."""
+
+        async def send_message(message) -> None:
+            if (
+                message['type'] == 'http.response.start'
+                and self._must_discard_rest()
+            ):
+                headers = list(message.get('headers', ()))
+                if CLOSE_HEADER not in headers:
+                    headers.append(CLOSE_HEADER)
+                message = {**message, 'headers': headers}
+            await send(message)
+
+        headers = scope['headers']
+        if len(headers) > MAX_HEADERS:
+            refusal = errors.Refusal(
+                errors.RefusalCode.HEADERS_TOO_LARGE,
+                f'more than {MAX_HEADERS} headers',
+            )
+            response = replies.make_error_response(refusal, request_id='')
+            await replies.send_response(send_message, response)
+            return
+        size = sum(len(name) + len(value) for name, value in headers)
+        if self._head.try_resize(size + HEADER_BYTES * len(headers)):
+            await self._app(scope, receive, send_message)
+
+    def _must_discard_rest(self) -> bool:
+        """Whether the rest of the request's body is not to be parsed."""
+        if self.conn.their_state is not h11.SEND_BODY:
+            return False
+        if self.conn.they_are_waiting_for_100_continue:
+            return True
+        length = next(
+            (
+                value
+                for name, value in self.headers
+                if name == b'content-length'
+            ),
+            None,
+        )
+        return length is None or int(length) > KEPT_REST_BYTES
+
+    def on_response_complete(self) -> None:
+        """Frees what is left of the request and continues with the next."""
+        self.cycle.body = bytearray()
+        self.cycle.scope = {}
+        self.scope = self.headers = None
+        self._head.try_resize(0)
+        self._active_at = self.loop.time()
+        super().on_response_complete()
+
+    @property
+    def has_incomplete_input(self) -> bool:
+        """Whether closing at once could lose the response.
+
+        The system resets a connection that is closed with bytes unread, and
+        discards what the caller has not read yet.
+        """
+        return self.conn.their_state in (h11.SEND_BODY, h11.ERROR) or bool(
+            self.conn.unparsed_bytes
+        )
+
     def _update_request_timer(self) -> None:
         answered = self.cycle is None or self.cycle.response_complete
         waiting = (
@@ -160,7 +296,7 @@
         return (
             self.cycle is None
             or self.conn.their_state is h11.SEND_BODY
-            or bool(self.conn.trailing_data[0])
+            or bool(self.conn.unparsed_bytes)
         )
 
     def send_400_response(self, msg: str) -> None:
--- a/packages/node/src/radishcourse_node/controllers/readers.py
+++ b/packages/node/src/radishcourse_node/controllers/readers.py
@@ -91,11 +91,19 @@
 
 
 class Readers:
-    """Counts the buffered bytes by organisation and on the node."""
+    """Counts the buffered bytes by organisation and on the node.
 
-    def __init__(self, configuration, settings):
+    Args:
+      configuration: Has the bounds of organisations.
+      settings: Has the bound of the node.
+      max_bytes: Another bound of the node, in bytes; None for no other.
+    """
+
+    def __init__(self, configuration, settings, max_bytes: int | None = None):
         self._configuration = configuration
         self._max_bytes = settings.held_bytes
+        if max_bytes is not None:
+            self._max_bytes = min(self._max_bytes, max_bytes)
         self._total = 0
         self._held: collections.Counter[ids.OrganisationId] = (
             collections.Counter()
--- a/packages/node/src/radishcourse_node/filters/parsing.py
+++ b/packages/node/src/radishcourse_node/filters/parsing.py
@@ -30,9 +30,7 @@
         elif job.path.startswith(SERVICE_PREFIX):
             self._parse_call(job)
         else:
-            raise errors.Refusal(
-                errors.RefusalCode.NOT_FOUND, f'no such path: {job.path}'
-            )
+            check_path(job.path)
         return await proceed(job)
 
     def _parse_chat(self, job: jobs.Job) -> None:
@@ -76,6 +74,18 @@
         )
 
 
+def check_path(path: str) -> None:
+    """Refuses paths at which nothing is served.
+
+    Raises:
+      Refusal: The path is unknown.
+    """
+    if path != CHAT_PATH and not path.startswith(SERVICE_PREFIX):
+        raise errors.Refusal(
+            errors.RefusalCode.NOT_FOUND, f'no such path: {path}'
+        )
+
+
 def _is_idempotent(service, method: str, path: str) -> bool:
     for route in service.routes:
         if route.method == method and route.path == path:
--- a/packages/node/src/radishcourse_node/node.py
+++ b/packages/node/src/radishcourse_node/node.py
@@ -18,6 +18,7 @@
 from radishcourse_node import gossip
 from radishcourse_node import metrics
 from radishcourse_node import ratings
+from radishcourse_node import resources
 from radishcourse_node import serving
 from radishcourse_node import settings as node_settings
 from radishcourse_node import statuses
@@ -87,11 +88,15 @@
             settings.peer_key,
         )
         self.timeouts = timeouts.Timeouts(environment.clock)
+        self.resources = resources.from_settings(environment.clock, settings)
         self.peers = peer_client.Client(
             own_credentials, self.timeouts.fail_after
         )
         self.peer_server = peer_server.Server(
-            own_credentials, _log_rejected_peer
+            own_credentials,
+            self.resources.reject_peer,
+            self.resources.peers,
+            self.resources.open_frame,
         )
         rows, store = table.Table(platform), objects.ObjectStore(platform)
         revision_source = revisions.Revisions(
@@ -143,7 +148,11 @@
         self.peer_server.register(
             messages.MessageKind.HOLD_BILLS, self.bills.hold_copies
         )
-        self.readers = readers.Readers(self.configuration, settings)
+        self.readers = readers.Readers(
+            self.configuration,
+            settings,
+            self.resources.unread_bytes,
+        )
         self._draining = False
         self._requests = 0
         self._was_ready = False
@@ -252,6 +261,7 @@
             'radishcourse_held_bytes': self.readers.total,
             'radishcourse_held_bytes_most': self.readers.peak,
             'radishcourse_ready': int(self.ready),
+            **self.resources.account.gauges(),
         }
 
     def _upstream_status(
@@ -308,6 +318,8 @@
             http=functools.partial(
                 connections.Connection,
                 header_limit_s=self.settings.header_limit_s,
+                shared=self.resources,
+                limit=self.resources.callers,
             ),
             h11_max_incomplete_event_size=MAX_INCOMPLETE_EVENT_BYTES,
             timeout_graceful_shutdown=int(self.settings.drain_limit_s),
@@ -344,10 +356,6 @@
         await self.ratings.aclose()
 
 
-def _log_rejected_peer(reason: str) -> None:
-    events.log(events.Event.PEER_REJECTED, reason=reason)
-
-
 @contextlib.asynccontextmanager
 async def open_node(environment, settings):
     """Yields a node and closes its connections at the end."""
--- a/packages/node/src/radishcourse_node/requests.py
+++ b/packages/node/src/radishcourse_node/requests.py
@@ -3,6 +3,8 @@
 from radishcourse_node import bodies
 from radishcourse_node import errors
 
+# The bodies that used up the memory end or are cut off within about this time.
+NO_MEMORY_RETRY_S = 1
 MAX_HEADERS = 100
 MAX_HEADER_BYTES = 16 * 1024
 
@@ -24,20 +26,25 @@
     }
 
 
-async def read_body(receive, max_bytes: int, timeout_s: float) -> bytes:
+async def read_body(
+    reader: bodies.Reader, receive, headers, max_bytes: int, timeout_s: float
+) -> bytes:
     """Returns the complete body of a request.
 
     Args:
+      reader: Reads the body and accounts for it.
       receive: The ASGI receive function.
+      headers: The headers; names in lower case.
       max_bytes: Maximum size of the body in bytes.
       timeout_s: Time limit for the whole body in seconds.
 
     Raises:
       CallerDisconnected: The caller disconnected first.
-      Refusal: The body is too large, or did not arrive in time.
+      Refusal: The body is too large, did not arrive in time, or the memory for
+        requests is used up.
     """
     try:
-        return await bodies.read(receive, max_bytes, timeout_s)
+        return await reader.read(receive, headers, max_bytes, timeout_s)
     except bodies.TooLarge as error:
         raise errors.Refusal(
             errors.RefusalCode.BODY_TOO_LARGE, str(error)
@@ -46,3 +53,7 @@
         raise errors.Refusal(
             errors.RefusalCode.BAD_REQUEST, str(error)
         ) from error
+    except bodies.NoMemory as error:
+        raise errors.Refusal(
+            errors.RefusalCode.OVERLOADED, str(error), NO_MEMORY_RETRY_S
+        ) from error
--- a/packages/node/src/radishcourse_node/serving.py
+++ b/packages/node/src/radishcourse_node/serving.py
@@ -9,8 +9,24 @@
 
 from radishcourse_node import errors
 from radishcourse_node import events
+from radishcourse_node import resources
 
 RESTART_DELAY_S = 1.0
+KERNEL_BACKLOG = 2048
+
+
+class _Server(uvicorn.Server):
+    """A server that accepts few connections at once.
+
+    asyncio accepts up to `backlog` connections before it starts the protocol
+    of any, so that as many may exceed the limit on connections.
+    """
+
+    async def startup(self, sockets=None) -> None:
+        """Starts to accept; the kernel may queue more connections."""
+        await super().startup(sockets)
+        for item in sockets or ():
+            item.listen(KERNEL_BACKLOG)
 
 
 async def listen(address: str) -> anyio.abc.SocketListener:
@@ -51,9 +67,10 @@
         access_log=False,
         server_header=False,
         proxy_headers=False,
+        backlog=resources.ACCEPTED_AT_ONCE,
         **options,
     )
-    server = uvicorn.Server(config)
+    server = _Server(config)
     server.capture_signals = contextlib.nullcontext
     return server
 
--- a/packages/node/src/radishcourse_node/settings.py
+++ b/packages/node/src/radishcourse_node/settings.py
@@ -9,6 +9,7 @@
 from radishcourse_model import schema
 from radishcourse_node import errors
 
+Count = typing.Annotated[int, msgspec.Meta(ge=1, le=2**31)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86_400)]
 
 
@@ -49,6 +50,10 @@
       held_bytes: Maximum bytes buffered for slow readers of all organisations.
       bills_bytes: Bytes of held bills, own and others', above which new jobs
         are refused.
+      memory_mb: Memory of the VM in MB (2**20 bytes), from which the limits on
+        bytes held for clients follow; None sets no limits.
+      max_fds: Descriptors that the process may open, from which the limits on
+        connections follow; None sets no limits.
     """
 
     node: ids.NodeId
@@ -73,6 +78,8 @@
     max_body_bytes: schema.Size = 4 * 2**20
     held_bytes: schema.Size = 64 * 2**20
     bills_bytes: schema.Size = 24 * 2**20
+    memory_mb: Count | None = None
+    max_fds: Count | None = None
 
 
 def read(path: pathlib.Path) -> Settings:
--- a/packages/wire/src/radishcourse_wire/frames.py
+++ b/packages/wire/src/radishcourse_wire/frames.py
@@ -8,6 +8,8 @@
 from radishcourse_wire.gen.peer import ttypes
 
 LENGTH_BYTES = 4
+# Longer frames are received, and counted, in parts of this size.
+PART_BYTES = 16 * 1024
 # Limit on the encoded envelope, so messages must be a little smaller.
 MAX_FRAME_BYTES = codec.MAX_MESSAGE_BYTES
 
@@ -41,9 +43,13 @@
             )
         await self.send_raw(len(data).to_bytes(LENGTH_BYTES, 'big') + data)
 
-    async def receive(self) -> ttypes.Envelope:
+    async def receive(self, resize=None) -> ttypes.Envelope:
         """Returns the next envelope.
 
+        Args:
+          resize: Called with the number of bytes of the frame that are held;
+            None if they are not counted.
+
         Raises:
           Unreachable: The connection is broken or closed.
           Malformed: The frame is too large or holds no envelope.
@@ -53,7 +59,22 @@
             raise errors.Malformed(
                 f'frame of {length} bytes exceeds {MAX_FRAME_BYTES} bytes'
             )
-        return codec.decode(ttypes.Envelope, await self.receive_raw(length))
+        if resize is None or length <= PART_BYTES:
+            data = await self.receive_raw(length)
+        else:
+            data = await self._receive_counted(length, resize)
+        return codec.decode(ttypes.Envelope, data)
+
+    async def _receive_counted(self, length: int, resize) -> bytes:
+        data = bytearray()
+        try:
+            while len(data) < length:
+                part = min(PART_BYTES, length - len(data))
+                data += await self.receive_raw(part)
+                resize(len(data))
+            return bytes(data)
+        finally:
+            resize(0)
 
     async def send_raw(self, data: bytes) -> None:
         """Sends bytes without a length prefix.
--- a/packages/wire/src/radishcourse_wire/server.py
+++ b/packages/wire/src/radishcourse_wire/server.py
@@ -1,6 +1,7 @@
 """Server for the requests of peers."""
 
 import dataclasses
+import socket
 import typing
 
 import anyio
@@ -16,6 +17,9 @@
 
 IDLE_TIMEOUT_S = 60.0
 MAX_CONNECTIONS = 2048
+# Bounds how much anyio reads ahead on a connection, which is not counted; the
+# system doubles it.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,18 +44,30 @@
     Args:
       own_credentials: Credentials of this node.
       on_reject: Called with the reason when a connection is closed
-        because of an invalid message or `IDLE_TIMEOUT_S` without one.
+        because of an invalid message, `IDLE_TIMEOUT_S` without one or too
+        many connections.
+      max_connections: Most connections; MAX_CONNECTIONS if None. At the limit
+        the oldest one that has not sent a valid message is closed.
+      open_holding: Returns an object whose `try_resize` is called with the
+        number of bytes held of an incomplete message. Its argument is a
+        function that closes the connection. None if they are not counted.
     """
 
     def __init__(
         self,
         own_credentials: credentials.Credentials,
         on_reject: typing.Callable[[str], None],
+        max_connections: int | None = None,
+        open_holding=None,
     ):
         self._credentials = own_credentials
         self._on_reject = on_reject
         self._handlers: dict[messages.MessageKind, Handler] = {}
-        self._connection_limiter = anyio.CapacityLimiter(MAX_CONNECTIONS)
+        self._max_connections = max_connections or MAX_CONNECTIONS
+        self._open_holding = open_holding
+        # Tells of each connection, by the scope of its task, whether its peer
+        # is authenticated; the oldest is first.
+        self._authenticated: dict[anyio.CancelScope, bool] = {}
 
     def register(self, kind: messages.MessageKind, handler: Handler) -> None:
         """Registers the handler for a kind of message."""
@@ -70,32 +86,64 @@
 
     async def serve_on(self, listener: anyio.abc.Listener) -> None:
         """Serves peers on a listener until cancelled."""
+        raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         await listener.serve(self._serve_stream)
 
     async def _serve_stream(self, stream) -> None:
         connection = frames.Connection(stream)
         try:
-            async with self._connection_limiter:
-                await self._serve_connection(connection)
+            with anyio.CancelScope() as scope:
+                if self._admit(scope):
+                    await self._serve_connection(connection, scope)
         except errors.Unreachable:
             pass
         except (errors.WireError, TimeoutError) as error:
             self._on_reject(repr(error))
         finally:
+            self._authenticated.pop(scope, None)
             with anyio.CancelScope(shield=True):
                 await connection.aclose()
 
-    async def _serve_connection(self, connection: frames.Connection) -> None:
+    def _admit(self, scope: anyio.CancelScope) -> bool:
+        """Adds a connection; returns whether there is room for it."""
+        if len(self._authenticated) >= self._max_connections:
+            oldest = next(
+                (
+                    key
+                    for key, known in self._authenticated.items()
+                    if not known
+                ),
+                None,
+            )
+            if oldest is None:
+                self._on_reject('too many connections')
+                return False
+            del self._authenticated[oldest]
+            oldest.cancel()
+            self._on_reject('too many connections; the oldest is closed')
+        self._authenticated[scope] = False
+        return True
+
+    async def _serve_connection(
+        self, connection: frames.Connection, scope: anyio.CancelScope
+    ) -> None:
         challenge = credentials.new_challenge()
         await connection.send_raw(challenge)
         counter = 0
+        resize = None
+        if self._open_holding is not None:
+            resize = self._open_holding(scope.cancel).try_resize
         while True:
             with anyio.fail_after(IDLE_TIMEOUT_S):
-                envelope = await connection.receive()
+                envelope = await connection.receive(resize)
             self._credentials.verify_request(envelope, challenge)
             counter += 1
             if envelope.counter != counter:
                 raise errors.Unauthenticated('the request is out of order')
+            self._authenticated[scope] = True
             reply = await self._answer(envelope)
             reply.kind, reply.counter = envelope.kind, counter
             self._credentials.sign_reply(reply, challenge)
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -171,3 +171,5 @@
     finally:
         stop.set()
         thread.join()
+        with contextlib.suppress(FileNotFoundError):
+            watch.note()
