--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -8,6 +8,7 @@
 from radishcourse_model import schema
 from radishcourse_policy import dutylease
 
+Count = typing.Annotated[int, msgspec.Meta(ge=1, le=2**31)]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 # Shorter leases would end between two renewals on a busy VM.
 LeaseSeconds = typing.Annotated[float, msgspec.Meta(ge=0.3, le=3600)]
@@ -107,6 +108,10 @@
       duties_per_s: Calls per second to the second interface that all nodes
         together may make.
       overload: Decisions while a service has too few free slots.
+      memory_mb: Memory of the VM in MB (2**20 bytes), from which the limits on
+        bytes held for clients follow; None sets no limits.
+      max_fds: Descriptors that the process may open, from which the limits on
+        connections follow; None sets no limits.
     """
 
     node: ids.NodeId
@@ -124,6 +129,8 @@
     duties: frozenset[dutylease.Duty] = frozenset()
     duties_per_s: CallsPerSecond = 2.0
     overload: Overload = Overload()
+    memory_mb: Count | None = None
+    max_fds: Count | None = None
 
 
 class CurrentSettings:
@@ -164,4 +171,6 @@
     'peer_key',
     'control_api',
     'duties',
+    'memory_mb',
+    'max_fds',
 )
--- a/tests/site.py
+++ b/tests/site.py
@@ -35,6 +35,8 @@
       grace_s: Bound of the gateways' settings with this meaning.
       control_api: Address of the second interface; empty for none.
       bounds: More bounds of the gateways' settings, by name.
+      memory_mb: Memory of the gateways' VMs in MB.
+      max_fds: Descriptors that a gateway may open.
 
     Attributes:
       store: The row store.
@@ -54,6 +56,8 @@
         grace_s: float = sitefiles.GRACE_S,
         control_api: str = '',
         bounds: dict[str, float] | None = None,
+        memory_mb: int = sitefiles.MEMORY_MB,
+        max_fds: int = sitefiles.MAX_FDS,
     ):
         self._processes = started_processes
         self._link_workers = link_workers
@@ -64,6 +68,8 @@
         self._grace_s = grace_s
         self._control_api = control_api
         self._bounds = bounds
+        self._memory_mb = memory_mb
+        self._max_fds = max_fds
         self._addresses: dict[str, str] = {}
         self._launches: dict[str, tuple] = {}
         self.store = started_processes.stand_in('rowstore')
@@ -237,6 +243,8 @@
             self._grace_s,
             control_api,
             self._bounds,
+            self._memory_mb,
+            self._max_fds,
         )
         self._launches[name] = (host, front, settings)
         process = self._processes.gateway(name, host, front, settings)
@@ -430,6 +438,8 @@
     crash_point: str = 'head',
     retry_slack: int = sitefiles.RETRY_SLACK,
     grace_s: float = sitefiles.GRACE_S,
+    memory_mb: int = sitefiles.MEMORY_MB,
+    max_fds: int = sitefiles.MAX_FDS,
     **fields,
 ):
     """Yields a running site with two desks, two engines and gateways."""
@@ -445,6 +455,8 @@
             crash_point,
             retry_slack,
             grace_s,
+            memory_mb,
+            max_fds,
         )
         site.configure(**fields)
         for name in ('desk-1', 'desk-2'):
--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -10,6 +10,8 @@
 BUDGET_MS = 5000
 GRACE_S = 6
 RETRY_SLACK = 56
+MEMORY_MB = 200
+MAX_FDS = 4100
 
 
 class Ports(typing.NamedTuple):
@@ -97,6 +99,8 @@
     grace_s: float = GRACE_S,
     control_api: str = '',
     bounds: dict[str, float] | None = None,
+    memory_mb: int = MEMORY_MB,
+    max_fds: int = MAX_FDS,
 ) -> str:
     """Returns the settings file of a gateway.
 
@@ -111,6 +115,8 @@
       grace_s: Seconds between SIGTERM and SIGKILL.
       control_api: Address of the second interface; empty for none.
       bounds: More bounds by name.
+      memory_mb: Memory of the VM in MB.
+      max_fds: Descriptors that the process may open.
     """
     more = '\n'.join(
         f'{key} = {value}' for key, value in (bounds or {}).items()
@@ -137,7 +143,8 @@
 readiness = "{host}:{ports.ready}"
 control = "{host}:{ports.peer}"
 [limits]
-memoryMb = 200
+memoryMb = {memory_mb}
+maxFds = {max_fds}
 [bounds]
 graceS = {grace_s}
 budgetRatio = 0.9
