--- a/tests/site.py
+++ b/tests/site.py
@@ -455,8 +455,8 @@
             crash_point,
             retry_slack,
             grace_s,
-            memory_mb,
-            max_fds,
+            memory_mb=memory_mb,
+            max_fds=max_fds,
         )
         site.configure(**fields)
         for name in ('desk-1', 'desk-2'):
