--- a/packages/gateway/src/radishcourse_gateway/admissions.py
+++ b/packages/gateway/src/radishcourse_gateway/admissions.py
@@ -210,11 +210,14 @@
         """Returns the refusal of a request that no upstream has taken."""
         left_s = request.deadline - self._clock.now()
         admission = self._service(plan.service).admission
+        backlog_s = admission.backlog_s(self._read_room(plan.service))
+        if backlog_s is None:
+            backlog_s = OVERLOADED_RETRY_S
         self._note(request, 'full')
         return errors.Refusal(
             errors.Reason.OVERLOADED,
             str(failure),
-            admission.retry_after_s(OVERLOADED_RETRY_S, left_s),
+            admission.retry_after_s(backlog_s, left_s),
         )
 
     @contextlib.contextmanager
--- a/packages/policy/src/radishcourse_policy/overload.py
+++ b/packages/policy/src/radishcourse_policy/overload.py
@@ -309,6 +309,14 @@
         refused_at = self._refused.pop(request, None)
         return refused_at is not None and now - refused_at <= REFUSED_TTL_S
 
+    def backlog_s(self, room: Room) -> float | None:
+        """Returns the time in which the best upstream has a free slot.
+
+        None if it is unknown.
+        """
+        slot_s = self.times.slot_s(self.limits.min_samples)
+        return None if slot_s is None else max(1.0, room.best_excess) * slot_s
+
     def retry_after_s(self, backlog_s: float, left_s: float) -> float:
         """Returns when a refused caller may return.
 
--- a/packages/policy/src/radishcourse_policy/servicetimes.py
+++ b/packages/policy/src/radishcourse_policy/servicetimes.py
@@ -66,7 +66,7 @@
 
         This is the Kaplan-Meier estimate over the recent heads and the
         attempts that still wait. If too few have ended for the quantile, it is
-        the longest time so far, as a lower bound.
+        the median of all times so far: only few may have waited for longer.
 
         Args:
           now: Current time in seconds.
@@ -93,7 +93,7 @@
                 if surviving <= 1 - quantile:
                     return seconds
             left -= 1
-        return samples[-1][0]
+        return samples[len(samples) // 2][0]
 
     def least_run_s(self, kind: tuple[str, str], min_samples: int) -> float:
         """Returns the shortest time from head to end, 0 if it is unknown.
--- a/packages/policy/src/radishcourse_policy/streampace.py
+++ b/packages/policy/src/radishcourse_policy/streampace.py
@@ -13,8 +13,10 @@
 # CHECK_INTERVAL_S.
 MIN_MEASURED_S = 1.2
 CHECK_INTERVAL_S = 0.4
-# Events in that time without which the pace is not known.
+# Events in that time without which the pace is not known; it is then measured
+# over more time.
 MIN_EVENTS = 4
+MAX_MARKS = 16
 # A stream moves only if its time for each event is this multiple of the usual
 # one. Nine in ten streams of an upstream are below 1.6 times the median.
 SLOW_FACTOR = 1.6
@@ -44,9 +46,7 @@
     events: int = 0
     checked_at: float = 0.0
     marks: collections.deque[tuple[float, int]] = dataclasses.field(
-        default_factory=lambda: collections.deque(
-            maxlen=round(MIN_MEASURED_S / CHECK_INTERVAL_S) + 1
-        )
+        default_factory=lambda: collections.deque(maxlen=MAX_MARKS)
     )
 
     def note(self, now: float, events: int) -> bool:
@@ -65,12 +65,13 @@
     @property
     def pace_s(self) -> float | None:
         """Seconds between its latest events, None if they are too few."""
-        if len(self.marks) < 2:
+        if not self.marks:
             return None
-        (start, first), (end, last) = self.marks[0], self.marks[-1]
-        if end - start < MIN_MEASURED_S or last - first < MIN_EVENTS:
-            return None
-        return (end - start) / (last - first)
+        end, last = self.marks[-1]
+        for start, first in reversed(self.marks):
+            if end - start >= MIN_MEASURED_S and last - first >= MIN_EVENTS:
+                return (end - start) / (last - first)
+        return None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -73,6 +73,17 @@
         self.assertEqual(56, bounds.repeat_slack)
         self.assertEqual(6.5, bounds.session_s)
 
+    def test_overload_table_is_optional_and_reaches_the_settings(self):
+        with tempfile.TemporaryDirectory() as folder:
+            missing = settings.read(_write(folder, SETTINGS)).overload
+            text = f'{SETTINGS}\n[overload]\nenabled = false\nwindowS = 5'
+            given = settings.read(_write(folder, text)).overload
+            wrong = f'{SETTINGS}\n[overload]\nfloorShare = 0.1'
+            path = _write(folder, wrong)
+            self.assertRaises(errors.SettingsError, settings.read, path)
+        self.assertEqual(gateway_settings.Overload(), missing)
+        self.assertEqual((False, 5.0), (given.enabled, given.window_s))
+
     def test_nodes_of_an_installation_share_a_key(self):
         with tempfile.TemporaryDirectory() as folder:
             first = settings.read(_write(folder, SETTINGS))
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -314,6 +314,14 @@
         late = dataclasses.replace(late, deadline=deadline)
         self.assertFalse(self.admissions.has_time(late, plan))
 
+    def test_refusal_by_full_upstreams_follows_the_backlog(self):
+        # Requests hold a slot for 20 ms, and as many wait as run.
+        self._serve(head_s=0.01, run_s=0.01)
+        refusal = self.admissions.refuse_full(
+            self._request(), self._plan(), Exception('full')
+        )
+        self.assertLess(refusal.retry_after_s, 0.1)
+
     def test_refusal_by_full_upstreams_leaves_time_to_return(self):
         for left_s in (0.1, 0.6, 5.0):
             refusal = self.admissions.refuse_full(
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -134,6 +134,14 @@
             times.note_sent(index, 0.0)
         self.assertAlmostEqual(0.1, times.head_s(9.5, 3.0, SAMPLES, 0.25))
 
+    def test_one_stuck_attempt_is_not_the_wait_of_all(self):
+        times = servicetimes.ServiceTimes()
+        times.note_sent('stuck', 0.0)
+        for index in range(SAMPLES):
+            times.note_sent(index, 9.8)
+        times.note_head(0, 9.9)
+        self.assertLess(times.head_s(10.0, 3.0, SAMPLES, 0.25), 0.3)
+
     def test_failed_attempts_do_not_count(self):
         times = servicetimes.ServiceTimes()
         for index in range(2 * SAMPLES):
--- a/tests/test_streampace.py
+++ b/tests/test_streampace.py
@@ -65,6 +65,11 @@
         self.assertIsNotNone(moved_at)
         self.assertLess(moved_at, 2.0)
 
+    def test_stream_with_few_events_a_second_moves_as_well(self):
+        moved_at = _run(_known(), lambda now: 0.45)
+        self.assertIsNotNone(moved_at)
+        self.assertLess(moved_at, 3.0)
+
     def test_upstream_that_becomes_slow_later_is_left_then(self):
         moved_at = _run(
             _known(), lambda now: USUAL_S * (1 if now < 3 else 5), left_s=10.0
