Compare policies of even load, and spread the unknown load by slots

The load is now expected by slots; upstreams are still drawn by slots / speed. The speed of services without streams is the least time of three heads, since a mean counts the queue as slowness. Speeds have two bytes for each empty list that a reply leaves out. Changes of speed are logged at most once in 2 s; gauges show the learned speeds and the spread.

--- a/packages/gateway/src/radishcourse_gateway/expectedload.py
+++ b/packages/gateway/src/radishcourse_gateway/expectedload.py
@@ -18,6 +18,8 @@
 # Seconds for which the mean load of a service's upstreams is kept, so that a
 # choice does not go through all of them.
 LEVEL_REFRESH_S = 0.25
+# Bytes of a speed in a report.
+SPEED_BYTES = 2
 
 
 class ExpectedLoad:
@@ -101,9 +103,7 @@
         return evenload.UpstreamWork(
             *self._load.own_work(upstream),
             self._peers.others_work(upstream),
-            upstreamspeed.capacity(
-                listed.upstream.slots, self._speeds.factor(listed.incarnation)
-            ),
+            listed.upstream.slots,
         )
 
     def _level(self, listed: views.ListedUpstream) -> evenload.Level:
@@ -208,15 +208,22 @@
         )
 
     def add_speeds(
-        self, work: list[ttypes.UpstreamWork]
+        self, work: list[ttypes.UpstreamWork], spare_bytes: int = 0
     ) -> list[ttypes.UpstreamWork]:
         """Adds what this node has observed of speeds to a report of work.
 
-        Every second entry, by turns, has two bytes for it: as many as are
-        saved by leaving out for each that it is not ejected.
+        A speed takes two bytes. By turns, as many entries have one as is saved
+        by leaving out of each that it is not ejected, and empty lists.
+
+        Args:
+          work: The report.
+          spare_bytes: Bytes that the rest of the message is smaller.
         """
         self._reports += 1
-        for item in work[self._reports % 2 :: 2]:
+        count = min(len(work), (len(work) + spare_bytes) // SPEED_BYTES)
+        start = self._reports * count
+        for number in range(start, start + count):
+            item = work[number % len(work)]
             listed = self._view.upstreams.get(ids.UpstreamId(item.upstream))
             if listed is not None and not item.doubted:
                 item.speed = self._speeds.report(listed.incarnation)
@@ -240,7 +247,19 @@
     def labelled_gauges(self) -> dict[tuple[str, str], dict[str, float]]:
         """Returns gauges by metric name and label, and by the label's value."""
         speeds = upstreamspeed.of_ids(self._speeds.learned())
-        return {('radishcourse_upstream_relative_time', 'upstream'): speeds}
+        loads: dict[str, list[tuple[float, float]]] = {}
+        for listed in self._view.upstreams.values():
+            if listed.gone_at is None:
+                work = self._work(listed)
+                expected = evenload.expected(work, self._level(listed))
+                loads.setdefault(listed.upstream.service, []).append(
+                    (expected.requests, work.slots)
+                )
+        spreads = {name: evenload.spread(loads[name]) for name in loads}
+        return {
+            ('radishcourse_upstream_relative_time', 'upstream'): speeds,
+            ('radishcourse_load_spread', 'service'): spreads,
+        }
 
     def forget(self, present: set[tuple]) -> None:
         """Drops what was learned of upstreams that are not present."""
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -333,21 +333,26 @@
             )
             rows += [rowcodec.encode(record) for record in changes.records]
             by_name[asked.topic].complete = changes.complete or None
+        reports = self.rollouts.reports() if self.rollouts else []
+        statuses = self.rollouts.statuses() if self.rollouts else []
+        spare_bytes = 2 * [rows, reports, statuses].count([])
         return ttypes.SyncReply(
             self._own_record(),
             topics,
-            rows,
+            rows or None,
             self._peer_records(now) if request.full else None,
-            self.rollouts.reports() if self.rollouts else [],
-            self.rollouts.statuses() if self.rollouts else [],
-            self._reported_work(),
+            reports or None,
+            statuses or None,
+            self._reported_work(spare_bytes),
             self._crash_evidence(request, now),
             (self.limits.reports() if self.limits else None) or None,
         )
 
-    def _reported_work(self) -> list[ttypes.UpstreamWork]:
+    def _reported_work(self, spare_bytes: int) -> list[ttypes.UpstreamWork]:
         work = self.load.reported_work() if self.load else []
-        return self.speeds.add_speeds(work) if self.speeds else work
+        if self.speeds is None:
+            return work
+        return self.speeds.add_speeds(work, spare_bytes)
 
     def _crash_evidence(
         self, request: ttypes.Sync, now: float
--- a/packages/policy/src/radishcourse_policy/evenload.py
+++ b/packages/policy/src/radishcourse_policy/evenload.py
@@ -2,7 +2,7 @@
 
 A node knows its own work exactly, and that of each other node as of its last
 report. A report loses weight with its age; the rest of the load is assumed to
-be spread over the service's upstreams by their capacity. The nodes whose work
+be spread over the service's upstreams by their slots. The nodes whose work
 is known are a sample of the fleet: a deviation from the even spread in that
 sample is expected to hold in part for the others too.
 
@@ -199,17 +199,19 @@
       requests: This node's own requests in progress there.
       waiting_s: Expected seconds to prefill its own prompts that wait there.
       known: What the other nodes reported.
-      capacity: What the upstream works off relative to others.
+      slots: Requests that the upstream runs at once. A slower one gets fewer
+        requests but holds them longer, so that at equal utilisation its slots
+        are as full as those of others.
     """
 
     requests: int
     waiting_s: float
     known: Known
-    capacity: float
+    slots: int
 
 
 class Level(typing.NamedTuple):
-    """Load of a service, for each unit of its upstreams' capacity.
+    """Load of a service, for each slot of its upstreams.
 
     Attributes:
       requests: Requests of all nodes in progress.
@@ -242,8 +244,8 @@
       service_s: Mean time of a request.
     """
     items = list(upstreams)
-    capacity = sum(item.capacity for item in items)
-    if not capacity:
+    slots = sum(item.slots for item in items)
+    if not slots:
         return Level()
     # The nodes that have not reported yet are taken to be like the others.
     scale = (nodes - 1) / max(1, len(report_ages_s)) if nodes > 1 else 0.0
@@ -258,10 +260,10 @@
         item.waiting_s + scale * item.known.reported_waiting_s for item in items
     )
     return Level(
-        requests / capacity,
-        waiting_s / capacity,
-        sum(item.requests + item.known.requests for item in items) / capacity,
-        sum(item.waiting_s + item.known.waiting_s for item in items) / capacity,
+        requests / slots,
+        waiting_s / slots,
+        sum(item.requests + item.known.requests for item in items) / slots,
+        sum(item.waiting_s + item.known.waiting_s for item in items) / slots,
         min(1.0, known_nodes / max(1, nodes)),
     )
 
@@ -286,8 +288,8 @@
     factor = DISPERSION / (1 - share + DISPERSION * share)
 
     def estimate(known: float, known_level: float, mean: float) -> float:
-        deviation = known - known_level * item.capacity
-        return mean * item.capacity + factor * deviation
+        deviation = known - known_level * item.slots
+        return mean * item.slots + factor * deviation
 
     requests = estimate(
         item.requests + item.known.requests,
@@ -339,11 +341,10 @@
     """Returns the busiest upstream's load as a multiple of the mean.
 
     Args:
-      loads: Requests in progress and capacity of each upstream.
+      loads: Requests in progress and slots of each upstream.
     """
-    capacity = sum(item[1] for item in loads)
     requests = sum(item[0] for item in loads)
-    if not capacity or not requests:
+    slots = sum(item[1] for item in loads)
+    if not slots or not requests:
         return 1.0
-    mean = requests / capacity
-    return max(load / share for load, share in loads) / mean
+    return max(load / count for load, count in loads) * slots / requests
--- a/packages/policy/src/radishcourse_policy/upstreamspeed.py
+++ b/packages/policy/src/radishcourse_policy/upstreamspeed.py
@@ -39,6 +39,11 @@
 PRIOR_OBSERVATIONS = 4.0
 # Bounds of the factor; times beyond them show a fault, not a speed.
 MAX_FACTOR = 4.0
+# The fastest of this many heads in the time of an observation tells the speed,
+# as the others had to wait.
+MIN_HEADS = 3
+# Bound of the logarithm of an observation: the nominal time and a slow phase.
+MAX_RATIO = math.log(2.5)
 # Weight of the newest answer in the mean of its kind.
 KIND_MEAN_WEIGHT = 0.05
 # An answer this many times slower than its upstream's others begins a phase;
@@ -54,8 +59,9 @@
 # be this much slower than an empty one; on the users' engines it is 1.8 to 2.1
 # times. A smaller value errs towards equal speeds.
 OCCUPIED_SLOWDOWN = 1.0
-# A change by this factor is told to operators.
-TOLD_CHANGE = 1.25
+# A change by this factor is logged, at most once in a time for an upstream.
+LOGGED_CHANGE = 1.25
+LOG_INTERVAL_S = 2.0
 
 
 class Change(typing.NamedTuple):
@@ -99,6 +105,7 @@
     differs: bool = False
     factor: float = 1.0
     logged: float = 1.0
+    logged_at: float = float('-inf')
     # Sum and number of the answers of the latest observation.
     began_at: float = 0.0
     sum: float = 0.0
@@ -181,6 +188,8 @@
         self._upstreams: dict[tuple, _Upstream] = {}
         self._kind_means: dict[tuple, float] = {}
         self._variances: dict[str, float] = {}
+        # Since when heads were counted, their number and the least time.
+        self._heads: dict[tuple, tuple[float, int, float]] = {}
 
     def note_head(
         self, incarnation: tuple, kind: tuple, seconds: float, prefill_s: float
@@ -197,8 +206,19 @@
           The change of its speed, if operators should see it.
         """
         # The base keeps short prompts comparable with long ones.
-        ratio = max(seconds, MIN_HEAD_S) / (0.05 + prefill_s)
-        return self._note(incarnation, ('head', *kind), math.log(ratio))
+        value = math.log(max(seconds, MIN_HEAD_S) / (0.05 + prefill_s))
+        now = self._clock.now()
+        began_at, count, least = self._heads.get(
+            (incarnation, kind), (now, 0, value)
+        )
+        if now - began_at < OBSERVATION_S:
+            heads = (began_at, count + 1, min(least, value))
+            self._heads[(incarnation, kind)] = heads
+            return None
+        self._heads[(incarnation, kind)] = (now, 1, value)
+        if count < MIN_HEADS:
+            return None
+        return self._note(incarnation, ('head', *kind), least)
 
     def note_pace(
         self,
@@ -229,7 +249,7 @@
     ) -> Change | None:
         mean = self._kind_means.setdefault(kind, value)
         self._kind_means[kind] = mean + KIND_MEAN_WEIGHT * (value - mean)
-        ratio = value - mean
+        ratio = max(-MAX_RATIO, min(MAX_RATIO, value - mean))
         now = self._clock.now()
         known = self._known(incarnation, now)
         excess = ratio - known.pooled_mean
@@ -261,13 +281,15 @@
         known.judge(now, variance)
 
     def _change(self, known: _Upstream) -> Change | None:
-        factor = known.factor
-        if factor == known.logged or (
-            factor != 1.0
-            and abs(math.log(factor / known.logged)) < math.log(TOLD_CHANGE)
+        factor, now = known.factor, self._clock.now()
+        if factor == known.logged or now < known.logged_at + LOG_INTERVAL_S:
+            return None
+        change = abs(math.log(factor / known.logged))
+        if 1.0 not in (factor, known.logged) and (
+            change < math.log(LOGGED_CHANGE)
         ):
             return None
-        known.logged = factor
+        known.logged, known.logged_at = factor, now
         return Change(factor, known.count + known.told_count)
 
     def report(self, incarnation: tuple) -> int | None:
@@ -374,14 +396,6 @@
         return seconds, count
 
 
-def capacity(slots: int, factor: float) -> float:
-    """Returns what an upstream works off, in slots of one of equal speed.
-
-    One that is twice as slow holds its slots twice as long.
-    """
-    return slots / factor
-
-
 def of_ids(learned: dict[tuple, float]) -> dict[ids.UpstreamId, float]:
     """Returns learned factors by the upstream's id, for metrics."""
     return {incarnation[0]: factor for incarnation, factor in learned.items()}
--- a/packages/standins/src/radishcourse_standins/measure/__main__.py
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -4,6 +4,7 @@
 
 from radishcourse_standins.measure import admission
 from radishcourse_standins.measure import cascade
+from radishcourse_standins.measure import evenload
 from radishcourse_standins.measure import overload
 from radishcourse_standins.measure import placement
 from radishcourse_standins.measure import report
@@ -15,6 +16,7 @@
     'placement': placement.main,
     'admission': admission.main,
     'overload': overload.main,
+    'evenload': evenload.main,
 }
 
 
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -256,7 +256,7 @@
 }
 
 // `full` requests the nodes that the peer knows; `crash_digest` the evidence of
-// crashes if the peer's differs.
+// crashes if the peer's differs. Empty lists are left out of replies.
 struct Sync {
   1: PeerRecord sender
   2: list<TopicState> topics
@@ -267,10 +267,10 @@
 struct SyncReply {
   1: PeerRecord sender
   2: list<TopicState> topics
-  3: list<RowRecord> rows
+  3: optional list<RowRecord> rows
   4: optional list<PeerRecord> peers
-  5: list<RolloutReport> reports
-  6: list<RolloutStatus> statuses
+  5: optional list<RolloutReport> reports
+  6: optional list<RolloutStatus> statuses
   7: list<UpstreamWork> work
   8: optional list<CrashEvidence> crashes
   9: optional list<UpstreamLimit> limits
