--- a/packages/gateway/src/radishcourse_gateway/expectedload.py
+++ b/packages/gateway/src/radishcourse_gateway/expectedload.py
@@ -246,7 +246,10 @@
 
     def labelled_gauges(self) -> dict[tuple[str, str], dict[str, float]]:
         """Returns gauges by metric name and label, and by the label's value."""
-        speeds = upstreamspeed.of_ids(self._speeds.learned())
+        speeds = {
+            incarnation[0]: factor
+            for incarnation, factor in self._speeds.learned().items()
+        }
         loads: dict[str, list[tuple[float, float]]] = {}
         for listed in self._view.upstreams.values():
             if listed.gone_at is None:
--- a/packages/policy/src/radishcourse_policy/upstreamspeed.py
+++ b/packages/policy/src/radishcourse_policy/upstreamspeed.py
@@ -367,6 +367,8 @@
         """Drops the upstreams that are not present."""
         for incarnation in self._upstreams.keys() - present:
             del self._upstreams[incarnation]
+        for key in [key for key in self._heads if key[0] not in present]:
+            del self._heads[key]
 
 
 @dataclasses.dataclass
@@ -394,8 +396,3 @@
         seconds = now - self.began_at
         self.began_at, self.events = now, events
         return seconds, count
-
-
-def of_ids(learned: dict[tuple, float]) -> dict[ids.UpstreamId, float]:
-    """Returns learned factors by the upstream's id, for metrics."""
-    return {incarnation[0]: factor for incarnation, factor in learned.items()}
--- a/tests/test_upstreamspeed.py
+++ b/tests/test_upstreamspeed.py
@@ -77,6 +77,14 @@
         self.speeds.forget({('u1', 'a', 1)})
         self.assertEqual(1.0, self._factor('slow'))
 
+    def test_nothing_is_kept_of_upstreams_that_are_gone(self):
+        self._stream(5, {'u1': 1.0, 'u2': 1.0})
+        self._heads(5, {'u1': 1.0, 'u2': 1.0})
+        self.speeds.forget({('u1', 'a', 1)})
+        self.assertEqual({('u1', 'a', 1)}, set(self.speeds._upstreams))
+        kept = {incarnation for incarnation, _ in self.speeds._heads}
+        self.assertEqual({('u1', 'a', 1)}, kept)
+
     def test_models_of_different_speed_are_not_mixed_up(self):
         """An upstream with more runs of a slow model is no slower itself."""
         for _ in range(400):
