--- a/packages/standins/src/radishcourse_standins/measure/__main__.py
+++ b/packages/standins/src/radishcourse_standins/measure/__main__.py
@@ -5,6 +5,7 @@
 from radishcourse_standins.measure import admission
 from radishcourse_standins.measure import autoscaling
 from radishcourse_standins.measure import cascade
+from radishcourse_standins.measure import evenload
 from radishcourse_standins.measure import overload
 from radishcourse_standins.measure import placement
 from radishcourse_standins.measure import report
@@ -19,6 +20,7 @@
     'overload': overload.main,
     'autoscaling': autoscaling.main,
     'shortage': shortage.main,
+    'evenload': evenload.main,
 }
 
 
