Release closed connections at once

The timer that limits how long a closed connection may discard bytes kept the connection for 10 s after it was lost, with its parser and buffers. A flood of refused requests would have held thousands of them. The timer is now cancelled when the connection is lost. The new test, 1,500 refused bodies, failed before this change (more than 6 MiB gained) and passes with it.

--- a/packages/node/src/radishcourse_node/connections.py
+++ b/packages/node/src/radishcourse_node/connections.py
@@ -148,6 +148,7 @@
         """Cancels the work for a caller that has disconnected."""
         self._disconnected = True
         self._limit.remove(self)
+        self.transport.cancel_timer()
         self._unparsed.release()
         self._head.release()
         self._unread.release()
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -10,6 +10,7 @@
 import testtools
 
 from tests import crowd as crowds
+from tests import memory
 from tests import site as sites
 from tests import sitefiles
 
@@ -201,6 +202,23 @@
         self.assertEqual(413, caller.read()[0])
         self.assertEqual(b'', caller.read_end())
 
+    def test_refused_connections_leave_no_memory_behind(self):
+        def refuse(count: int) -> None:
+            for _ in range(count):
+                with _Caller(self.process) as caller:
+                    caller.send(
+                        _head('POST /unknown/1', 'Transfer-Encoding: chunked')
+                        + b'\r\n1\r\nx\r\n'
+                    )
+                    self.assertEqual(404, caller.read()[0])
+
+        refuse(100)
+        pid = self.process.popen.pid
+        before_kb = memory.resident_kb(pid)
+        refuse(1500)
+        # A connection kept for its timer takes about 20 KiB.
+        self.assertLess(memory.resident_kb(pid) - before_kb, 6 * 1024)
+
     def test_unknown_key_is_refused_before_the_body(self):
         caller = self.caller()
         head = f'POST /order/1 HTTP/1.1\r\nHost: {sitefiles.HOST}\r\n'
