Recognise returning callers, and allow as many headers as a head holds

At most 256 headers could refuse a request whose head is within 16 KiB, the limit of the configurations; 4,096 cannot, and their memory is charged.

--- a/packages/gateway/src/radishcourse_gateway/admissions.py
+++ b/packages/gateway/src/radishcourse_gateway/admissions.py
@@ -344,11 +344,21 @@
     return DEFAULT_COST if request.size is None else request.size.value
 
 
+def _identity(request: inboundrequest.InboundRequest) -> str:
+    """Returns what identifies a request that its caller sends again.
+
+    Callers give each attempt a new id, but the last part of a prompt belongs to
+    the request or its session.
+    """
+    own = request.parts.own
+    return f'{request.organisation_name}/{own}' if own else request.request_id
+
+
 def _demand(
     request: inboundrequest.InboundRequest, plan: targets.Plan
 ) -> overload.Demand:
     return overload.Demand(
-        request=request.request_id,
+        request=_identity(request),
         organisation=request.organisation_name,
         priority=request.priority,
         cost=_cost(request),
--- a/packages/node/src/radishcourse_node/connections.py
+++ b/packages/node/src/radishcourse_node/connections.py
@@ -33,8 +33,9 @@
 STATE_KEY = 'connection'
 # Largest head where the server sets no other limit.
 MAX_HEAD_BYTES = 16 * 1024
-# A header takes ten times its bytes of memory if it is a few bytes long.
-MAX_HEADERS = 256
+# A head of 16 KiB, the most that configurations allow, has no more headers. One
+# of a few bytes takes ten times its bytes of memory.
+MAX_HEADERS = 4096
 HEADER_BYTES = 300
 
 
--- a/packages/policy/src/radishcourse_policy/overload.py
+++ b/packages/policy/src/radishcourse_policy/overload.py
@@ -88,7 +88,7 @@
     """What a request asks for.
 
     Attributes:
-      request: Its id, the same in all attempts of its caller.
+      request: Identifies it in all attempts of its caller.
       organisation: The organisation that sent it.
       priority: Its priority; 0 is the most urgent.
       cost: Its expected cost.
