--- a/packages/standins/src/radishcourse_standins/measure/scalingworld.py
+++ b/packages/standins/src/radishcourse_standins/measure/scalingworld.py
@@ -92,8 +92,8 @@
         """Returns the rate of requests from a zone's callers."""
         slots = SLOTS * sum(START.values()) / len(ZONES)
         angle = 2 * math.pi * (at / self.period_s + ZONES.index(zone) / 4)
-        rate = self.load * slots / MEAN_SERVICE_S
-        rate *= 1 + self.swing * math.sin(angle)
+        wave = 1 + self.swing * math.sin(angle)
+        rate = self.load * slots / MEAN_SERVICE_S * wave
         for phase in self.loads:
             if phase.includes(at, zone):
                 rate *= phase.amount
@@ -142,9 +142,7 @@
     orders: dict[ids.ZoneId, list[tuple[float, int]]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
-    demand: list[dict[ids.ZoneId, int]] = dataclasses.field(
-        default_factory=list
-    )
+    demand: list[dict] = dataclasses.field(default_factory=list)
 
     @property
     def net(self) -> float:
@@ -243,8 +241,7 @@
             if zone.away and not away:
                 zone.cold_until = now + COLD_S
             zone.away = away
-            booted = [at for at in zone.boots if at <= now]
-            zone.ready += len(booted)
+            zone.ready += sum(at <= now for at in zone.boots)
             zone.boots = [at for at in zone.boots if at > now]
             zone.drains = [at for at in zone.drains if at > now]
             present = zone.ready + len(zone.boots) + len(zone.drains)
@@ -272,9 +269,8 @@
 
     def _add_arrivals(self, origin: ids.ZoneId, now: float) -> None:
         source = self._arrivals
-        expected = TICK_S * self._pattern.arrivals_per_s(now, origin)
         number, product = 0, source.random()
-        limit = math.exp(-expected)
+        limit = math.exp(-TICK_S * self._pattern.arrivals_per_s(now, origin))
         while product > limit:
             product *= source.random()
             number += 1
@@ -326,10 +322,8 @@
 
     def _exchange(self, now: float) -> None:
         """Lets the holder hear of some of the nodes."""
-        heard = 1.0
-        for phase in self._pattern.cut_off:
-            if phase.includes(now):
-                heard = phase.amount
+        cut_off = [item for item in self._pattern.cut_off if item.includes(now)]
+        heard = min((phase.amount for phase in cut_off), default=1.0)
         for node in range(NODES):
             zone = ZONES[node % len(ZONES)]
             if self._is(self._pattern.lost, now, zone) or (
@@ -337,8 +331,8 @@
             ):
                 self._reports.pop(node, None)
                 continue
-            is_known = node in self._reports
-            if not is_known or self._reporting.random() < HEARD_SHARE:
+            known = node in self._reports
+            if not known or self._reporting.random() < HEARD_SHARE:
                 self._reports[node] = (now, self._count(now))
 
     def _count(self, now: float) -> dict[ids.UpstreamId, float]:
@@ -381,11 +375,8 @@
             workload.Report(now - at, requests)
             for at, requests in self._reports.values()
         ]
-        out = frozenset(
-            name
-            for name in ZONES
-            if self._is(self._pattern.evacuated, now, name)
-        )
+        evacuated = self._pattern.evacuated
+        out = {name for name in ZONES if self._is(evacuated, now, name)}
         return workload.Snapshot(workers, reports, len(reports), out, rolling)
 
     def _order(self, name: ids.ZoneId, count: int, now: float) -> None:
