--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -95,6 +95,9 @@
     store: str,
     retry_slack: int = RETRY_SLACK,
     grace_s: float = GRACE_S,
+    control_api: str = '',
+    bounds: dict[str, float] | None = None,
+    duties: tuple[str, ...] = ('metering',),
 ) -> str:
     """Returns the settings file of a gateway.
 
@@ -107,7 +110,21 @@
       store: Address of the store.
       retry_slack: Retries of all gateways beyond their share of the requests.
       grace_s: Seconds between SIGTERM and SIGKILL.
+      control_api: Address of the second interface; empty for none.
+      bounds: More bounds by name.
+      duties: Duties of one node at a time, by the platform's names.
     """
+    more = '\n'.join(
+        f'{key} = {value}' for key, value in (bounds or {}).items()
+    )
+    cloud_api = ''
+    if control_api:
+        cloud_api = f"""
+[cloudApi]
+address = "{control_api}"
+duties = {json.dumps([*duties, 'unknown'])}
+dutiesPerS = 20
+"""
     return f"""
 node = "{name}"
 ip = "{host}"
@@ -132,6 +149,7 @@
 coldSlack = 5
 drainMs = 2000
 configApplyMs = 2000
+{more}
 [platform]
 address = "{store}"
-"""
+{cloud_api}"""
