--- a/tests/site.py
+++ b/tests/site.py
@@ -37,6 +37,7 @@
       bounds: More bounds of the gateways' settings, by name.
       memory_mb: Memory of the gateways' VMs in MB.
       max_fds: Descriptors that a gateway may open.
+      duties: Duties of one node at a time, by the platform's names.
 
     Attributes:
       store: The row store.
@@ -58,6 +59,7 @@
         bounds: dict[str, float] | None = None,
         memory_mb: int = sitefiles.MEMORY_MB,
         max_fds: int = sitefiles.MAX_FDS,
+        duties: tuple[str, ...] = ('metering',),
     ):
         self._processes = started_processes
         self._link_workers = link_workers
@@ -70,6 +72,7 @@
         self._bounds = bounds
         self._memory_mb = memory_mb
         self._max_fds = max_fds
+        self._duties = duties
         self._addresses: dict[str, str] = {}
         self._launches: dict[str, tuple] = {}
         self.store = started_processes.stand_in('rowstore')
@@ -245,6 +248,7 @@
             self._bounds,
             self._memory_mb,
             self._max_fds,
+            self._duties,
         )
         self._launches[name] = (host, front, settings)
         process = self._processes.gateway(name, host, front, settings)
--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -101,6 +101,7 @@
     bounds: dict[str, float] | None = None,
     memory_mb: int = MEMORY_MB,
     max_fds: int = MAX_FDS,
+    duties: tuple[str, ...] = ('metering',),
 ) -> str:
     """Returns the settings file of a gateway.
 
@@ -117,16 +118,17 @@
       bounds: More bounds by name.
       memory_mb: Memory of the VM in MB.
       max_fds: Descriptors that the process may open.
+      duties: Duties of one node at a time, by the platform's names.
     """
     more = '\n'.join(
         f'{key} = {value}' for key, value in (bounds or {}).items()
     )
-    duties = ''
+    cloud_api = ''
     if control_api:
-        duties = f"""
+        cloud_api = f"""
 [cloudApi]
 address = "{control_api}"
-duties = ["metering", "unknown"]
+duties = {json.dumps([*duties, 'unknown'])}
 dutiesPerS = 20
 """
     return f"""
@@ -157,4 +159,4 @@
 {more}
 [platform]
 address = "{store}"
-{duties}"""
+{cloud_api}"""
