--- a/packages/gateway/src/radishcourse_gateway/autoscaler.py
+++ b/packages/gateway/src/radishcourse_gateway/autoscaler.py
@@ -155,9 +155,7 @@
             if not peer.reported_at:
                 # It is known from others only.
                 continue
-            requests = {
-                upstream: item.requests for upstream, item in peer.work.items()
-            }
+            requests = self._gateway.peers.requests_of(peer.node)
             reports.append(workload.Report(now - peer.reported_at, requests))
         return reports
 
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -211,6 +211,10 @@
         """
         return self._work.of(upstream)
 
+    def requests_of(self, node: ids.NodeId) -> dict[ids.UpstreamId, int]:
+        """Returns a node's requests in progress as of its latest report."""
+        return self._work.requests_of(node)
+
     @property
     def report_ages_s(self) -> list[float]:
         """Ages of the latest reports of the other nodes that are alive."""
--- a/packages/policy/src/radishcourse_policy/evenload.py
+++ b/packages/policy/src/radishcourse_policy/evenload.py
@@ -171,6 +171,13 @@
             if not sums.reports:
                 del self._sums[upstream]
 
+    def requests_of(self, node: ids.NodeId) -> dict[ids.UpstreamId, int]:
+        """Returns the requests in progress in a node's latest report."""
+        report = self._reports.get(node, {})
+        return {
+            upstream: work.requests for upstream, (work, _) in report.items()
+        }
+
     def of(self, upstream: ids.UpstreamId) -> Known:
         """Returns what the other nodes reported of an upstream."""
         sums = self._sums.get(upstream)
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -17,6 +17,7 @@
 from radishcourse_node import metrics
 from radishcourse_platform import errors as platform_errors
 from radishcourse_policy import clock as clocks
+from radishcourse_policy import evenload
 from radishcourse_wire.gen.peer import ttypes
 
 SERVICE = ids.ServiceId('engine')
@@ -86,7 +87,10 @@
         self.rollout = None
         self.rollouts = types.SimpleNamespace(find=lambda _: self.rollout)
         self.load = types.SimpleNamespace(reported_work=self.own_work)
-        self.peers = types.SimpleNamespace(alive=[])
+        self.work = evenload.ReportSums(self.clock, lambda _: 1.0)
+        self.peers = types.SimpleNamespace(
+            alive=[], requests_of=self.work.requests_of
+        )
         self.requests: dict[str, int] = {}
         for number in range(1, NODES):
             self.peers.alive.append(
@@ -129,10 +133,10 @@
     def report(self, peer: peerstate.Peer) -> None:
         """Makes a peer report its part of the work."""
         peer.reported_at = self.clock.now()
-        peer.work = {
-            name: peerstate.UpstreamWork(count)
-            for name, count in self.requests.items()
+        work = {
+            name: evenload.Work(count) for name, count in self.requests.items()
         }
+        self.work.replace(peer.node, work)
 
 
 class _Case(testtools.TestCase):
