--- a/packages/gateway/src/radishcourse_gateway/inboundrequest.py
+++ b/packages/gateway/src/radishcourse_gateway/inboundrequest.py
@@ -12,7 +12,7 @@
 Headers = list[tuple[bytes, bytes]]
 # Nodes remember sessions, so a longer id is replaced by its digest.
 MAX_SESSION_LENGTH = 64
-# Also of the names of prompt parts, which the choice of upstreams remembers.
+# Names of prompt parts are logged with each attempt.
 MAX_PART_LENGTH = 64
 # A prompt with more parts is treated as one without any.
 MAX_PARTS = 256
