--- a/packages/standins/src/radishcourse_standins/fleetknowledge.py
+++ b/packages/standins/src/radishcourse_standins/fleetknowledge.py
@@ -17,6 +17,7 @@
 from radishcourse_gateway import peers
 from radishcourse_gateway import records
 from radishcourse_model import ids
+from radishcourse_node import resources
 from radishcourse_node import timeouts
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import evenload
@@ -111,6 +112,7 @@
             records.Replica(self.clock),
             None,
             timeouts.Timeouts(self.clock),
+            resources.Resources(self.clock),
         )
         source = random.Random(self._random.random())
         node.load = _Load(source, self._upstreams)
--- a/tests/test_gateway_evenload.py
+++ b/tests/test_gateway_evenload.py
@@ -19,6 +19,7 @@
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
 from radishcourse_node import metrics
+from radishcourse_node import resources
 from radishcourse_node import timeouts
 from radishcourse_policy import clock as clocks
 from radishcourse_wire import codec
@@ -53,6 +54,7 @@
         self.peers = peers.Peers(
             types.SimpleNamespace(value=settings), clock, source,
             records.Replica(clock), None, timeouts.Timeouts(clock),
+            resources.Resources(clock),
         )  # fmt: skip
         self.peers.load = self.load
         self.targets = targets.Targets(
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -9,6 +9,7 @@
 from radishcourse_gateway import feed
 from radishcourse_gateway import peers
 from radishcourse_gateway import records
+from radishcourse_node import resources
 from radishcourse_node import timeouts
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import position as positions
@@ -63,6 +64,7 @@
         replica or records.Replica(clock),
         types.SimpleNamespace(apply=lambda rows, source: None),
         timeouts.Timeouts(clock),
+        resources.Resources(clock),
     )
 
 
