Count the queue in full against runs of larger models

The cost of a long prefill to the requests behind it was capped at a wait of one second, and the wait came from the expected work only, which slow upstreams do not show.

The cost grows with the wait now, and the wait is at least the one by which recent responses exceeded what goals allow. Below one second nothing changes. Tests: a prompt of usual length is repeated at 1 s and kept at 4 s (it was repeated before); the observed wait counts only above the allowed one.

--- a/packages/gateway/src/radishcourse_gateway/admissions.py
+++ b/packages/gateway/src/radishcourse_gateway/admissions.py
@@ -148,6 +148,13 @@
             decision.retry_after_s,
         )
 
+    def excess_wait_s(self, service: ids.ServiceId) -> float:
+        """Returns the seconds by which requests wait longer than allowed."""
+        if not self._settings.enabled:
+            return 0.0
+        admission = self._service(service).admission
+        return admission.excess_wait_s(self._clock.now())
+
     def may_escalate(
         self,
         request: inboundrequest.InboundRequest,
--- a/packages/gateway/src/radishcourse_gateway/escalations.py
+++ b/packages/gateway/src/radishcourse_gateway/escalations.py
@@ -63,6 +63,8 @@
         answered_by = plan.model
         service = self._view.directory.services.get(plan.service)
         costs = service.engine.costs if service and service.engine else {}
+        load = self._targets.service_load(plan.service)
+        excess_s = self._admissions.excess_wait_s(plan.service)
         larger = modelchoice.choose_larger(
             models,
             plan.model,
@@ -71,7 +73,8 @@
             costs,
             self._current_settings.value.value_per_1k_tokens,
             self._targets.prefill_s(request, plan, models[-1]),
-            *self._targets.service_load(plan.service),
+            max(load.waiting_s, excess_s),
+            load.occupied,
         )
         if larger is None or not self._admissions.may_escalate(
             request, plan, larger
--- a/packages/policy/src/radishcourse_policy/modelchoice.py
+++ b/packages/policy/src/radishcourse_policy/modelchoice.py
@@ -29,10 +29,9 @@
 MIDPOINT_CONFIDENCE = 50.0
 LOGISTIC_SCALE = 4.0
 # Cost of a second of prefill to the requests queued behind it, in the unit of
-# the models' costs. It grows with the queue wait and is charged in full from
-# FULL_COST_WAIT_S on.
+# the models' costs, while they wait for a second. It grows with the wait, as
+# more requests are behind it.
 PREFILL_DELAY_COST_PER_S = 8.0
-FULL_COST_WAIT_S = 1.0
 # Shares of occupied slots at which a second run begins to delay other
 # requests, and at which the delay costs as much as the run can gain.
 CONTENTION_START_SHARE = 0.3
@@ -92,11 +91,7 @@
       prefill_s: Time to process the prompt.
       waiting_s: Time that prompts currently wait for their prefill.
     """
-    return (
-        PREFILL_DELAY_COST_PER_S
-        * prefill_s
-        * min(1.0, waiting_s / FULL_COST_WAIT_S)
-    )
+    return PREFILL_DELAY_COST_PER_S * prefill_s * waiting_s
 
 
 def choose_larger(
--- a/packages/policy/src/radishcourse_policy/overload.py
+++ b/packages/policy/src/radishcourse_policy/overload.py
@@ -277,6 +277,20 @@
             now, self.limits.window_s
         )
 
+    def excess_wait_s(self, now: float) -> float:
+        """Returns the seconds by which requests wait longer than allowed.
+
+        Taken from the median of recent responses; 0 with too few of them. It
+        shows queues that the expected work at the upstreams does not, as when
+        upstreams are slow.
+        """
+        head_s = self.times.head_s(
+            now, self.limits.window_s, self.limits.min_samples, 0.5
+        )
+        return (
+            0.0 if head_s is None else max(0.0, head_s - self._allowed_s(now))
+        )
+
     def is_short(self, now: float, room: Room) -> bool:
         """Tells whether requests wait for longer than their goals allow."""
         first_s = self.first_token_s(now, room)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -54,6 +54,14 @@
     def test_short_prompt_is_repeated_also_in_a_burst(self):
         self.assertEqual(LARGE, self._larger(10, prefill_s=0.02, waiting_s=2.0))
 
+    def test_longer_queue_costs_more(self):
+        # A third of the upstreams is lost during a burst: requests wait for
+        # seconds, and runs of large models on prompts of usual length would
+        # double the queue.
+        usual = {'prompt': 12_000, 'output': 380, 'prefill_s': 0.4}
+        self.assertEqual(LARGE, self._larger(20, **usual, waiting_s=1.0))
+        self.assertIsNone(self._larger(20, **usual, waiting_s=4.0))
+
     def test_occupied_upstreams_keep_answers_that_are_likely_poor(self):
         self.assertEqual(LARGE, self._larger(20, occupied=0.2))
         self.assertEqual(LARGE, self._larger(5, occupied=0.5))
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -236,6 +236,20 @@
         self.assertEqual(demands[0], demands[1])
         self.assertEqual('third', demands[2])
 
+    def test_observed_wait_counts_only_above_what_goals_allow(self):
+        # Guards against runs of larger models while upstreams are slow: the
+        # work that is known there does not show it.
+        self.assertEqual(0.0, self.admissions.excess_wait_s(SERVICE))
+        self.admissions.admit(self._request(), self._plan())
+        self._serve(head_s=0.1)
+        self.assertEqual(0.0, self.admissions.excess_wait_s(SERVICE))
+        self.admissions.admit(self._request(), self._plan())
+        self._serve(head_s=6.0)
+        allowed_s = gateway_settings.Overload().goal_factor * ROUTE.goal_s
+        self.assertAlmostEqual(
+            6.0 - allowed_s, self.admissions.excess_wait_s(SERVICE)
+        )
+
     def test_nothing_is_refused_while_responses_are_quick(self):
         self._serve(head_s=0.1)
         for _ in range(200):
