Let peers be built without limits on resources

The new argument of Peers was required, so that four of the five tests of test_gateway_peers and a stand-in, which build Peers themselves, failed with a TypeError. Without it nothing is limited, as before. After the change test_gateway_peers passes 5 of 5, and test_wire, test_adapter, test_answers and test_gossip pass 29 of 29.

--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -69,7 +69,7 @@
       replica: Rows to exchange.
       view: Updated with rows that are new.
       own_timeouts: Limits calls, and tells when this process was paused.
-      shared: What other nodes may use of this process.
+      shared: What other nodes may use of this process; None sets no limits.
     """
 
     def __init__(
@@ -80,8 +80,9 @@
         replica: records.Replica,
         view: views.View,
         own_timeouts: timeouts.Timeouts,
-        shared: resources.Resources,
+        shared: resources.Resources | None = None,
     ):
+        shared = shared or resources.Resources(clock)
         self._current_settings = current_settings
         self._clock = clock
         self._random = random
