--- a/packages/node/src/radishcourse_node/app.py
+++ b/packages/node/src/radishcourse_node/app.py
@@ -23,6 +23,7 @@
 from radishcourse_node import replies
 from radishcourse_node import requests
 from radishcourse_node.filters import authentication
+from radishcourse_node.filters import outcome
 from radishcourse_node.filters import parsing
 
 LAST_EVENT_TIMEOUT_S = 0.5
@@ -101,7 +102,8 @@
         headers = requests.read_headers(scope['headers'])
         # What the filters would refuse in any case is refused before the body.
         authentication.identify(self._node.configuration, headers)
-        parsing.check_path(scope['path'])
+        if not scope['path'].startswith(outcome.PREFIX):
+            parsing.check_path(scope['path'])
         body = await requests.read_body(
             body_reader,
             receive,
