Keep nodes that have just started from cold upstreams

Each node takes itself for one of the twelve that may send, by its rank among the nodes it knows, and a node that has just started knows few: all 80 sent.

A node sends nothing to cold upstreams for 2.5 s after its start, in which gossip brings nearly all others. A test with 80 nodes fails before.

--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -145,6 +145,11 @@
         alive = len(self.alive)
         return alive + 1 if alive else None
 
+    @property
+    def running_s(self) -> float:
+        """Seconds since this node's start."""
+        return self._clock.now() - self._started_at
+
     @property
     def spread_s(self) -> float:
         """Seconds in which rounds bring news to nearly all nodes."""
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -352,6 +352,8 @@
         )
         others = [peer.node for peer in self._peers.alive]
         own = self._current_settings.value.node
-        if not coldrate.is_sender(own, others, upstream, senders):
+        if not coldrate.is_sender(
+            own, others, upstream, senders, self._peers.running_s
+        ):
             return False
         return self._load.take_cold(upstream, per_s, burst)
--- a/packages/policy/src/radishcourse_policy/coldrate.py
+++ b/packages/policy/src/radishcourse_policy/coldrate.py
@@ -7,6 +7,8 @@
 waiting for it.
 """
 
+import math
+
 from radishcourse_policy import loadbalancing
 
 # Fleet size that is assumed until the node knows of another one.
@@ -17,6 +19,9 @@
 # Minimum share of the bound for a node that may send, in requests within one
 # second: its burst is at least one request, and the bucket refills meanwhile.
 MIN_NODE_BOUND = 1.5
+# A node that has started knows nearly all others after this time: its peers
+# start within a second or so, and tell whom they know every 1.2 s.
+JOIN_S = 2.5
 
 
 class TokenBucket:
@@ -85,15 +90,27 @@
     return senders, rate, max(1.0, node_bound - rate)
 
 
-def is_sender(own: str, others: list[str], upstream: str, senders: int) -> bool:
+def is_sender(
+    own: str,
+    others: list[str],
+    upstream: str,
+    senders: int,
+    running_s: float = math.inf,
+) -> bool:
     """Tells whether a node is one of those that may send to an upstream.
 
+    A node that has just started is none: when all nodes start at once, each
+    knows few others, and all of them would take themselves for one.
+
     Args:
       own: The node's id.
       others: Ids of the other nodes that are known to be alive.
       upstream: The cold upstream.
       senders: How many nodes may send.
+      running_s: Seconds since the node's start.
     """
+    if running_s < JOIN_S:
+        return False
     own_weight = loadbalancing.rendezvous_weight(upstream, own)
     ahead = sum(
         loadbalancing.rendezvous_weight(upstream, node) > own_weight
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -221,6 +221,20 @@
         self.assertEqual(senders, len(allowed))
         self.assertLess(senders, len(names))
 
+    def test_nodes_that_start_at_once_do_not_all_send(self):
+        # After a loss of all machines 80 nodes that knew no other one sent 30
+        # requests in a second to an upstream that takes 26.
+        senders, _, _ = coldrate.split_rate(14, 1.5, 5, 80)
+        for running_s, count in ((0.5, 0), (coldrate.JOIN_S, 80)):
+            allowed = [
+                number
+                for number in range(80)
+                if coldrate.is_sender(
+                    f'node-{number}', [], 'up', senders, running_s
+                )
+            ]
+            self.assertEqual(count, len(allowed))
+
 
 _KEYS = strategies.sampled_from('abc')
 
