Reword docstrings of peers and usage pushes in the usual terms

Docstrings said that nodes are told or heard of, and an attribute of a receiver was called greeted; it is initialized now.

--- a/packages/gateway/src/radishcourse_gateway/duties.py
+++ b/packages/gateway/src/radishcourse_gateway/duties.py
@@ -199,7 +199,7 @@
         ] or None
 
     def wall_ms(self) -> int | None:
-        """Returns the wall time that peers are told; None without duties."""
+        """Returns the wall time for replies to peers; None without duties."""
         return int(1000 * self._clock.wall()) if self._keepers else None
 
     def merge(self, reply: ttypes.SyncReply, asked_at: float) -> None:
--- a/packages/gateway/src/radishcourse_gateway/leasekeeper.py
+++ b/packages/gateway/src/radishcourse_gateway/leasekeeper.py
@@ -90,7 +90,7 @@
 
     @property
     def holder_peer(self) -> peerstate.Peer | None:
-        """The holder, if it is another node that this one has heard of."""
+        """The holder, if it is another node that this one knows."""
         return self._peers.find(self.holder)
 
     @property
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -133,7 +133,7 @@
         ]
 
     def find(self, node: str) -> peerstate.Peer | None:
-        """Returns a node that was heard of lately, though it may not be alive.
+        """Returns a node that was known lately, though it may not be alive.
 
         In a large fleet, not every node hears of each one often enough.
         """
--- a/packages/gateway/src/radishcourse_gateway/usagepush.py
+++ b/packages/gateway/src/radishcourse_gateway/usagepush.py
@@ -38,8 +38,8 @@
       is_holder: Whether it holds the duty; else it is the deputy.
       counts: Counts by source and window.
       complete_below: The first window that is not complete, by source.
-      fixed: Closed windows of which it was told.
-      greeted: Whether it was told all that was known at first.
+      fixed: Closed windows that were sent to it.
+      initialized: Whether it has received all counts once.
       next_at: When it is due to be told more.
       failed: Whether the last call failed.
     """
@@ -50,7 +50,7 @@
         self.counts: dict[tuple, usagewindows.Counts] = {}
         self.complete_below: dict[usagewindows.Source, int] = {}
         self.fixed: set[int] = set()
-        self.greeted = False
+        self.initialized = False
         self.next_at = 0.0
         self.failed = False
 
@@ -145,7 +145,7 @@
         self, receiver: _Receiver, cut_off: bool, others: int
     ) -> None:
         sources = [self._own]
-        if not receiver.greeted:
+        if not receiver.initialized:
             sources = self._tallies.sources
         elif receiver.is_holder:
             sources += sorted(self.relayed)
@@ -155,7 +155,7 @@
             part = sources[start : start + MAX_SOURCES]
             if not await self._send(receiver, part, cut_off, CALL_TIMEOUT_S):
                 return
-        receiver.greeted = True
+        receiver.initialized = True
 
     async def push_fixed(self) -> None:
         """Tells the deputy of closed windows before they are reported.
