Add a failing test of streams that a completed roll-out cuts

The test plays the platform: it ends the old version's upstreams as soon as the status says completed. No logic is changed.

--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -3,6 +3,7 @@
 import collections
 import concurrent.futures
 import itertools
+import re
 import signal
 import threading
 import time
@@ -20,6 +21,10 @@
 MAX_CHANGED_SESSIONS = 3
 CALLERS = 8
 LONG_SESSIONS = 200
+# Streams of 2 s, which is more than the time from the last move of a session
+# to the completion.
+EVENTS = 25
+EVENT_MS = 80
 
 
 class _Traffic:
@@ -286,3 +291,51 @@
         site, _ = self._start()
         time.sleep(1.0)
         self.assertEqual([], site.runs('new-1', 'new-2'))
+
+
+class CompletedTest(testtools.TestCase):
+    """Guards against streams that are cut as the old version is stopped."""
+
+    def test_streams_of_the_old_version_go_on_after_the_completion(self):
+        site = _start_site(self)
+        for name in site.workers:
+            if name.startswith(('engine', 'new')):
+                site.set_behaviour(name, events=EVENTS, event_ms=EVENT_MS)
+        _order(site, 2 * TIME_LIMIT_S)
+        ended = time.monotonic() + 2 * TIME_LIMIT_S + 0.5
+        with concurrent.futures.ThreadPoolExecutor(64) as pool:
+            calls = []
+            while time.monotonic() < ended:
+                name = f'gateway-{len(calls) % 3 + 1}'
+                calls.append(pool.submit(self._call, site, name, len(calls)))
+                time.sleep(0.05)
+                self._stop_old_upstreams(site)
+            responses = [call.result() for call in calls]
+        self.assertEqual('completed', site.rollout_status('engine')['state'])
+        moved = {
+            run['request']
+            for run in site.runs('new-1', 'new-2')
+            if 'last-event-id' in run['headers']
+        }
+        statuses = collections.Counter(
+            (item.status, item.whole) for item in responses
+        )
+        self.assertEqual({(200, True): len(responses)}, dict(statuses), moved)
+        self.assertNotEqual(set(), moved)
+        for response in responses:
+            ids = re.findall(rb'^id: (\d+)$', response.body, re.MULTILINE)
+            self.assertEqual(list(range(1, EVENTS + 1)), [*map(int, ids)])
+
+    def _call(self, site: sites.Site, name: str, number: int):
+        return site.send(
+            name, 'POST', '/draft/1', b'p', Session=f'session-{number}'
+        )
+
+    def _stop_old_upstreams(self, site: sites.Site) -> None:
+        """Ends the old version's upstreams at once, as the platform does."""
+        if site.rollout_status('engine').get('state') != 'completed':
+            return
+        for name in ('engine-1', 'engine-2'):
+            if name in site.workers:
+                site.workers.pop(name).kill()
+                site.put('servers', name, None)
