Continue streams on the new version once a roll-out retires theirs

Cause: a roll-out completes 0.7 s before its limit at the latest, also while streams of the old version are in progress, and the platform stops that version at once. A stream that had begun could only be continued on its own version.

Change: from the moment at which all sessions have moved, or once the roll-out is completed or rolled back, a stream whose upstream breaks off goes on at the version that serves its session. An attempt whose upstream was stopped (its address refuses connections) does not count towards the route's most attempts, as the request has done nothing to use it up.

Evidence: CompletedTest, three real gateways, the old version's upstreams ended when the status says completed.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -15,6 +15,7 @@
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import peers
 from radishcourse_gateway import responses
+from radishcourse_gateway import retiredversions
 from radishcourse_gateway import retrybudgets
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
@@ -64,6 +65,7 @@
         self._limits = gateway.limits
         self._duties: duties.Duties = gateway.duties
         self._announcements = announcements.Announcements(gateway)
+        self._retired_versions = retiredversions.RetiredVersions(gateway)
         self._crashes: crashes.Crashes = gateway.crashes
         self._peers: peers.Peers = gateway.peers
         self._targets = gateway.targets
@@ -161,7 +163,8 @@
             # No connection could be opened, so nothing was sent and the next
             # attempt is not a retry that the budget has to pay for.
             return len(plan.tried) < 2 * max(2, request.route.max_attempts)
-        if plan.attempts >= request.route.max_attempts:
+        counted = plan.attempts - plan.excused_attempts
+        if counted >= request.route.max_attempts:
             return False
         if failure.not_run and not self._admissions.has_time(request, plan):
             return False
@@ -243,6 +246,9 @@
                     request, plan, listed, self._clock.now(), str(error)
                 )
                 if error.sent:
+                    await self._retired_versions.note_failure(
+                        request.request_id, plan, listed
+                    )
                     await self._crashes.note_failure(listed, watched)
                 elif isinstance(error, upstreamconnections.ConnectionRefused):
                     self._crashes.note_absent(listed)
--- a/packages/gateway/src/radishcourse_gateway/localrollout.py
+++ b/packages/gateway/src/radishcourse_gateway/localrollout.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from radishcourse_gateway import interfaces
+from radishcourse_model import ids
 from radishcourse_policy import canary
 from radishcourse_policy import opensessions
 from radishcourse_policy import position as positions
@@ -92,6 +93,25 @@
             exposure,
         )
 
+    def retires(
+        self, version: ids.VersionId, age_s: float, exposure: float
+    ) -> bool:
+        """Tells whether no session is served by a version any more.
+
+        Args:
+          version: One of the two versions.
+          age_s: Time since the order.
+          exposure: Permitted share of requests on a bad version.
+        """
+        is_new = version == self.order.to_version
+        if self.state is canary.RolloutState.ROLLED_BACK:
+            return is_new
+        if self.state is canary.RolloutState.COMPLETED:
+            return not is_new
+        if self.state is not canary.RolloutState.RUNNING or is_new:
+            return False
+        return canary.has_moved_all(age_s, self.order.within_s, exposure)
+
     @property
     def reported_state(self) -> canary.RolloutState | None:
         """The state for peers."""
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -129,6 +129,18 @@
             return new
         return max(old, key=lambda version: (present[version], version))
 
+    def retires(self, service: ids.ServiceId, version: ids.VersionId) -> bool:
+        """Tells whether a roll-out leaves a version without requests.
+
+        The upstreams of such a version may be stopped at any moment.
+        """
+        rollout = self.find(service)
+        if rollout is None:
+            return False
+        return rollout.retires(
+            version, self.age_s(rollout), self._bounds.exposure_share
+        )
+
     @contextlib.contextmanager
     def count(self, service: ids.ServiceId, version: ids.VersionId):
         """Counts a request to the old version while it is in progress."""
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -38,7 +38,9 @@
       model: Model to run it on, None if the request names its own.
       service: The service that serves it, once chosen.
       version: The version that sends its stream, None before its head; a
-        resumed stream stays with it.
+        resumed stream stays with it until a roll-out retires it.
+      excused_attempts: Attempts that ended as a roll-out stopped the upstream,
+        which the route's most attempts do not count.
       event_ids: Ids of the events that the caller has received.
       begun: Whether the caller was sent the start of a response.
       confidence: Confidence of the last model in its answer, 0 to 100.
@@ -84,6 +86,7 @@
     pace_events: int = 0
     events: int = 0
     moved: bool = False
+    excused_attempts: int = 0
 
     @property
     def last_event(self) -> bytes | None:
@@ -137,9 +140,7 @@
         if plan.reserved is not None:
             reserved, plan.reserved = plan.reserved, None
             return reserved
-        version = plan.version or self._rollouts.version_for(
-            plan.service, request.session, request.request_id
-        )
+        version = self._version(request, plan)
         usable = [
             listed
             for listed in self._view.usable(plan.service)
@@ -169,6 +170,21 @@
             retry_after_s=self._retry_after_s(usable),
         )
 
+    def _version(
+        self, request: inboundrequest.InboundRequest, plan: Plan
+    ) -> ids.VersionId | None:
+        """Returns the version for the next attempt, None for any.
+
+        A stream that has begun stays with its version as long as that serves.
+        """
+        if plan.version is not None and not self._rollouts.retires(
+            plan.service, plan.version
+        ):
+            return plan.version
+        return self._rollouts.version_for(
+            plan.service, request.session, request.request_id
+        )
+
     def _within_limits(
         self, candidates: list[views.ListedUpstream], heavy: bool
     ) -> dict[ids.UpstreamId, views.ListedUpstream]:
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -193,6 +193,17 @@
     return share + (1 - share) * min(1.0, max(0.0, ramped))
 
 
+def has_moved_all(age_s: float, time_limit_s: float, exposure: float) -> bool:
+    """Tells whether the new version serves all sessions before the limit.
+
+    Args:
+      age_s: Time since the order.
+      time_limit_s: Time limit of the roll-out, counted from the order.
+      exposure: Permitted share of requests on a bad version.
+    """
+    return _ramp_ages(time_limit_s, exposure)[1] <= age_s < time_limit_s
+
+
 def canary_share(exposure: float) -> float:
     """Returns the canary's share of the sessions.
 
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -347,6 +347,16 @@
         self.assertEqual({0.0}, set(shares[:start]))
         self.assertEqual({canary.canary_share(EXPOSURE)}, set(shares[start:]))
 
+    @hypothesis.given(
+        age_s=strategies.floats(0, 40), limit_s=strategies.floats(4, 40)
+    )
+    def test_version_has_no_session_left_once_all_have_moved(
+        self, age_s, limit_s
+    ):
+        moved = canary.has_moved_all(age_s, limit_s, EXPOSURE)
+        share = canary.new_version_share(age_s, limit_s, EXPOSURE)
+        self.assertEqual(moved, share >= 1 and age_s < limit_s)
+
     def test_no_session_moves_before_all_nodes_know_of_the_order(self):
         early = canary.ORDER_PROPAGATION_S - 0.1
         for within_s in (1.0, 4.0, WITHIN_S):
@@ -530,3 +540,33 @@
         self._answer('v1', 0.8, lost=True)
         tally = self.rollout.tallies[(canary.Arm.OLD, 'route')]
         self.assertEqual(1, tally.slow)
+
+
+class RetiredVersionTest(testtools.TestCase):
+    """Guards against streams bound to a version that a roll-out retires."""
+
+    def _retired(self, state, age_s: float) -> list[str]:
+        rollout = localrollout.LocalRollout(
+            interfaces.RolloutOrder(SERVICE, ids.VersionId('v2'), 24.0),
+            positions.Position(0, 1),
+            0.0,
+            state=state,
+        )
+        return [
+            version
+            for version in ('v1', 'v2')
+            if rollout.retires(ids.VersionId(version), age_s, EXPOSURE)
+        ]
+
+    def test_old_version_is_retired_once_all_sessions_have_moved(self):
+        running = canary.RolloutState.RUNNING
+        self.assertEqual([], self._retired(running, 12.0))
+        self.assertEqual(['v1'], self._retired(running, 23.3))
+        self.assertEqual([], self._retired(running, 24.5))
+
+    def test_final_state_retires_the_other_version(self):
+        completed = canary.RolloutState.COMPLETED
+        rolled_back = canary.RolloutState.ROLLED_BACK
+        self.assertEqual(['v1'], self._retired(completed, 30.0))
+        self.assertEqual(['v2'], self._retired(rolled_back, 1.0))
+        self.assertEqual([], self._retired(None, 23.3))
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -12,6 +12,7 @@
 
 from radishcourse_policy import canary
 from tests import site as sites
+from tests import sitefiles
 
 TIME_LIMIT_S = 8
 EXPOSURE_SHARE = 0.15
@@ -126,9 +127,12 @@
         self._pool.shutdown()
 
 
-def _start_site(test: testtools.TestCase, **behaviour) -> sites.Site:
+def _start_site(
+    test: testtools.TestCase, routes: list[dict] | None = None, **behaviour
+) -> sites.Site:
     """Starts a site with three gateways and workers of a new version."""
-    running = sites.running(3)
+    fields = {'routes': routes} if routes else {}
+    running = sites.running(3, **fields)
     site = running.__enter__()
     test.addCleanup(running.__exit__, None, None, None)
     for name in ('new-1', 'new-2'):
@@ -297,20 +301,20 @@
     """Guards against streams that are cut as the old version is stopped."""
 
     def test_streams_of_the_old_version_go_on_after_the_completion(self):
-        site = _start_site(self)
+        self._check_streams()
+
+    def test_streams_go_on_though_their_route_allows_one_attempt(self):
+        self._check_streams(maxAttempts=1)
+
+    def _check_streams(self, **route) -> None:
+        routes = sitefiles.manifest()['routes']
+        routes[2] |= route
+        site = _start_site(self, routes=routes)
         for name in site.workers:
             if name.startswith(('engine', 'new')):
                 site.set_behaviour(name, events=EVENTS, event_ms=EVENT_MS)
         _order(site, 2 * TIME_LIMIT_S)
-        ended = time.monotonic() + 2 * TIME_LIMIT_S + 0.5
-        with concurrent.futures.ThreadPoolExecutor(64) as pool:
-            calls = []
-            while time.monotonic() < ended:
-                name = f'gateway-{len(calls) % 3 + 1}'
-                calls.append(pool.submit(self._call, site, name, len(calls)))
-                time.sleep(0.05)
-                self._stop_old_upstreams(site)
-            responses = [call.result() for call in calls]
+        responses = self._play(site, 2 * TIME_LIMIT_S + 0.5)
         self.assertEqual('completed', site.rollout_status('engine')['state'])
         moved = {
             run['request']
@@ -326,9 +330,26 @@
             ids = re.findall(rb'^id: (\d+)$', response.body, re.MULTILINE)
             self.assertEqual(list(range(1, EVENTS + 1)), [*map(int, ids)])
 
+    def _play(self, site: sites.Site, seconds: float) -> list[sites.Response]:
+        """Sends streams for a time; plays the platform's part at the end."""
+        ends_at = time.monotonic() + seconds
+        calls = []
+        with concurrent.futures.ThreadPoolExecutor(64) as pool:
+            while time.monotonic() < ends_at:
+                name = f'gateway-{len(calls) % 3 + 1}'
+                calls.append(pool.submit(self._call, site, name, len(calls)))
+                time.sleep(0.05)
+                self._stop_old_upstreams(site)
+        return [call.result() for call in calls]
+
     def _call(self, site: sites.Site, name: str, number: int):
         return site.send(
-            name, 'POST', '/draft/1', b'p', Session=f'session-{number}'
+            name,
+            'POST',
+            '/draft/1',
+            b'p',
+            Session=f'session-{number}',
+            X_Prompt_Prefix=f'shared:100,own{number}:10',
         )
 
     def _stop_old_upstreams(self, site: sites.Site) -> None:
