Hold no prompt responsible for upstreams that a roll-out stops

Cause: an upstream of the old version that ends when a roll-out is completed counted as crashed, and its streams' prompts as what may have crashed it. With five such upstreams a part that many prompts share is quarantined.

Change: upstreams of a retired version count as leaving. An upstream may also close its connections before its listener, so RetiredVersions asks up to three times within 0.2 s whether it was stopped, and only where no attempt is left.

--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -7,6 +7,7 @@
 
 from radishcourse_gateway import errors
 from radishcourse_gateway import inboundrequest
+from radishcourse_gateway import rollouts
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
@@ -77,7 +78,7 @@
     """Notes crashes under answers, and refuses prompts that cause them.
 
     Args:
-      gateway: Provides the view and peers.
+      gateway: Provides the view, peers and roll-outs.
 
     Attributes:
       quarantine: The evidence that this node has.
@@ -88,6 +89,7 @@
         self._timeouts = gateway.timeouts
         self._view: views.View = gateway.view
         self._peers = gateway.peers
+        self._rollouts: rollouts.Rollouts = gateway.rollouts
         self.quarantine = quarantine.Quarantine()
         self._attempts: dict[tuple, list[Attempt]] = {}
         self._checks: dict[tuple, anyio.Event] = {}
@@ -291,7 +293,11 @@
             self.quarantine.note_crash(now, crash_id, lost)
 
     def _is_leaving(self, listed: views.ListedUpstream) -> bool:
-        known = self._view.upstreams.get(listed.upstream.upstream_id)
+        entry = listed.upstream
+        if self._rollouts.retires(entry.service, entry.version):
+            # The platform stops it without notice.
+            return True
+        known = self._view.upstreams.get(entry.upstream_id)
         if known is None or known.gone_at is not None:
             return True
         return known.incarnation == listed.incarnation and (
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -247,7 +247,7 @@
                 )
                 if error.sent:
                     await self._retired_versions.note_failure(
-                        request.request_id, plan, listed
+                        request, plan, listed
                     )
                     await self._crashes.note_failure(listed, watched)
                 elif isinstance(error, upstreamconnections.ConnectionRefused):
--- a/packages/gateway/src/radishcourse_gateway/retiredversions.py
+++ b/packages/gateway/src/radishcourse_gateway/retiredversions.py
@@ -4,12 +4,19 @@
 once, also those that send a stream.
 """
 
+import anyio
+
+from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import rollouts
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
 from radishcourse_node import events
 
+# A process that ends may close its connections before its listener; its
+# address is asked again after these times.
+CHECK_DELAYS_S = (0.0, 0.05, 0.15)
+
 
 class RetiredVersions:
     """Lets streams go on when their version's upstreams are stopped.
@@ -23,31 +30,42 @@
         self._rollouts: rollouts.Rollouts = gateway.rollouts
 
     async def note_failure(
-        self, request_id: str, plan: targets.Plan, listed: views.ListedUpstream
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: targets.Plan,
+        listed: views.ListedUpstream,
     ) -> None:
-        """Excuses an attempt that ended because its upstream was stopped.
+        """Excuses the last attempt if it ended as its upstream was stopped.
 
         The request then has another attempt, at an upstream of the version that
         is in service. An upstream that still listens was not stopped.
 
         Args:
-          request_id: Id of the request.
+          request: The request.
           plan: Its state.
           listed: The upstream that broke off.
         """
         entry = listed.upstream
-        if not plan.begun or not self._rollouts.retires(
-            entry.service, entry.version
-        ):
+        counted = plan.attempts - plan.excused_attempts
+        if not plan.begun or counted < request.route.max_attempts:
             return
-        if not await upstreamconnections.is_refused(
-            entry.address, self._timeouts.fail_after
-        ):
+        if not self._rollouts.retires(entry.service, entry.version):
+            return
+        if not await self._is_stopped(entry.address):
             return
         plan.excused_attempts += 1
         events.log(
             events.Event.ATTEMPT_EXCUSED,
-            request=request_id,
+            request=request.request_id,
             upstream=entry.upstream_id,
             version=entry.version,
         )
+
+    async def _is_stopped(self, address: str) -> bool:
+        for delay_s in CHECK_DELAYS_S:
+            await anyio.sleep(delay_s)
+            if await upstreamconnections.is_refused(
+                address, self._timeouts.fail_after
+            ):
+                return True
+        return False
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -321,14 +321,36 @@
             for run in site.runs('new-1', 'new-2')
             if 'last-event-id' in run['headers']
         }
-        statuses = collections.Counter(
-            (item.status, item.whole) for item in responses
-        )
-        self.assertEqual({(200, True): len(responses)}, dict(statuses), moved)
+        broken = [
+            self._records(site, item.request)
+            for item in responses
+            if (item.status, item.whole) != (200, True)
+        ]
+        self.assertEqual([], broken, f'of {len(responses)}')
         self.assertNotEqual(set(), moved)
         for response in responses:
             ids = re.findall(rb'^id: (\d+)$', response.body, re.MULTILINE)
             self.assertEqual(list(range(1, EVENTS + 1)), [*map(int, ids)])
+        self.assertEqual([], self._crash_evidence(site))
+
+    def _records(self, site: sites.Site, request: str) -> list[dict]:
+        """Returns what the gateways logged of a request."""
+        return [
+            line
+            for name in site.gateways
+            for line in site.log(name)
+            if line.get('request') == request
+        ]
+
+    def _crash_evidence(self, site: sites.Site) -> list:
+        """Returns the prompts that gateways hold against stopped upstreams."""
+        return [
+            parts
+            for name in site.gateways
+            for line in site.log(name)
+            if line['message_type'] == 'upstream_crashed'
+            for parts in line['answers']
+        ]
 
     def _play(self, site: sites.Site, seconds: float) -> list[sites.Response]:
         """Sends streams for a time; plays the platform's part at the end."""
