Move a stream only where it could return if the move fails

Cause: a stream that seemed to end too late was given up before its continuation was certain: with one attempt and one retry token left, and without a look for an upstream that could take it.

Change: a stream moves only if two attempts and two tokens are left and another upstream of its version, or of the one that replaced it, is reserved. If that fails, the next attempt is at the upstream from which it came.

--- a/packages/gateway/src/radishcourse_gateway/admissions.py
+++ b/packages/gateway/src/radishcourse_gateway/admissions.py
@@ -11,6 +11,7 @@
 from radishcourse_gateway import settings as gateway_settings
 from radishcourse_gateway import streampaces
 from radishcourse_gateway import targets
+from radishcourse_gateway import view as views
 from radishcourse_model import ids
 from radishcourse_node import events
 from radishcourse_node import metrics
@@ -274,6 +275,7 @@
         self,
         request: inboundrequest.InboundRequest,
         plan: targets.Plan,
+        listed: views.ListedUpstream,
         count: int,
     ) -> None:
         """Ends an attempt whose stream can't end in time, if another may.
@@ -281,6 +283,7 @@
         Args:
           request: The request.
           plan: Its state.
+          listed: The upstream that sends the stream.
           count: Events of the attempt that its caller was sent.
 
         Raises:
@@ -297,6 +300,8 @@
         )
         if not judgement.behind:
             return
+        if not self._targets.reserve_move(request, plan, listed):
+            return
         self._note(request, 'stream_moved')
         self._log.write(
             events.Event.STREAM_MOVED,
@@ -309,7 +314,7 @@
             usual_s=round(judgement.usual_s, 4),
             left_s=round(request.deadline - now, 3),
         )
-        raise self._stream_paces.move(judgement)
+        raise self._stream_paces.move(plan, judgement)
 
     def _note(
         self, request: inboundrequest.InboundRequest, decision: str
--- a/packages/gateway/src/radishcourse_gateway/attempttimeout.py
+++ b/packages/gateway/src/radishcourse_gateway/attempttimeout.py
@@ -109,10 +109,16 @@
         if plan.retry_paid:
             scope.cancel()
 
-    def can_retry(self, request, plan) -> bool:
-        """Tells whether attempts, budget and upstreams are left for a retry."""
-        if plan.attempts >= request.route.max_attempts:
+    def can_retry(self, request, plan, count: int = 1) -> bool:
+        """Tells whether attempts, budget and upstreams are left for retries.
+
+        Args:
+          request: The request.
+          plan: Its state.
+          count: Number of retries.
+        """
+        if plan.attempts + count > request.route.max_attempts:
             return False
-        if not self._retry_budgets.has_token(plan.service):
+        if not self._retry_budgets.has_tokens(plan.service, count):
             return False
         return len(self._view.usable(plan.service)) > 1
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -397,7 +397,9 @@
                     plan.begun = True
                     await out.start(head.status, headers)
                 await out.write(complete)
-                self._admissions.check_pace(request, plan, splitter.count)
+                self._admissions.check_pace(
+                    request, plan, listed, splitter.count
+                )
         await self._verifier.verify_end(plan, listed, splitter)
         if not plan.begun:
             plan.begun = True
--- a/packages/gateway/src/radishcourse_gateway/retrybudgets.py
+++ b/packages/gateway/src/radishcourse_gateway/retrybudgets.py
@@ -57,9 +57,9 @@
         """Counts a request, which permits a share of a retry."""
         self._window(service).note_request()
 
-    def has_token(self, service: ids.ServiceId) -> bool:
-        """Tells whether a retry is left."""
-        return self._window(service).left(*self._limits()) >= 1
+    def has_tokens(self, service: ids.ServiceId, count: int) -> bool:
+        """Tells whether a number of retries are left."""
+        return self._window(service).left(*self._limits()) >= count
 
     def spend(self, service: ids.ServiceId) -> bool:
         """Counts the retry of a failed attempt; False if none is left."""
--- a/packages/gateway/src/radishcourse_gateway/streampaces.py
+++ b/packages/gateway/src/radishcourse_gateway/streampaces.py
@@ -56,7 +56,8 @@
     ) -> streampace.Judgement:
         """Judges whether a stream is to be continued elsewhere.
 
-        It is so once at most, and only if the retry budget pays for it.
+        It is so once at most, and only if it could return should the other
+        upstream fail: its own one is slow, but sound.
 
         Args:
           request: The request.
@@ -68,10 +69,10 @@
             or not request.route.resumable
             or request.size is None
             or plan.last_event is None
-            or not self._attempt_timeout.can_retry(request, plan)
+            or not self._attempt_timeout.can_retry(request, plan, 2)
         ):
             return streampace.ON_TIME
-        judgement = self._paces(plan).judge(
+        return self._paces(plan).judge(
             _kind(request, plan),
             plan.pace,
             plan.events,
@@ -79,16 +80,17 @@
             request.deadline - self._clock.now(),
             move_s,
         )
-        if not judgement.behind:
-            return judgement
+
+    def move(
+        self, plan: targets.Plan, judgement: streampace.Judgement
+    ) -> errors.UpstreamError:
+        """Pays for a move from the retry budget, which must have a token.
+
+        Returns:
+          The failure that ends the attempt, as if it had stalled.
+        """
         plan.retry_paid = self._retry_budgets.spend(plan.service)
-        if not plan.retry_paid:
-            return streampace.ON_TIME
         plan.moved = True
-        return judgement
-
-    def move(self, judgement: streampace.Judgement) -> errors.UpstreamError:
-        """Returns the failure that ends the attempt, as if it had stalled."""
         return errors.UpstreamError(
             f'stream behind: {judgement.pace_s:.4f} s an event instead of '
             f'{judgement.usual_s:.4f}',
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -46,6 +46,8 @@
       confidence: Confidence of the last model in its answer, 0 to 100.
       retry_paid: Whether the retry budget has paid for the next attempt.
       reserved: Upstream that has been chosen for the next attempt.
+      fallback: Sound upstream from which the stream was moved, for the attempt
+        after one that fails; None without a move.
       head_at: When the head of the latest attempt's response arrived, on this
         node's clock in seconds; None before.
       progress_at: When the latest part of that response arrived; None before.
@@ -72,6 +74,7 @@
     confidence: float | None = None
     retry_paid: bool = False
     reserved: views.ListedUpstream | None = None
+    fallback: views.ListedUpstream | None = None
     head_at: float | None = None
     progress_at: float | None = None
     answer: crashevidence.Answer = crashevidence.Answer((), 0)
@@ -140,6 +143,9 @@
         if plan.reserved is not None:
             reserved, plan.reserved = plan.reserved, None
             return reserved
+        fallback, plan.fallback = plan.fallback, None
+        if fallback is not None and self._take(fallback):
+            return fallback
         version = self._version(request, plan)
         usable = [
             listed
@@ -170,6 +176,45 @@
             retry_after_s=self._retry_after_s(usable),
         )
 
+    def reserve_move(
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: Plan,
+        listed: views.ListedUpstream,
+    ) -> bool:
+        """Reserves another upstream for a stream that its own one sends.
+
+        Args:
+          request: The request.
+          plan: Its state.
+          listed: The upstream that sends the stream.
+
+        Returns:
+          Whether there is one; otherwise nothing has changed.
+        """
+        tried, plan.tried = plan.tried, plan.tried | {listed.incarnation}
+        try:
+            chosen = self.choose(request, plan)
+        except errors.Refusal:
+            chosen = listed
+        if chosen.incarnation == listed.incarnation:
+            plan.tried = tried
+            return False
+        plan.reserved, plan.fallback = chosen, listed
+        return True
+
+    def _take(self, listed: views.ListedUpstream) -> bool:
+        """Counts a request to an upstream if it may take one now."""
+        usable = self._view.usable(listed.upstream.service)
+        if all(item.incarnation != listed.incarnation for item in usable):
+            return False
+        if self._is_paused(listed) or not self._within_limits([listed], True):
+            return False
+        if not self._may_send(listed):
+            return False
+        self._limits.take(listed)
+        return True
+
     def _version(
         self, request: inboundrequest.InboundRequest, plan: Plan
     ) -> ids.VersionId | None:
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -96,7 +96,7 @@
             budgets.note_request(SERVICE)
             larger += budgets.spend_for_larger(SERVICE)
             # The first two requests earn the token that was just spent.
-            self.assertTrue(index < 2 or budgets.has_token(SERVICE))
+            self.assertTrue(index < 2 or budgets.has_tokens(SERVICE, 1))
         self.assertGreater(larger, 20)
 
     def test_without_failures_larger_models_may_use_all_tokens(self):
