Add tests of gateways that reach no upstream

Nothing played a gateway that is partitioned from all upstreams while callers, the store and its peers reach it.

The test cuts two of four gateways from all four workers and counts first tries of orders, idempotent requests and streams from 1.5 s after the cut. Sites take the module that their gateways run.

--- a/packages/standins/src/radishcourse_standins/processes.py
+++ b/packages/standins/src/radishcourse_standins/processes.py
@@ -120,15 +120,28 @@
         return self._start(settings['node'], port, arguments)
 
     def gateway(
-        self, name: str, host: str, port: int, settings: str
+        self,
+        name: str,
+        host: str,
+        port: int,
+        settings: str,
+        module: str = 'radishcourse_adapter',
     ) -> Process:
-        """Starts a gateway with a settings file in TOML."""
+        """Starts a gateway with a settings file in TOML.
+
+        Args:
+          name: Its name.
+          host: IP address of its HTTP interface.
+          port: Port of its HTTP interface.
+          settings: Contents of the settings file.
+          module: The module to run.
+        """
         path = self._folder / f'{name}.toml'
         path.write_text(settings)
         return self._start(
             name,
             port,
-            ['-m', 'radishcourse_adapter'],
+            ['-m', module],
             host,
             {'RADISHCOURSE_NODE_FILE': str(path)},
         )
--- a/tests/site.py
+++ b/tests/site.py
@@ -19,6 +19,7 @@
 from radishcourse_standins import processes
 from tests import sitefiles
 
+GATEWAY_MODULE = 'radishcourse_adapter'
 _host_octets = itertools.count(1)
 
 
@@ -38,6 +39,7 @@
       memory_mb: Memory of the gateways' VMs in MB.
       max_fds: Descriptors that a gateway may open.
       duties: Duties of one node at a time, by the platform's names.
+      gateway_module: Module that the gateways run.
 
     Attributes:
       store: The row store.
@@ -60,6 +62,7 @@
         memory_mb: int = sitefiles.MEMORY_MB,
         max_fds: int = sitefiles.MAX_FDS,
         duties: tuple[str, ...] = ('metering',),
+        gateway_module: str = GATEWAY_MODULE,
     ):
         self._processes = started_processes
         self._link_workers = link_workers
@@ -73,6 +76,7 @@
         self._memory_mb = memory_mb
         self._max_fds = max_fds
         self._duties = duties
+        self._gateway_module = gateway_module
         self._addresses: dict[str, str] = {}
         self._launches: dict[str, tuple] = {}
         self.store = started_processes.stand_in('rowstore')
@@ -174,7 +178,9 @@
     def restart_gateway(self, name: str) -> None:
         """Restarts a gateway that has ended, at the same addresses."""
         ready_port = self.gateways[name].ready_port
-        process = self._processes.gateway(name, *self._launches[name])
+        process = self._processes.gateway(
+            name, *self._launches[name], self._gateway_module
+        )
         process.ready_port = ready_port
         self.gateways[name] = process
 
@@ -251,7 +257,9 @@
             self._duties,
         )
         self._launches[name] = (host, front, settings)
-        process = self._processes.gateway(name, host, front, settings)
+        process = self._processes.gateway(
+            name, host, front, settings, self._gateway_module
+        )
         process.ready_port = ready
         self.gateways[name] = process
         self._seeds.append(f'{host}:{peer}')
@@ -444,6 +452,7 @@
     grace_s: float = sitefiles.GRACE_S,
     memory_mb: int = sitefiles.MEMORY_MB,
     max_fds: int = sitefiles.MAX_FDS,
+    gateway_module: str = GATEWAY_MODULE,
     **fields,
 ):
     """Yields a running site with two desks, two engines and gateways."""
@@ -461,6 +470,7 @@
             grace_s,
             memory_mb=memory_mb,
             max_fds=max_fds,
+            gateway_module=gateway_module,
         )
         site.configure(**fields)
         for name in ('desk-1', 'desk-2'):
--- /dev/null
+++ b/tests/test_gateway_unreachable.py
@@ -0,0 +1,141 @@
+"""Gateways that reach no upstream, while callers and peers reach them."""
+
+import collections
+import concurrent.futures
+import dataclasses
+import time
+
+import testtools
+
+from tests import partitionedgateway
+from tests import site as sites
+
+GATEWAYS = ('gateway-1', 'gateway-2', 'gateway-3', 'gateway-4')
+REQUESTS = {
+    'order': ('POST', '/order/1'),
+    'idempotent': ('GET', '/stock/1'),
+    'stream': ('POST', '/draft/1'),
+}
+# Of the contract: a cut node serves first tries at least this often, relative
+# to the others.
+SERVED_SHARE = 2 / 3
+# The contract allows 3 s from the beginning of a cut.
+NOTICED_S = 1.5
+MEASURED_S = 3.0
+INTERVAL_S = 0.2
+# Half of the routes' timeout.
+MAX_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A caller's request.
+
+    Attributes:
+      gateway: The gateway.
+      kind: A key of REQUESTS.
+      sent_at: When it was sent, in seconds from the first one.
+      seconds: Time until its answer.
+      status: Status of the answer.
+      whole: Whether the answer was complete.
+    """
+
+    gateway: str
+    kind: str
+    sent_at: float
+    seconds: float
+    status: int
+    whole: bool
+
+    @property
+    def served(self) -> bool:
+        """Whether it was served."""
+        return self.status == 200 and self.whole
+
+
+class PartitionTest(testtools.TestCase):
+    """Base of tests on a site whose gateways can be cut from upstreams."""
+
+    def setUp(self):
+        super().setUp()
+        running = sites.running(
+            len(GATEWAYS),
+            gateway_module='tests.partitionedgateway',
+        )
+        self.site = running.__enter__()
+        self.addCleanup(running.__exit__, None, None, None)
+
+    def cut(self, mode: partitionedgateway.Mode, *gateways: str) -> None:
+        """Cuts gateways from all workers."""
+        addresses = [item.address for item in self.site.workers.values()]
+        for name in gateways:
+            partitionedgateway.cut(self.site.folder, name, mode, addresses)
+
+    def restore(self, *gateways: str) -> None:
+        """Ends the cut of gateways."""
+        for name in gateways:
+            partitionedgateway.restore(self.site.folder, name)
+
+    def _call(self, gateway: str, kind: str, began_at: float) -> Call:
+        sent_at = time.monotonic()
+        response = self.site.send(gateway, *REQUESTS[kind], b'goods')
+        return Call(
+            gateway,
+            kind,
+            sent_at - began_at,
+            time.monotonic() - sent_at,
+            response.status,
+            response.whole,
+        )
+
+    def play(self, seconds: float) -> list[Call]:
+        """Sends all kinds of requests to all gateways at a fixed rate."""
+        began_at, calls = time.monotonic(), []
+        with concurrent.futures.ThreadPoolExecutor(256) as pool:
+            while time.monotonic() - began_at < seconds:
+                calls += [
+                    pool.submit(self._call, gateway, kind, began_at)
+                    for gateway in GATEWAYS
+                    for kind in REQUESTS
+                ]
+                time.sleep(INTERVAL_S)
+        return [call.result() for call in calls]
+
+
+class ServedTest(PartitionTest):
+    """Guards against callers that are not served where no upstream is reached.
+
+    Half of the gateways, which are those of one zone, are cut.
+    """
+
+    def _check_served(self, mode: partitionedgateway.Mode) -> None:
+        cut = GATEWAYS[::2]
+        self.play(0.5)
+        self.cut(mode, *cut)
+        calls = [
+            call
+            for call in self.play(NOTICED_S + MEASURED_S)
+            if call.sent_at > NOTICED_S
+        ]
+        sent, served = collections.Counter(), collections.Counter()
+        for call in calls:
+            key = (call.kind, call.gateway in cut)
+            sent[key] += 1
+            served[key] += call.served
+        statuses = collections.Counter(
+            (call.kind, call.status) for call in calls if call.gateway in cut
+        )
+        slowest_s = max(call.seconds for call in calls)
+        message = f'{served} of {sent}, {statuses}, slowest {slowest_s:.2f} s'
+        for kind in REQUESTS:
+            share = served[kind, True] / sent[kind, True]
+            other_share = served[kind, False] / sent[kind, False]
+            self.assertGreater(other_share, 0.9, message)
+            self.assertGreaterEqual(share, SERVED_SHARE * other_share, message)
+        self.assertLess(slowest_s, MAX_SECONDS, message)
+
+    def test_requests_are_served_while_connects_hang(self):
+        self._check_served(partitionedgateway.Mode.HANG)
+
+    def test_requests_are_served_while_connects_are_refused(self):
+        self._check_served(partitionedgateway.Mode.REFUSE)
