Give a request up at once while no upstream can be reached

Change: policy/reachability.py calls a service unreachable when two upstreams (all, if fewer are listed) failed to connect and no connect succeeded between them; failures count for 4 s. A request of which nothing was sent is then refused with 503 upstreams_unreachable and Retry-After.

--- a/packages/gateway/src/radishcourse_gateway/errors.py
+++ b/packages/gateway/src/radishcourse_gateway/errors.py
@@ -51,6 +51,7 @@
     BODY_TOO_LARGE = ('body_too_large', 413)
     BODY_TOO_SLOW = ('body_too_slow', 408)
     NO_UPSTREAM = ('no_upstream', 503)
+    UPSTREAMS_UNREACHABLE = ('upstreams_unreachable', 503)
     OVERLOADED = ('overloaded', 503)
     NO_MEMORY = ('no_memory', 503)
     PROMPT_QUARANTINED = ('prompt_quarantined', 503)
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -14,13 +14,18 @@
 from radishcourse_gateway import eventstream
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import peers
+from radishcourse_gateway import reachability
 from radishcourse_gateway import responses
 from radishcourse_gateway import retrybudgets
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import verifier
+from radishcourse_model import ids
 from radishcourse_policy import answers
 
+# Mean delay after which a caller should retry while no upstream is reached.
+UNREACHABLE_RETRY_S = 0.5
+
 
 class NextStep(enum.Enum):
     """Whether an attempt completed the request or another one follows."""
@@ -64,6 +69,8 @@
         self._limits = gateway.limits
         self._duties: duties.Duties = gateway.duties
         self._announcements = announcements.Announcements(gateway)
+        self._random = gateway.environment.random
+        self._reachability: reachability.Reachability = gateway.reachability
         self._crashes: crashes.Crashes = gateway.crashes
         self._peers: peers.Peers = gateway.peers
         self._targets = gateway.targets
@@ -157,6 +164,8 @@
             return False
         if not failure.not_run and not request.route.retryable:
             return False
+        if self._is_cut_off(plan):
+            return False
         if not plan.attempts:
             # No connection could be opened, so nothing was sent and the next
             # attempt is not a retry that the budget has to pay for.
@@ -170,6 +179,12 @@
             plan.service, self._attempt_timeout.token_wait_s(request, plan)
         )
 
+    def _is_cut_off(self, plan) -> bool:
+        """Whether nothing was sent and this node reaches no upstream."""
+        return not plan.attempts and self._reachability.is_unreachable(
+            plan.service
+        )
+
     async def _give_up(
         self, request, plan, out, failure: _AttemptFailed, refusal=None
     ) -> targets.Plan:
@@ -187,12 +202,22 @@
         if response is not None and not failure.not_run:
             await responses.send_buffered(request, plan, response, out)
             return plan
+        if self._is_cut_off(plan):
+            raise self.refuse_unreachable(plan.service)
         if not plan.may_have_run:
             raise refusal or self._admissions.refuse_full(
                 request, plan, failure
             )
         raise errors.Refusal(errors.Reason.UPSTREAM_FAILED, str(failure))
 
+    def refuse_unreachable(self, service: ids.ServiceId) -> errors.Refusal:
+        """Returns the refusal of a request while a service is unreachable."""
+        return errors.Refusal(
+            errors.Reason.UPSTREAMS_UNREACHABLE,
+            f'this node reaches no upstream of {service}',
+            UNREACHABLE_RETRY_S * (0.5 + self._random.random()),
+        )
+
     async def _attempt(
         self,
         request: inboundrequest.InboundRequest,
@@ -219,6 +244,8 @@
                 async with self._pool.open(
                     listed.incarnation, entry.address, request.route.retryable
                 ) as connection:
+                    if connection.unused:
+                        self._reachability.note_connected(entry.service)
                     plan.attempts += 1
                     may_have_run_before, plan.may_have_run = (
                         plan.may_have_run,
@@ -238,6 +265,8 @@
                             plan.may_have_run = may_have_run_before
                         raise
             except errors.UpstreamError as error:
+                if not error.sent:
+                    self._reachability.note_failed(listed)
                 self._load.note_broken(entry.upstream_id, str(error))
                 attemptlog.log_failure(
                     request, plan, listed, self._clock.now(), str(error)
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -22,6 +22,7 @@
 from radishcourse_gateway import load
 from radishcourse_gateway import pages
 from radishcourse_gateway import peers
+from radishcourse_gateway import reachability
 from radishcourse_gateway import records
 from radishcourse_gateway import requesthandler
 from radishcourse_gateway import rollouts
@@ -89,6 +90,7 @@
       peers: The other nodes.
       rollouts: Roll-outs that are in progress.
       limits: Limits that upstreams name.
+      reachability: Services whose upstreams this node can't reach.
       crashes: Crashes of upstreams and quarantined prompts.
       duties: Duties that one node at a time performs.
       pool: Idle connections to upstreams.
@@ -134,6 +136,7 @@
         self.peers.load = self.load
         self.limits = limits.Limits(self)
         self.peers.limits = self.limits
+        self.reachability = reachability.Reachability(self)
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
         self.duties = duties.Duties(self)
@@ -240,6 +243,9 @@
             'radishcourse_ready': int(not self.unready_reason),
             'radishcourse_peers_alive': len(self.peers.alive),
             'radishcourse_upstreams_listed': len(self.view.upstreams),
+            'radishcourse_services_unreachable': len(
+                self.reachability.unreachable
+            ),
             'radishcourse_rows_unreadable': self.view.unreadable_rows,
             'radishcourse_log_lines_dropped': self._count_dropped_lines(),
             'radishcourse_parts_quarantined': len(
@@ -304,6 +310,7 @@
         yield 'timeouts', self.timeouts.run
         yield 'peers', self.peers.run
         yield 'rollouts', self.rollouts.run
+        yield 'reachability', self.reachability.run
         yield 'crashes', self.crashes.run
         yield 'duties', self.duties.run
         yield 'settings', self._reload_settings
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -112,6 +112,11 @@
         """Whether at most one request was sent on it."""
         return self._requests <= 1
 
+    @property
+    def unused(self) -> bool:
+        """Whether no request was sent on it."""
+        return not self._requests
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can take another request."""
--- /dev/null
+++ b/packages/policy/src/radishcourse_policy/reachability.py
@@ -0,0 +1,105 @@
+"""Tells whether a node is cut off from all upstreams of a service.
+
+One upstream that can't be reached may be down. When connections to several of
+them fail and none succeeds in between, the node's own network is the likelier
+reason, or all upstreams are down; in both cases further attempts of this node
+only cost their time limit.
+
+Load pattern: some nodes lose their links to all upstreams for seconds, while
+callers, the other nodes and the store still reach them.
+"""
+
+import dataclasses
+import typing
+
+from radishcourse_model import ids
+
+# Upstreams that can't be reached, from which a service counts as unreachable;
+# all of them where fewer are listed.
+MIN_FAILED = 2
+# Failures that are older do not count.
+FAILURE_TTL_S = 4.0
+
+
+@dataclasses.dataclass
+class _State:
+    failed_at: dict[typing.Hashable, float] = dataclasses.field(
+        default_factory=dict
+    )
+    since: float | None = None
+
+
+class Reachability:
+    """What one node's connects tell of services."""
+
+    def __init__(self):
+        self._services: dict[ids.ServiceId, _State] = {}
+
+    @property
+    def unreachable(self) -> list[ids.ServiceId]:
+        """The services that are unreachable."""
+        return [
+            service
+            for service, state in self._services.items()
+            if state.since is not None
+        ]
+
+    def is_unreachable(self, service: ids.ServiceId) -> bool:
+        """Tells whether a service is unreachable from this node."""
+        state = self._services.get(service)
+        return state is not None and state.since is not None
+
+    def failed(
+        self, now: float, service: ids.ServiceId
+    ) -> set[typing.Hashable]:
+        """Returns the upstreams that could not be reached lately."""
+        state = self._services.get(service)
+        if state is None:
+            return set()
+        return {
+            upstream
+            for upstream, failed_at in state.failed_at.items()
+            if now - failed_at < FAILURE_TTL_S
+        }
+
+    def note_failed(
+        self,
+        now: float,
+        service: ids.ServiceId,
+        upstream: typing.Hashable,
+        listed: int,
+    ) -> bool:
+        """Records that a connection to an upstream could not be opened.
+
+        Args:
+          now: Current time in seconds.
+          service: Its service.
+          upstream: Identifies it.
+          listed: Number of upstreams that are listed for the service.
+
+        Returns:
+          Whether the service has become unreachable.
+        """
+        state = self._services.setdefault(service, _State())
+        state.failed_at[upstream] = now
+        failed = self.failed(now, service)
+        state.failed_at = {key: state.failed_at[key] for key in failed}
+        if state.since is not None or len(failed) < min(MIN_FAILED, listed):
+            return False
+        state.since = now
+        return True
+
+    def note_connected(self, now: float, service: ids.ServiceId) -> float:
+        """Records that a connection to an upstream was opened.
+
+        Args:
+          now: Current time in seconds.
+          service: Its service.
+
+        Returns:
+          For how many seconds the service was unreachable; 0 if it was not.
+        """
+        state = self._services.pop(service, None)
+        if state is None or state.since is None:
+            return 0.0
+        return now - state.since
--- a/tests/test_gateway_unreachable.py
+++ b/tests/test_gateway_unreachable.py
@@ -7,6 +7,7 @@
 
 import testtools
 
+from radishcourse_node import events
 from tests import partitionedgateway
 from tests import site as sites
 
@@ -139,3 +140,41 @@
 
     def test_requests_are_served_while_connects_are_refused(self):
         self._check_served(partitionedgateway.Mode.REFUSE)
+
+
+class GivingUpTest(PartitionTest):
+    """Guards against requests that try upstreams until their deadline."""
+
+    def test_request_ends_at_once_and_the_node_serves_after_the_cut(self):
+        self.cut(partitionedgateway.Mode.HANG, *GATEWAYS)
+        sites.wait_until(self._knows_unreachable)
+        began_at = time.monotonic()
+        for kind in REQUESTS:
+            call = self._call('gateway-1', kind, began_at)
+            self.assertEqual(503, call.status, kind)
+            self.assertLess(call.seconds, 1.0, kind)
+        self.assertEqual([], self.site.runs())
+        self.restore(*GATEWAYS)
+        time.sleep(2.0)
+        for kind in REQUESTS:
+            self.assertTrue(self._call('gateway-1', kind, began_at).served)
+        for event in (
+            events.Event.SERVICE_UNREACHABLE,
+            events.Event.SERVICE_REACHABLE,
+        ):
+            services = [
+                line['service']
+                for line in self.site.log('gateway-1')
+                if line.get('event') == event.value
+            ]
+            self.assertEqual(['desk', 'engine'], sorted(services), event)
+
+    def _knows_unreachable(self) -> bool:
+        for method, path in REQUESTS.values():
+            self.site.send('gateway-1', method, path, X_Time_Budget_Ms='600')
+        services = {
+            line['service']
+            for line in self.site.log('gateway-1')
+            if line.get('event') == events.Event.SERVICE_UNREACHABLE.value
+        }
+        return services == {'desk', 'engine'}
--- /dev/null
+++ b/tests/test_reachability.py
@@ -0,0 +1,65 @@
+"""When a service counts as unreachable from a node."""
+
+import testtools
+
+from radishcourse_policy import reachability
+
+SERVICE = 'desk'
+NOW = 100.0
+
+
+class ReachabilityTest(testtools.TestCase):
+    """Guards against a node that takes an upstream's failure for its own."""
+
+    def setUp(self):
+        super().setUp()
+        self.state = reachability.Reachability()
+
+    def _fail(self, now: float, upstream: str, listed: int = 4) -> bool:
+        return self.state.note_failed(now, SERVICE, upstream, listed)
+
+    def test_one_of_four_upstreams_that_is_down_is_not_the_node(self):
+        for number in range(20):
+            self.assertFalse(self._fail(NOW + number / 10, 'a'))
+        self.assertFalse(self.state.is_unreachable(SERVICE))
+
+    def test_two_upstreams_that_fail_one_after_the_other_end_attempts(self):
+        self.assertFalse(self._fail(NOW, 'a'))
+        self.assertTrue(self._fail(NOW + 0.2, 'b'))
+        self.assertEqual([SERVICE], self.state.unreachable)
+        # It is logged once.
+        self.assertFalse(self._fail(NOW + 0.4, 'c'))
+
+    def test_connection_between_two_failures_shows_that_the_node_is_sound(self):
+        self._fail(NOW, 'a')
+        self.assertEqual(0.0, self.state.note_connected(NOW + 0.1, SERVICE))
+        self.assertFalse(self._fail(NOW + 0.2, 'b'))
+
+    def test_old_failures_do_not_add_up(self):
+        self._fail(NOW, 'a')
+        later = NOW + reachability.FAILURE_TTL_S
+        self.assertFalse(self._fail(later, 'b'))
+        self.assertEqual({'b'}, self.state.failed(later, SERVICE))
+
+    def test_only_upstream_of_a_service_suffices(self):
+        self.assertTrue(self._fail(NOW, 'a', listed=1))
+
+    def test_connection_ends_the_state(self):
+        self._fail(NOW, 'a')
+        self._fail(NOW + 1.0, 'b')
+        self.assertEqual(2.0, self.state.note_connected(NOW + 3.0, SERVICE))
+        self.assertFalse(self.state.is_unreachable(SERVICE))
+        self.assertEqual(set(), self.state.failed(NOW + 3.0, SERVICE))
+
+    def test_state_lasts_while_nothing_is_tried(self):
+        self._fail(NOW, 'a')
+        self._fail(NOW, 'b')
+        self.assertEqual(
+            set(), self.state.failed(NOW + reachability.FAILURE_TTL_S, SERVICE)
+        )
+        self.assertTrue(self.state.is_unreachable(SERVICE))
+
+    def test_other_services_are_judged_on_their_own(self):
+        self._fail(NOW, 'a')
+        self.assertFalse(self.state.note_failed(NOW, 'engine', 'b', 4))
+        self.assertFalse(self.state.is_unreachable('engine'))
