Relay requests to a peer while no upstream can be reached

Change: gateway/relay.py passes the request to a peer over HTTP/1.1 on a second listener of the callers' server (setting relay_listen, the first port of portRange; advertised in the sender's own PeerRecord). The tests' sites start gateway-1 before the others: it has no seeds, and stayed alone when the others had found each other first (seen in 1 of 8 starts).

The whole suite was not run.

--- a/packages/gateway/src/radishcourse_gateway/attempttimeout.py
+++ b/packages/gateway/src/radishcourse_gateway/attempttimeout.py
@@ -19,6 +19,9 @@
 # Minimum timeout for the head, as a multiple of the expected wait at a busy
 # upstream.
 TIMEOUT_WAIT_FACTOR = 3.0
+# The timeout for a peer as a multiple of that for an upstream: the peer's own
+# attempt elsewhere comes first.
+PEER_TIMEOUT_FACTOR = 2.0
 # Time for which a failed request waits for a retry token, as a share of the
 # route's goal, or of its longest pause for a stream that has begun.
 # Callers accept a request that is held for an eighth of its goal and refused.
@@ -63,6 +66,18 @@
         timeout_s = max(MIN_TIMEOUT_S, goal_s, wait_s)
         return self._timeout(request, plan, timeout_s)
 
+    def for_peer(
+        self, request: inboundrequest.InboundRequest, plan: targets.Plan
+    ):
+        """Returns a context that limits the wait for a head from a peer.
+
+        Raises:
+          UpstreamError: The timeout has passed and the request can be retried.
+        """
+        goal_s = TIMEOUT_GOAL_FACTOR * request.route.goal_s
+        timeout_s = PEER_TIMEOUT_FACTOR * max(MIN_TIMEOUT_S, goal_s)
+        return self._timeout(request, plan, timeout_s)
+
     def between_events(
         self, request: inboundrequest.InboundRequest, plan: targets.Plan
     ):
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -76,7 +76,7 @@
         self._targets = gateway.targets
         self._verifier: verifier.Verifier = gateway.verifier
         self._pool: upstreamconnections.Pool = gateway.pool
-        self._retry_budgets = retrybudgets.RetryBudgets(gateway)
+        self._retry_budgets: retrybudgets.RetryBudgets = gateway.retry_budgets
         self._attempt_timeout = attempttimeout.AttemptTimeout(
             gateway, self._retry_budgets
         )
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -24,7 +24,9 @@
 from radishcourse_gateway import peers
 from radishcourse_gateway import reachability
 from radishcourse_gateway import records
+from radishcourse_gateway import relay
 from radishcourse_gateway import requesthandler
+from radishcourse_gateway import retrybudgets
 from radishcourse_gateway import rollouts
 from radishcourse_gateway import settings as gateway_settings
 from radishcourse_gateway import targets
@@ -95,7 +97,9 @@
       duties: Duties that one node at a time performs.
       pool: Idle connections to upstreams.
       targets: Chooses the upstream for an attempt.
+      retry_budgets: Pay for attempts beyond a request's first.
       forwarder: Forwards requests to upstreams.
+      relay: Forwards requests, through a peer if no upstream can be reached.
     """
 
     def __init__(
@@ -145,7 +149,9 @@
         self.verifier = verifier.Verifier(self)
         self.pool = upstreamconnections.Pool(clock, self.timeouts.fail_after)
         self.targets = targets.Targets(self)
+        self.retry_budgets = retrybudgets.RetryBudgets(self)
         self.forwarder = forwarder.Forwarder(self)
+        self.relay = relay.Relay(self)
         self._feeds = [
             feed.Feed(
                 clock,
@@ -279,6 +285,7 @@
         if settings.metrics_listen:
             probes.append(await serving.listen(settings.metrics_listen))
         peer_listener = await serving.listen(settings.peer_listen)
+        request_listeners = [callers, *await self.relay.listen()]
         server = self._make_server()
         probe_server = serving.make_server(
             pages.Pages(self), http=self._protocol(self.resources.pages)
@@ -299,7 +306,9 @@
                 [serving.raw_socket(item) for item in probes],
             )
             tasks.start_soon(self._drain_on_signal, server)
-            await server.serve([serving.raw_socket(callers)])
+            await server.serve(
+                [serving.raw_socket(item) for item in request_listeners]
+            )
             for number in _STOP_SIGNALS:
                 signal.signal(number, signal.SIG_IGN)
             await self.duties.finish()
@@ -353,6 +362,7 @@
                 self.view.apply(self.replica.take_due(table), 'restored')
             self.load.forget(self.view.upstreams)
             self.crashes.forget(present)
+            await self.relay.sweep()
             self.targets.expected_load.forget(present)
             directory = self.view.directory
             if directory is not None:
@@ -430,6 +440,7 @@
     async def aclose(self) -> None:
         """Closes the connections to peers and upstreams."""
         await self.peers.aclose()
+        await self.relay.aclose()
         await self.pool.aclose()
 
 
--- a/packages/gateway/src/radishcourse_gateway/inboundrequest.py
+++ b/packages/gateway/src/radishcourse_gateway/inboundrequest.py
@@ -51,6 +51,7 @@
       parts: Parts of the prompt.
       session: Id shared by the requests of a session, empty without one.
       hold_response: Called with the number of bytes held of a response.
+      relayed: Whether another node relayed it.
     """
 
     request_id: str
@@ -66,6 +67,7 @@
     parts: PromptParts = PromptParts()
     session: str = ''
     hold_response: typing.Callable[[int], object] = lambda size: None
+    relayed: bool = False
 
     @property
     def prefix_key(self) -> str | None:
@@ -157,10 +159,28 @@
       header_names: Header names of the installation.
       own: Headers that the gateway sets; they replace the caller's.
     """
+    return _forwarded_headers(
+        request, header_names.reserved | {header_names.api_key}, own
+    )
+
+
+def relay_headers(request: InboundRequest, own: Headers) -> Headers:
+    """Returns the request headers to send to a peer that serves a request.
+
+    Args:
+      request: The request.
+      own: Headers that the gateway sets; they replace the caller's.
+    """
+    return _forwarded_headers(request, frozenset(), own)
+
+
+def _forwarded_headers(
+    request: InboundRequest, excluded: frozenset[bytes], own: Headers
+) -> Headers:
     named = first_value(request.headers, b'connection') or b''
     dropped = {item.strip().lower() for item in named.split(b',')}
-    dropped |= headernames.HOP_BY_HOP | header_names.reserved
-    dropped |= {header_names.api_key, b'content-length', b'expect'}
+    dropped |= headernames.HOP_BY_HOP | excluded
+    dropped |= {b'content-length', b'expect'}
     dropped |= {name for name, _ in own}
     headers = [
         (name, value) for name, value in request.headers if name not in dropped
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -119,6 +119,8 @@
         self.limits = None
         self.duties = None
         self.speeds = None
+        # Where this node takes relayed requests; None if it takes none.
+        self.relay_address: str | None = None
 
     @property
     def _settings(self) -> gateway_settings.Settings:
@@ -327,6 +329,7 @@
             self._settings.zone,
             self._settings.peer_listen,
             0,
+            self.relay_address,
         )
 
     def _topics(self) -> list[ttypes.TopicState]:
@@ -447,6 +450,8 @@
                 direct=direct,
             )
         peer.last_heard_at = max(peer.last_heard_at, last_heard_at)
+        if direct:
+            peer.relay_address = reported.relay_address
         return peer
 
     def _apply_reply(self, reply: ttypes.SyncReply) -> None:
--- a/packages/gateway/src/radishcourse_gateway/peerstate.py
+++ b/packages/gateway/src/radishcourse_gateway/peerstate.py
@@ -32,6 +32,8 @@
       limited: Limited upstreams for which it has requests.
       lost: Tables that the store did not give it at its last poll.
       reported_at: When this node received its last report of work.
+      relay_address: Address at which it takes relayed requests, None if it
+        takes none or has not told.
     """
 
     node: ids.NodeId
@@ -42,6 +44,7 @@
     limited: frozenset[ids.UpstreamId] = frozenset()
     lost: frozenset[str] = frozenset()
     reported_at: float = 0.0
+    relay_address: str | None = None
 
     def note_report(self, reply: ttypes.SyncReply, now: float) -> None:
         """Records what the node reported of upstreams at a time."""
--- a/packages/gateway/src/radishcourse_gateway/requesthandler.py
+++ b/packages/gateway/src/radishcourse_gateway/requesthandler.py
@@ -11,6 +11,8 @@
 from radishcourse_gateway import errors
 from radishcourse_gateway import headernames
 from radishcourse_gateway import inboundrequest
+from radishcourse_gateway import relay
+from radishcourse_gateway import responses
 from radishcourse_model import ids
 from radishcourse_node import bodies
 from radishcourse_node import connections
@@ -112,7 +114,7 @@
         self._random = gateway.environment.random
         self._header_names: headernames.HeaderNames = gateway.header_names
         self._view = gateway.view
-        self._forwarder = gateway.forwarder
+        self._relay: relay.Relay = gateway.relay
         self._metrics: metrics.Metrics = gateway.metrics
         self._account = gateway.resources.account
 
@@ -198,7 +200,7 @@
             anyio.move_on_after(limit) as scope,
             self._gateway.limit_by_stop(scope),
         ):
-            await self._forwarder.forward(request, out)
+            await self._relay.forward(request, out)
             return
         if out.status is not None:
             raise errors.ResponseInterrupted('the deadline passed')
@@ -269,6 +271,7 @@
             size=inboundrequest.read_size(headers, header_names),
             parts=inboundrequest.read_prompt_parts(headers, header_names),
             session=inboundrequest.read_session(headers, header_names),
+            relayed=self._relay.is_relayed(scope),
         )
 
     def _deadline(self, arrived_at: float, route, budget_s: float) -> float:
@@ -320,7 +323,7 @@
     async def _send_refusal(
         self, out: ResponseWriter, refusal: errors.Refusal
     ) -> None:
-        body = b'{"error":"%s"}' % refusal.reason.label.encode()
+        body = responses.refusal_body(refusal.reason)
         headers = [
             (b'content-type', b'application/json'),
             (b'content-length', b'%d' % len(body)),
@@ -385,6 +388,7 @@
             confidence=plan.confidence if plan else None,
             size=out.bytes_sent,
             seconds=round(seconds, 3),
+            relayed=request.relayed,
             first_s=round(out.started_at - request.arrived_at, 3)
             if out.started_at
             else None,
--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -27,6 +27,11 @@
     complete: bool
 
 
+def refusal_body(reason: errors.Reason) -> bytes:
+    """Returns the body of the gateway's own response."""
+    return b'{"error":"%s"}' % reason.label.encode()
+
+
 def has_body(method: bytes, status: int) -> bool:
     """Tells whether a response with a status may have a body."""
     return method != b'HEAD' and status not in _WITHOUT_BODY
--- a/packages/gateway/src/radishcourse_gateway/settings.py
+++ b/packages/gateway/src/radishcourse_gateway/settings.py
@@ -96,6 +96,7 @@
       probe_listen: Address for the balancer's readiness probe.
       peer_listen: Address for other nodes.
       platform: Base URL of the platform's store.
+      relay_listen: Address for requests that other nodes relay, None for none.
       metrics_listen: Address of the metrics endpoint, None for none.
       seeds: Addresses of peers to contact first; some may no longer exist.
       peer_key: Secret that all nodes of an installation share.
@@ -121,6 +122,7 @@
     peer_listen: schema.Address
     platform: str
     metrics_listen: schema.Address | None = None
+    relay_listen: schema.Address | None = None
     seeds: list[schema.Address] = []
     peer_key: schema.Secret = 'unset-peer-key-of-gateways'
     value_per_1k_tokens: Number = 0.45
@@ -167,6 +169,7 @@
     'probe_listen',
     'peer_listen',
     'metrics_listen',
+    'relay_listen',
     'platform',
     'peer_key',
     'control_api',
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -156,12 +156,15 @@
   6: optional i64 era
 }
 
+// `relay_address` is where the sender takes requests that other gateways relay;
+// records of third nodes leave it out.
 struct PeerRecord {
   1: string node
   2: string incarnation
   3: string zone
   4: string address
   5: i32 age_ms
+  6: optional string relay_address
 }
 
 // Counts of one node's responses in a roll-out; `arm` is the old or the new
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2183,6 +2183,7 @@
      - zone
      - address
      - age_ms
+     - relay_address
 
     """
 
@@ -2192,15 +2193,17 @@
         'zone',
         'address',
         'age_ms',
+        'relay_address',
     )
 
 
-    def __init__(self, node=None, incarnation=None, zone=None, address=None, age_ms=None,):
+    def __init__(self, node=None, incarnation=None, zone=None, address=None, age_ms=None, relay_address=None,):
         self.node = node
         self.incarnation = incarnation
         self.zone = zone
         self.address = address
         self.age_ms = age_ms
+        self.relay_address = relay_address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2236,6 +2239,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.relay_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2266,6 +2274,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 5)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.relay_address is not None:
+            oprot.writeFieldBegin('relay_address', TType.STRING, 6)
+            oprot.writeString(self.relay_address.encode('utf-8') if sys.version_info[0] == 2 else self.relay_address)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4461,6 +4473,7 @@
     (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
     (5, TType.I32, 'age_ms', None, None, ),  # 5
+    (6, TType.STRING, 'relay_address', 'UTF8', None, ),  # 6
 )
 all_structs.append(RouteTally)
 RouteTally.thrift_spec = (
--- a/tests/site.py
+++ b/tests/site.py
@@ -236,7 +236,7 @@
         """Starts a gateway at its own loopback address."""
         network = 1 + processes.reserved_range()
         host = f'127.{network}.0.{next(_host_octets)}'
-        front, ready, peer = (processes.free_port() for _ in range(3))
+        front, ready, peer, relay = (processes.free_port() for _ in range(4))
         store = self._link(name, self.store.address)
         control_api = self._control_api and self._link(
             f'{name}/control', self._control_api
@@ -244,7 +244,7 @@
         settings = sitefiles.settings(
             name,
             host,
-            sitefiles.Ports(front, ready, peer),
+            sitefiles.Ports(front, ready, peer, relay),
             len(self.gateways),
             self._seeds,
             store,
@@ -324,7 +324,14 @@
 
     def wait_listed(self, count: int) -> None:
         """Waits until all gateways list the given number of upstreams."""
-        wanted = f'radishcourse_upstreams_listed {count}'
+        self._wait_gauge('radishcourse_upstreams_listed', count)
+
+    def wait_peers(self) -> None:
+        """Waits until all gateways know each other."""
+        self._wait_gauge('radishcourse_peers_alive', len(self.gateways) - 1)
+
+    def _wait_gauge(self, name: str, value: int) -> None:
+        wanted = f'{name} {value}\n'
         for process in self.gateways.values():
             page = processes.Process(
                 process.name, 9464, process.popen, process.log, process.host
--- a/tests/sitefiles.py
+++ b/tests/sitefiles.py
@@ -15,11 +15,19 @@
 
 
 class Ports(typing.NamedTuple):
-    """Ports of a gateway: for callers, the readiness probe and other nodes."""
+    """Ports of a gateway.
+
+    Attributes:
+      front: For callers.
+      ready: For the readiness probe.
+      peer: For other nodes.
+      relay: For requests that other nodes relay.
+    """
 
     front: int
     ready: int
     peer: int
+    relay: int
 
 
 def route(name: str, prefix: str, kind: str, service: str, **fields) -> dict:
@@ -136,6 +144,7 @@
 ip = "{host}"
 zone = "{ZONES[gateway_index % len(ZONES)]}"
 seeds = {json.dumps(seeds)}
+portRange = [{ports.relay}, {ports.relay + 1}]
 unknown = "fields that are new"
 [zones]
 zone-a = "region"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -87,6 +87,14 @@
         self.assertEqual(56, bounds.repeat_slack)
         self.assertEqual(6.5, bounds.session_s)
 
+    def test_first_port_between_nodes_takes_relayed_requests(self):
+        with tempfile.TemporaryDirectory() as folder:
+            without = settings.read(_write(folder, SETTINGS))
+            text = 'portRange = [7340, 7355]\n' + SETTINGS
+            given = settings.read(_write(folder, text))
+        self.assertIsNone(without.relay_listen)
+        self.assertEqual('127.0.0.1:7340', given.relay_listen)
+
     def test_duties_reach_the_gateway_settings(self):
         text = SETTINGS.replace('[bounds]', DUTIES)
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -13,6 +13,7 @@
 from radishcourse_node import timeouts
 from radishcourse_policy import clock as clocks
 from radishcourse_policy import position as positions
+from radishcourse_wire import codec
 from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
@@ -111,6 +112,40 @@
         self.assertEqual([ROW], list(self.replica.rows(ROW.table)))
 
 
+class RelayAddressTest(testtools.TestCase):
+    """Guards against requests that are relayed where they are not taken."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = clocks.ManualClock(100.0)
+        self.peers = _make_peers('front-0', self.clock)
+
+    def _hear(self, direct: bool, relay_address: str | None, run='run'):
+        record = ttypes.PeerRecord(
+            'front-1', run, 'zone-a', '127.0.0.1:2', 0, relay_address
+        )
+        data = codec.encode(record)
+        record = codec.decode(ttypes.PeerRecord, data)
+        self.peers._note_peer(record, self.clock.now(), direct)
+        return self.peers.find('front-1').relay_address
+
+    def test_address_is_learned_from_the_peer_itself(self):
+        self.assertEqual('127.0.0.1:3', self._hear(True, '127.0.0.1:3'))
+        # Others do not report it.
+        self.assertEqual('127.0.0.1:3', self._hear(False, None))
+
+    def test_restarted_peer_without_the_listener_gets_none(self):
+        self._hear(True, '127.0.0.1:3')
+        self.assertIsNone(self._hear(False, None, run='next'))
+        self.assertIsNone(self._hear(True, None, run='next'))
+
+    def test_own_record_has_the_address(self):
+        self.assertIsNone(self.peers._own_record().relay_address)
+        self.peers.relay_address = '127.0.0.1:4'
+        own = self.peers._own_record()
+        self.assertEqual('127.0.0.1:4', own.relay_address)
+
+
 class WatcherTest(testtools.TestCase):
     """Guards against watchers whose confirmations all come at one moment.
 
--- a/tests/test_gateway_unreachable.py
+++ b/tests/test_gateway_unreachable.py
@@ -59,12 +59,15 @@
 
     def setUp(self):
         super().setUp()
-        running = sites.running(
-            len(GATEWAYS),
-            gateway_module='tests.partitionedgateway',
-        )
+        running = sites.running(1, gateway_module='tests.partitionedgateway')
         self.site = running.__enter__()
         self.addCleanup(running.__exit__, None, None, None)
+        # The others find each other through the first one.
+        for name in GATEWAYS[1:]:
+            self.site.start_gateway(name)
+        self.site.wait_ready()
+        self.site.wait_listed(len(self.site.workers))
+        self.site.wait_peers()
 
     def cut(self, mode: partitionedgateway.Mode, *gateways: str) -> None:
         """Cuts gateways from all workers."""
@@ -77,7 +80,31 @@
         for name in gateways:
             partitionedgateway.restore(self.site.folder, name)
 
-    def _call(self, gateway: str, kind: str, began_at: float) -> Call:
+    def make_unreachable(
+        self, mode: partitionedgateway.Mode, *gateways: str
+    ) -> None:
+        """Cuts gateways and waits until they know it of both services."""
+        self.cut(mode, *gateways)
+        for gateway in gateways:
+            sites.wait_until(lambda name=gateway: self._knows(name))
+
+    def _knows(self, gateway: str) -> bool:
+        for method, path in REQUESTS.values():
+            self.site.send(gateway, method, path, X_Time_Budget_Ms='600')
+        return self.logged(gateway, events.Event.SERVICE_UNREACHABLE) == {
+            'desk',
+            'engine',
+        }
+
+    def logged(self, gateway: str, event: events.Event) -> set[str]:
+        """Returns the services of an event in a gateway's log."""
+        return {
+            line['service']
+            for line in self.site.log(gateway)
+            if line.get('event') == event.value
+        }
+
+    def call(self, gateway: str, kind: str, began_at: float) -> Call:
         sent_at = time.monotonic()
         response = self.site.send(gateway, *REQUESTS[kind], b'goods')
         return Call(
@@ -95,7 +122,7 @@
         with concurrent.futures.ThreadPoolExecutor(256) as pool:
             while time.monotonic() - began_at < seconds:
                 calls += [
-                    pool.submit(self._call, gateway, kind, began_at)
+                    pool.submit(self.call, gateway, kind, began_at)
                     for gateway in GATEWAYS
                     for kind in REQUESTS
                 ]
@@ -146,35 +173,18 @@
     """Guards against requests that try upstreams until their deadline."""
 
     def test_request_ends_at_once_and_the_node_serves_after_the_cut(self):
-        self.cut(partitionedgateway.Mode.HANG, *GATEWAYS)
-        sites.wait_until(self._knows_unreachable)
+        self.make_unreachable(partitionedgateway.Mode.HANG, *GATEWAYS)
         began_at = time.monotonic()
         for kind in REQUESTS:
-            call = self._call('gateway-1', kind, began_at)
+            call = self.call('gateway-1', kind, began_at)
             self.assertEqual(503, call.status, kind)
             self.assertLess(call.seconds, 1.0, kind)
         self.assertEqual([], self.site.runs())
         self.restore(*GATEWAYS)
         time.sleep(2.0)
         for kind in REQUESTS:
-            self.assertTrue(self._call('gateway-1', kind, began_at).served)
-        for event in (
-            events.Event.SERVICE_UNREACHABLE,
-            events.Event.SERVICE_REACHABLE,
-        ):
-            services = [
-                line['service']
-                for line in self.site.log('gateway-1')
-                if line.get('event') == event.value
-            ]
-            self.assertEqual(['desk', 'engine'], sorted(services), event)
-
-    def _knows_unreachable(self) -> bool:
-        for method, path in REQUESTS.values():
-            self.site.send('gateway-1', method, path, X_Time_Budget_Ms='600')
-        services = {
-            line['service']
-            for line in self.site.log('gateway-1')
-            if line.get('event') == events.Event.SERVICE_UNREACHABLE.value
-        }
-        return services == {'desk', 'engine'}
+            self.assertTrue(self.call('gateway-1', kind, began_at).served)
+        self.assertEqual(
+            {'desk', 'engine'},
+            self.logged('gateway-1', events.Event.SERVICE_REACHABLE),
+        )
