Keep a cut-off node's verdicts on upstreams from its peers

Cause: a gateway that is partitioned from all upstreams took its own failure for theirs.

Change: ejections of an unreachable service's upstreams are left out of what is reported, and cleared when the service is reached again. A refused connect is checked the same way; another run at the address is evidence as before. Where no other upstream is listed nothing changes.

--- a/packages/gateway/src/radishcourse_gateway/crashes.py
+++ b/packages/gateway/src/radishcourse_gateway/crashes.py
@@ -7,6 +7,7 @@
 
 from radishcourse_gateway import errors
 from radishcourse_gateway import inboundrequest
+from radishcourse_gateway import reachability
 from radishcourse_gateway import targets
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
@@ -88,6 +89,7 @@
         self._timeouts = gateway.timeouts
         self._view: views.View = gateway.view
         self._peers = gateway.peers
+        self._reachability: reachability.Reachability = gateway.reachability
         self.quarantine = quarantine.Quarantine()
         self._attempts: dict[tuple, list[Attempt]] = {}
         self._checks: dict[tuple, anyio.Event] = {}
@@ -226,18 +228,29 @@
     def note_absent(self, listed: views.ListedUpstream) -> None:
         """Records that an upstream seems to be no longer at its address.
 
-        Another run has its id or address, or a connection was refused. It
-        counts as ended only if answers were lost: others left in order, or
-        accept no more connections.
+        Another run has its id or address. It counts as ended only if answers
+        were lost: others left in order, or accept no more connections.
         """
-        attempts = self._attempts.get(listed.incarnation, ())
-        if any(item.broke_at is not None for item in attempts):
+        if self._has_lost_answers(listed):
             self.note_ended(listed)
 
+    async def note_refused(self, listed: views.ListedUpstream) -> None:
+        """Records that an upstream refused a connection.
+
+        It counts as ended only if answers were lost.
+        """
+        if self._has_lost_answers(listed):
+            await self._check_ended(listed)
+
+    def _has_lost_answers(self, listed: views.ListedUpstream) -> bool:
+        attempts = self._attempts.get(listed.incarnation, ())
+        return any(item.broke_at is not None for item in attempts)
+
     async def _check_ended(self, listed: views.ListedUpstream) -> None:
         """Records whether an upstream's process has ended, by connecting to it.
 
-        One that does not respond at all may be cut off and does not count.
+        One that does not respond at all may be cut off and does not count. Nor
+        does one that refuses while this node reaches no other either.
         """
         key = listed.incarnation
         if key in self._ended:
@@ -250,7 +263,7 @@
             address = listed.upstream.address
             if await upstreamconnections.is_refused(
                 address, self._timeouts.fail_after
-            ):
+            ) and await self._reachability.reaches_others(listed):
                 self.note_ended(listed)
         finally:
             del self._checks[key]
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -274,7 +274,7 @@
                 if error.sent:
                     await self._crashes.note_failure(listed, watched)
                 elif isinstance(error, upstreamconnections.ConnectionRefused):
-                    self._crashes.note_absent(listed)
+                    await self._crashes.note_refused(listed)
                 raise _AttemptFailed(
                     str(error), not_run=not error.sent
                 ) from error
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -141,6 +141,7 @@
         self.limits = limits.Limits(self)
         self.peers.limits = self.limits
         self.reachability = reachability.Reachability(self)
+        self.load.is_cut_off = self.reachability.is_cut_off
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
         self.duties = duties.Duties(self)
--- a/packages/gateway/src/radishcourse_gateway/load.py
+++ b/packages/gateway/src/radishcourse_gateway/load.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import typing
 
 from radishcourse_model import ids
 from radishcourse_node import events
@@ -37,11 +38,19 @@
 
 
 class Load:
-    """Counts requests and failures by upstream, and ejects failing ones."""
+    """Counts requests and failures by upstream, and ejects failing ones.
+
+    Attributes:
+      is_cut_off: Tells whether this node is cut off from an upstream, whose
+        ejection is then not reported to other nodes.
+    """
 
     def __init__(self, clock):
         self._clock = clock
         self._by_upstream: dict[ids.UpstreamId, _Health] = {}
+        self.is_cut_off: typing.Callable[[ids.UpstreamId], bool] = (
+            lambda upstream: False
+        )
 
     def _health(self, upstream: ids.UpstreamId) -> _Health:
         return self._by_upstream.setdefault(upstream, _Health())
@@ -103,12 +112,21 @@
                 health.requests,
                 int(1000 * health.waiting_s),
                 # Left out if not, which saves a byte for each upstream.
-                self.is_ejected(upstream) or None,
+                self._is_reported_ejected(upstream) or None,
             )
             for upstream, health in self._by_upstream.items()
-            if health.requests or self.is_ejected(upstream)
+            if health.requests or self._is_reported_ejected(upstream)
         ]
 
+    def _is_reported_ejected(self, upstream: ids.UpstreamId) -> bool:
+        return self.is_ejected(upstream) and not self.is_cut_off(upstream)
+
+    def clear_ejection(self, upstream: ids.UpstreamId) -> None:
+        """Ends an upstream's ejection and forgets failed connections to it."""
+        health = self._by_upstream.get(upstream)
+        if health is not None:
+            health.failures, health.ejected_until = 0, 0.0
+
     def is_ejected(self, upstream: ids.UpstreamId) -> bool:
         """Tells whether other upstreams should be preferred to this one."""
         health = self._by_upstream.get(upstream)
--- a/packages/gateway/src/radishcourse_gateway/reachability.py
+++ b/packages/gateway/src/radishcourse_gateway/reachability.py
@@ -1,10 +1,9 @@
 """Services whose upstreams can't be reached from this node."""
 
-import contextlib
-
 import anyio
 
 from radishcourse_gateway import errors
+from radishcourse_gateway import load as loads
 from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
@@ -13,6 +12,8 @@
 
 # Time between two connects to upstreams of an unreachable service.
 PROBE_INTERVAL_S = 0.3
+# Upstreams of the same service that are asked whether this node is cut off.
+SAME_SERVICE = 2
 
 
 class Reachability:
@@ -27,6 +28,7 @@
         self._random = gateway.environment.random
         self._timeouts = gateway.timeouts
         self._view: views.View = gateway.view
+        self._load: loads.Load = gateway.load
         self._state = reachability.Reachability()
         self._became_unreachable = anyio.Event()
 
@@ -39,11 +41,23 @@
         """Tells whether a service is unreachable from this node."""
         return self._state.is_unreachable(service)
 
+    def is_cut_off(self, upstream: ids.UpstreamId) -> bool:
+        """Tells whether an upstream's service is unreachable."""
+        if not self._state.unreachable:
+            return False
+        listed = self._view.upstreams.get(upstream)
+        return listed is not None and self.is_unreachable(
+            listed.upstream.service
+        )
+
     def note_connected(self, service: ids.ServiceId) -> None:
         """Records that a connection to an upstream of a service was opened."""
         was_unreachable = self.is_unreachable(service)
         seconds = self._state.note_connected(self._clock.now(), service)
         if was_unreachable:
+            # Their failures were this node's own.
+            for listed in self._view.usable(service):
+                self._load.clear_ejection(listed.upstream.upstream_id)
             events.log(
                 events.Event.SERVICE_REACHABLE,
                 service=service,
@@ -64,6 +78,37 @@
             )
             self._became_unreachable.set()
 
+    async def reaches_others(self, listed: views.ListedUpstream) -> bool:
+        """Tells whether this node reaches other upstreams than a given one.
+
+        Some of its service and one of another service are connected to. True
+        if no other is listed, as nothing tells then.
+        """
+        others = [
+            item
+            for item in self._view.upstreams.values()
+            if item.gone_at is None and item.incarnation != listed.incarnation
+        ]
+        if not others:
+            return True
+        service = listed.upstream.service
+        same = [item for item in others if item.upstream.service == service]
+        foreign = [item for item in others if item.upstream.service != service]
+        asked = self._random.sample(same, min(SAME_SERVICE, len(same)))
+        asked += self._random.sample(foreign, min(1, len(foreign)))
+        reached = False
+
+        async def connect(item: views.ListedUpstream) -> None:
+            nonlocal reached
+            if await self._can_connect(item):
+                reached = True
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            for item in asked:
+                tasks.start_soon(connect, item)
+        return reached
+
     async def run(self) -> None:
         """Connects to upstreams of unreachable services until cancelled."""
         while True:
@@ -84,6 +129,12 @@
             self.note_connected(service)
             return
         listed = self._random.choice(untried or usable)
+        if await self._can_connect(listed):
+            self.note_connected(service)
+        else:
+            self.note_failed(listed)
+
+    async def _can_connect(self, listed: views.ListedUpstream) -> bool:
         try:
             connection = await upstreamconnections.connect(
                 listed.upstream.address,
@@ -91,8 +142,6 @@
                 self._timeouts.fail_after,
             )
         except errors.UpstreamError:
-            self.note_failed(listed)
-            return
-        self.note_connected(service)
-        with contextlib.suppress(OSError):
-            await connection.aclose()
+            return False
+        await connection.aclose()
+        return True
--- a/tests/partitionedgateway.py
+++ b/tests/partitionedgateway.py
@@ -18,17 +18,24 @@
 from radishcourse_gateway import upstreamconnections
 
 CUT_SUFFIX = '.cut'
+POLL_S = 0.05
 
 
 class Mode(enum.Enum):
-    """How a connect fails."""
+    """How connections fail.
+
+    HANG: connects get no response. REFUSE: they are refused. RESET: they are
+    refused, and open connections are reset. Open ones live on otherwise, but
+    are not reused.
+    """
 
     HANG = 'hang'
     REFUSE = 'refuse'
+    RESET = 'reset'
 
 
 def cut(folder: pathlib.Path, gateway: str, mode: Mode, addresses: list[str]):
-    """Cuts a gateway's connections to addresses; open ones are not reused."""
+    """Cuts a gateway's connections to addresses."""
     text = json.dumps({'mode': mode.value, 'addresses': addresses})
     partial = folder / f'{gateway}.partial'
     partial.write_text(text)
@@ -52,7 +59,7 @@
     @functools.wraps(connect)
     async def connect_or_fail(address, now, fail_after):
         mode = _cut_mode(path, address)
-        if mode is Mode.REFUSE:
+        if mode in (Mode.REFUSE, Mode.RESET):
             raise upstreamconnections.ConnectionRefused('refused', False)
         if mode is Mode.HANG:
             try:
@@ -65,11 +72,23 @@
         connection.is_likely_open = lambda at: (
             _cut_mode(path, address) is None and is_likely_open(at)
         )
+        stream = connection._stream
+        stream.receive = _with_reset(stream.receive, path, address)
         return connection
 
     return connect_or_fail
 
 
+def _with_reset(receive, path: pathlib.Path, address: str):
+    async def receive_or_fail(size):
+        while _cut_mode(path, address) is not Mode.RESET:
+            with anyio.move_on_after(POLL_S):
+                return await receive(size)
+        raise anyio.BrokenResourceError
+
+    return receive_or_fail
+
+
 def main() -> int:
     """Runs the gateway; returns the exit status."""
     path = pathlib.Path(os.environ[program.SETTINGS_VARIABLE])
--- a/tests/test_gateway_evenload.py
+++ b/tests/test_gateway_evenload.py
@@ -125,6 +125,33 @@
     return node
 
 
+class CutOffTest(testtools.TestCase):
+    """Guards against ejections by a cut node that reach the others."""
+
+    def setUp(self):
+        super().setUp()
+        self.load = load.Load(clocks.ManualClock(100.0))
+        self.load.is_cut_off = lambda upstream: upstream == 'u0'
+        self.load.note_broken('u0', 'connect failed')
+        self.load.note_broken('u1', 'connect failed')
+
+    def test_only_ejections_by_a_node_that_is_not_cut_off_are_reported(self):
+        (work,) = self.load.reported_work()
+        self.assertEqual(('u1', True), (work.upstream, work.doubted))
+        self.assertTrue(self.load.is_ejected('u0'))
+
+    def test_requests_are_reported_without_the_ejection(self):
+        with self.load.count('u0', 0.0):
+            work = {item.upstream: item for item in self.load.reported_work()}
+            self.assertEqual(1, work['u0'].requests)
+            self.assertIsNone(work['u0'].doubted)
+
+    def test_node_that_is_in_touch_again_uses_all_upstreams(self):
+        self.load.clear_ejection('u0')
+        self.assertFalse(self.load.is_ejected('u0'))
+        self.assertTrue(self.load.is_ejected('u1'))
+
+
 class OldNewsTest(testtools.TestCase):
     """Guards against nodes that believe reports until the next ones come.
 
--- a/tests/test_gateway_unreachable.py
+++ b/tests/test_gateway_unreachable.py
@@ -188,3 +188,52 @@
             {'desk', 'engine'},
             self.logged('gateway-1', events.Event.SERVICE_REACHABLE),
         )
+
+
+class VerdictTest(PartitionTest):
+    """Guards against a cut node that takes its own failure for crashes."""
+
+    STREAMS = 12
+    PROMPT = {'X_Prompt_Prefix': 'shared:10,own:5'}
+
+    def _send(self, gateway: str) -> sites.Response:
+        return self.site.send(
+            gateway, 'POST', '/draft/1', b'prompt', **self.PROMPT
+        )
+
+    def test_streams_that_are_reset_at_a_cut_node_convict_no_prompt(self):
+        for name in ('engine-1', 'engine-2'):
+            self.site.set_behaviour(name, events=15, event_ms=100)
+        with concurrent.futures.ThreadPoolExecutor(self.STREAMS) as pool:
+            sent = [
+                pool.submit(self._send, 'gateway-1')
+                for _ in range(self.STREAMS)
+            ]
+            time.sleep(0.5)
+            self.cut(partitionedgateway.Mode.RESET, 'gateway-1')
+            concurrent.futures.wait(sent)
+        time.sleep(2.0)
+        for gateway in GATEWAYS:
+            crashes = [
+                line
+                for line in self.site.log(gateway)
+                if line.get('event') == events.Event.UPSTREAM_CRASHED.value
+            ]
+            self.assertEqual([], crashes, gateway)
+            self.assertEqual(200, self._send(gateway).status)
+
+    def test_engine_that_crashes_is_known_at_a_sound_node(self):
+        for name in ('engine-1', 'engine-2'):
+            self.site.set_behaviour(name, events=15, event_ms=100)
+        with concurrent.futures.ThreadPoolExecutor(self.STREAMS) as pool:
+            sent = [
+                pool.submit(self._send, 'gateway-1')
+                for _ in range(self.STREAMS)
+            ]
+            time.sleep(0.5)
+            self.site.workers['engine-1'].kill()
+            concurrent.futures.wait(sent)
+        self.assertIn(
+            events.Event.UPSTREAM_CRASHED.value,
+            [line.get('event') for line in self.site.log('gateway-1')],
+        )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -401,6 +401,7 @@
             timeouts=timeouts.Timeouts(self.clock),
             view=None,
             peers=types.SimpleNamespace(responsible_for=lambda name: None),
+            reachability=None,
         )
         self.crashes = crashes.Crashes(gateway)
         for number in range(6):
