--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -22,8 +22,11 @@
 from radishcourse_gateway import load
 from radishcourse_gateway import pages
 from radishcourse_gateway import peers
+from radishcourse_gateway import reachability
 from radishcourse_gateway import records
+from radishcourse_gateway import relay
 from radishcourse_gateway import requesthandler
+from radishcourse_gateway import retrybudgets
 from radishcourse_gateway import rollouts
 from radishcourse_gateway import settings as gateway_settings
 from radishcourse_gateway import targets
@@ -89,11 +92,14 @@
       peers: The other nodes.
       rollouts: Roll-outs that are in progress.
       limits: Limits that upstreams name.
+      reachability: Services whose upstreams this node can't reach.
       crashes: Crashes of upstreams and quarantined prompts.
       duties: Duties that one node at a time performs.
       pool: Idle connections to upstreams.
       targets: Chooses the upstream for an attempt.
+      retry_budgets: Pay for attempts beyond a request's first.
       forwarder: Forwards requests to upstreams.
+      relay: Forwards requests, through a peer if no upstream can be reached.
     """
 
     def __init__(
@@ -134,6 +140,8 @@
         self.peers.load = self.load
         self.limits = limits.Limits(self)
         self.peers.limits = self.limits
+        self.reachability = reachability.Reachability(self)
+        self.load.is_cut_off = self.reachability.is_cut_off
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
         self.duties = duties.Duties(self)
@@ -142,7 +150,9 @@
         self.verifier = verifier.Verifier(self)
         self.pool = upstreamconnections.Pool(clock, self.timeouts.fail_after)
         self.targets = targets.Targets(self)
+        self.retry_budgets = retrybudgets.RetryBudgets(self)
         self.forwarder = forwarder.Forwarder(self)
+        self.relay = relay.Relay(self)
         self._feeds = [
             feed.Feed(
                 clock,
@@ -240,6 +250,9 @@
             'radishcourse_ready': int(not self.unready_reason),
             'radishcourse_peers_alive': len(self.peers.alive),
             'radishcourse_upstreams_listed': len(self.view.upstreams),
+            'radishcourse_services_unreachable': len(
+                self.reachability.unreachable
+            ),
             'radishcourse_rows_unreadable': self.view.unreadable_rows,
             'radishcourse_log_lines_dropped': self._count_dropped_lines(),
             'radishcourse_parts_quarantined': len(
@@ -273,6 +286,7 @@
         if settings.metrics_listen:
             probes.append(await serving.listen(settings.metrics_listen))
         peer_listener = await serving.listen(settings.peer_listen)
+        request_listeners = [callers, *await self.relay.listen()]
         server = self._make_server()
         probe_server = serving.make_server(
             pages.Pages(self), http=self._protocol(self.resources.pages)
@@ -293,7 +307,9 @@
                 [serving.raw_socket(item) for item in probes],
             )
             tasks.start_soon(self._drain_on_signal, server)
-            await server.serve([serving.raw_socket(callers)])
+            await server.serve(
+                [serving.raw_socket(item) for item in request_listeners]
+            )
             for number in _STOP_SIGNALS:
                 signal.signal(number, signal.SIG_IGN)
             await self.duties.finish()
@@ -304,6 +320,7 @@
         yield 'timeouts', self.timeouts.run
         yield 'peers', self.peers.run
         yield 'rollouts', self.rollouts.run
+        yield 'reachability', self.reachability.run
         yield 'crashes', self.crashes.run
         yield 'duties', self.duties.run
         yield 'settings', self._reload_settings
@@ -346,6 +363,7 @@
                 self.view.apply(self.replica.take_due(table), 'restored')
             self.load.forget(self.view.upstreams)
             self.crashes.forget(present)
+            await self.relay.sweep()
             self.targets.expected_load.forget(present)
             directory = self.view.directory
             if directory is not None:
@@ -423,6 +441,7 @@
     async def aclose(self) -> None:
         """Closes the connections to peers and upstreams."""
         await self.peers.aclose()
+        await self.relay.aclose()
         await self.pool.aclose()
 
 
