Keep connections to an upstream that is silent for 1.5 s

Cause: with keep-alive after 1 s and TCP_USER_TIMEOUT at 1.5 s the kernel closed an idle connection at its second check, 2 s after the last packet, as soon as one keep-alive probe was lost. So an order that waited for its answer was cut by any silence that covered a single probe, and ended as one that may have run.

Change: three probes and a user timeout of 3.25 s. The timeout lies between the checks at 3 and 4 s, so that only a silence of more than 2 s loses all probes, and after a retransmission timeout has doubled past 1.5 s.

--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -21,11 +21,15 @@
 CONNECT_TIMEOUT_S = 0.2
 READ_BYTES = 32 * 1024
 SEND_BYTES = 64 * 1024
-# An upstream whose VM lost power neither responds nor closes its connections;
-# the kernel closes a connection after this time without an acknowledgement.
-TCP_USER_TIMEOUT_MS = 1500
+# An upstream whose VM lost power neither responds nor closes its connections. A
+# sound one may be silent for MAX_SILENCE_S. The kernel sends keep-alive probes
+# after 1, 2 and 3 s and closes an idle connection after 4 s, as the user
+# timeout, which overrides the number of probes (tcp(7)), has passed by then but
+# not at 3 s. A retransmission after that silence precedes it as well.
+MAX_SILENCE_S = 1.5
+TCP_USER_TIMEOUT_MS = 3250
 TCP_KEEPALIVE_IDLE_S = 1
-TCP_KEEPALIVE_PROBES = 2
+TCP_KEEPALIVE_PROBES = 3
 MAX_HEAD_BYTES = 64 * 1024
 # An upstream that sends more interim (1xx) responses is assumed never to send
 # the final one.
