Wait 1.75 s for a silent upstream before work moves elsewhere

Cause: the timeout of an attempt was 1 s where twice the goal or the longest pause of a route is less. A worker that paused for 1.3 s went on with its work afterwards, which by then also ran elsewhere; all streams of that worker moved at once, and it was ejected.

Change: the least timeout is the silence of a sound upstream, 1.5 s, and a margin of 0.25 s. Callers abandon a stream after 2 s or more, so that one that stalls for longer still goes on elsewhere, paid by the retry budget.

Measured: a worker stopped by SIGSTOP for 1.3 s behind a real gateway, eight callers.

--- a/packages/gateway/src/radishcourse_gateway/attempttimeout.py
+++ b/packages/gateway/src/radishcourse_gateway/attempttimeout.py
@@ -9,13 +9,18 @@
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import retrybudgets
 from radishcourse_gateway import targets
+from radishcourse_gateway import upstreamconnections
 from radishcourse_gateway import view as views
 
 # Timeout for the head of an answer, and for a body that is buffered, as a
 # multiple of the route's goal; for an event of a stream as a multiple of the
 # route's longest pause.
 TIMEOUT_GOAL_FACTOR = 2.0
-MIN_TIMEOUT_S = 1.0
+# An upstream that is silent for a second goes on with its work, which would run
+# twice; so the timeout is longer, by what an answer takes besides. Callers
+# abandon streams after 2 s or more.
+ANSWER_MARGIN_S = 0.25
+MIN_TIMEOUT_S = upstreamconnections.MAX_SILENCE_S + ANSWER_MARGIN_S
 # Minimum timeout for the head, as a multiple of the expected wait at a busy
 # upstream.
 TIMEOUT_WAIT_FACTOR = 3.0
--- a/tests/test_upstream_silence.py
+++ b/tests/test_upstream_silence.py
@@ -4,9 +4,11 @@
 receiving socket that drops all packets makes one without privileges.
 """
 
+import concurrent.futures
 import contextlib
 import ctypes
 import itertools
+import signal
 import socket
 import struct
 import time
@@ -16,14 +18,27 @@
 
 from radishcourse_gateway import errors
 from radishcourse_gateway import upstreamconnections
+from radishcourse_node import events
 from radishcourse_node import timeouts
 from radishcourse_policy import clock as clocks
+from tests import test_gateway_path
 
 # A sound upstream may be silent for this long.
 SILENCE_S = 1.5
 # An upstream without power has to be noticed within this time of the last
 # packet that it was sent or that it sent, up to a keep-alive interval earlier.
 NOTICED_S = 4.25
+# How long a worker is stopped, less than that.
+PAUSE_S = 1.3
+CALLERS = 8
+EVENTS = 30
+PROMPT = {'X_Model': 'small', 'X_Prompt_Prefix': '5c1e07a2:800'}
+# Events by which a gateway blames an upstream or a prompt.
+BLAMED = {
+    events.Event.UPSTREAM_DOUBTED.value,
+    events.Event.UPSTREAM_CRASHED.value,
+    events.Event.PROMPT_QUARANTINED.value,
+}
 # Time that timers and this machine add to what is measured.
 MARGIN_S = 0.5
 # From <asm-generic/socket.h>; Python names neither.
@@ -232,3 +247,79 @@
         outcome.append((head.status, time.monotonic()))
     except errors.UpstreamError:
         outcome.append((None, time.monotonic()))
+
+
+class StoppedWorkerTest(test_gateway_path.SiteTest):
+    """Guards against work run twice as its upstream paused for a second.
+
+    The kernel of a worker that is stopped goes on acknowledging.
+    """
+
+    # Each request has retries left.
+    retry_slack = 100_000
+
+    def _play(self, method: str, path: str, pause_s: float = PAUSE_S):
+        """Returns the answers to requests, one of whose workers is stopped.
+
+        That is the one with the most of them.
+        """
+        earlier = {
+            name: len(self.site.runs(name)) for name in self.site.workers
+        }
+        with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+            calls = [
+                pool.submit(self.send, method, path, b'goods', **PROMPT)
+                for _ in range(CALLERS)
+            ]
+            time.sleep(0.15)
+            new = {
+                name: len(self.site.runs(name)) - count
+                for name, count in earlier.items()
+            }
+            busiest = max(new, key=new.get)
+            self.assertGreater(new[busiest], CALLERS // 3)
+            self.site.workers[busiest].signal(signal.SIGSTOP)
+            try:
+                time.sleep(pause_s)
+            finally:
+                self.site.workers[busiest].signal(signal.SIGCONT)
+            return [call.result() for call in calls]
+
+    def setUp(self):
+        super().setUp()
+        for name in self.site.workers:
+            delay_ms = 300 if name.startswith('desk') else 0
+            self.site.set_behaviour(
+                name, delay_ms=delay_ms, events=EVENTS, event_ms=50
+            )
+
+    def _check(self, method: str, path: str) -> None:
+        before = len(self.site.log('gateway-1'))
+        responses = self._play(method, path)
+        self.assertEqual(
+            [(200, True, 1)] * CALLERS,
+            [
+                (response.status, response.whole, len(self.runs_of(response)))
+                for response in responses
+            ],
+        )
+        log = self.site.log('gateway-1')[before:]
+        self.assertEqual(set(), {line.get('event') for line in log} & BLAMED)
+
+    def test_order_is_answered_after_a_pause(self):
+        self._check('POST', '/order/1')
+
+    def test_lookup_is_not_repeated_elsewhere(self):
+        self._check('GET', '/stock/1')
+
+    def test_streams_stay_at_their_upstream(self):
+        self._check('POST', '/draft/1')
+
+    def test_stream_silent_beyond_a_pause_goes_on_elsewhere(self):
+        responses = self._play('POST', '/draft/1', 2.5)
+        self.assertEqual(
+            [(200, True)] * CALLERS,
+            [(response.status, response.whole) for response in responses],
+        )
+        runs = [len(self.runs_of(response)) for response in responses]
+        self.assertIn(2, runs)
