Leave one silence of the upstream out of a stream's pace

Cause: the pace of a stream was measured over 1.2 s, so that a silence of the upstream of that length looked like a slow stream. Its streams that had little time left, as extrapolated from the silence, were moved when it went on, all at once.

Change: after a pause of 0.8 s or more the pace is measured anew, once in 10 s. An upstream that pauses again within that time counts as slow.

--- a/packages/policy/src/radishcourse_policy/streampace.py
+++ b/packages/policy/src/radishcourse_policy/streampace.py
@@ -2,7 +2,8 @@
 
 Load pattern: upstreams are 2.5 times slower for a while, or serve so many
 requests that a stream can't end by its deadline, while others are faster.
-Slow phases of less than a second are common and no reason to move.
+Slow phases of less than a second are common and no reason to move. Nor is a
+single silence: an upstream may pause for about 1.5 s, with all its streams.
 """
 
 import collections
@@ -17,6 +18,11 @@
 # over more time.
 MIN_EVENTS = 4
 MAX_MARKS = 16
+# A pause of this length or more counts as a silence of the upstream, after
+# which the pace is measured anew. One that is silent again within
+# SILENCE_INTERVAL_S is slow.
+SILENCE_S = 0.8
+SILENCE_INTERVAL_S = 10.0
 # A stream moves only if its time for each event is this multiple of the usual
 # one. Nine in ten streams of an upstream are below 1.6 times the median.
 SLOW_FACTOR = 1.6
@@ -39,12 +45,16 @@
       began_at: When its first event here came, in seconds; None before.
       events: Events that came after it.
       checked_at: When its pace was last judged.
+      noted_at: When its latest events came.
+      silent_at: When its latest silence that was left out ended; None if none.
       marks: Times and numbers of events of the latest checks.
     """
 
     began_at: float | None = None
     events: int = 0
     checked_at: float = 0.0
+    noted_at: float = 0.0
+    silent_at: float | None = None
     marks: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_MARKS)
     )
@@ -52,16 +62,29 @@
     def note(self, now: float, events: int) -> bool:
         """Records events; tells whether it is time to judge the pace."""
         if self.began_at is None:
-            self.began_at = self.checked_at = now
+            self.began_at = self.checked_at = self.noted_at = now
             self.marks.append((now, 0))
             return False
         self.events += events
+        pause_s, self.noted_at = now - self.noted_at, now
+        if self._is_silence(now, pause_s):
+            self.silent_at = self.checked_at = now
+            self.marks.clear()
+            self.marks.append((now, self.events))
+            return False
         if now - self.checked_at < CHECK_INTERVAL_S:
             return False
         self.checked_at = now
         self.marks.append((now, self.events))
         return True
 
+    def _is_silence(self, now: float, pause_s: float) -> bool:
+        if pause_s < SILENCE_S:
+            return False
+        return (
+            self.silent_at is None or now - self.silent_at >= SILENCE_INTERVAL_S
+        )
+
     @property
     def pace_s(self) -> float | None:
         """Seconds between its latest events, None if they are too few."""
--- a/tests/test_streampace.py
+++ b/tests/test_streampace.py
@@ -83,6 +83,29 @@
 
         self.assertIsNone(_run(_known(), pace_at, left_s=9.5))
 
+    def test_silence_of_the_upstream_moves_nothing(self):
+        for silence_s in (0.9, 1.3, 1.5):
+            for starts_at in (0.5, 1.01, 2.3):
+                was_silent = False
+
+                def pace_at(now, silence_s=silence_s, starts_at=starts_at):
+                    nonlocal was_silent
+                    if now < starts_at or was_silent:
+                        return USUAL_S
+                    was_silent = True
+                    return silence_s
+
+                moved_at = _run(_known(), pace_at, left_s=10.5)
+                self.assertIsNone(moved_at, (silence_s, starts_at))
+
+    def test_upstream_that_is_silent_again_and_again_is_left(self):
+        def pace_at(now):
+            return 1.0 if now % 1.5 < USUAL_S else USUAL_S
+
+        moved_at = _run(_known(), pace_at)
+        self.assertIsNotNone(moved_at)
+        self.assertLess(moved_at, 6.0)
+
     def test_slow_stream_with_time_enough_stays(self):
         self.assertIsNone(_run(_known(), _slow, left_s=60.0))
 
