Wait out a silence when an upstream is asked about its answer

Cause: an answer without length is whole only if its upstream is still there, which a probe asks for 1 s. One that fell silent right after such an answer did not reply in time, and the caller of an order that had run got 502 instead of the answer.

Change: the probe waits for 1.75 s, the silence of a sound upstream and the same margin as the timeout of attempts. A connection that the network loses still fails after 0.2 s; that case is open, as a probe may not be repeated for long while the caller waits.

--- a/packages/gateway/src/radishcourse_gateway/verifier.py
+++ b/packages/gateway/src/radishcourse_gateway/verifier.py
@@ -10,8 +10,9 @@
 from radishcourse_gateway import view as views
 from radishcourse_policy import answers
 
-# A probe may wait for a slot of the upstream, about as long as a request.
-PROBE_TIMEOUT_S = 1.0
+# A probe may wait for a slot of the upstream, about as long as a request, or
+# for the end of a silence.
+PROBE_TIMEOUT_S = upstreamconnections.MAX_SILENCE_S + 0.25
 # A node that was suspended learns of an upstream's end and of the removal of
 # its entry within less than this time, in any order.
 SUSPENSION_MARGIN_S = 0.1
--- a/tests/test_upstream_silence.py
+++ b/tests/test_upstream_silence.py
@@ -21,6 +21,8 @@
 from radishcourse_node import events
 from radishcourse_node import timeouts
 from radishcourse_policy import clock as clocks
+from tests import rawsite
+from tests import rawworker
 from tests import test_gateway_path
 
 # A sound upstream may be silent for this long.
@@ -323,3 +325,30 @@
         )
         runs = [len(self.runs_of(response)) for response in responses]
         self.assertIn(2, runs)
+
+
+class SilentProbeTest(rawsite.RawSiteTest):
+    """Guards against whole answers that are lost to a silent second.
+
+    An answer without length is whole only if its upstream still answers.
+    """
+
+    def test_answer_without_length_before_a_silence_is_whole(self):
+        def reply(request: rawworker.Request) -> rawworker.Reply:
+            data = rawworker.message(request, 200, b'whole', 'close')
+            return rawworker.Reply(data, rawworker.End.CLOSE)
+
+        def probe(request: rawworker.Request) -> rawworker.Reply:
+            time.sleep(PAUSE_S)
+            name = next(iter(self.started))
+            extra = {'X_Instance_Id': name}
+            body = b'{"boot":"raw","state":"warm","slots":64}'
+            return rawworker.Reply(
+                rawworker.message(request, 200, body, 'length', **extra)
+            )
+
+        with self.workers(reply, count=1) as script:
+            script.probe = probe
+            response = self.call('POST', '/raw-order/1')
+            self.assertEqual((200, b'whole'), (response.status, response.body))
+            self.assertEqual((1, 1), (len(script.requests), script.probes))
