Limit what gateways send to upstreams that say they are brittle

Cause: gateways ignored Server-Brittle. Full workers that named 5 refusals a second got 60 in one second from three gateways, most of them second and third attempts.

Change: BrittleUpstreams records the header with each answer, and refusals with 503 or 429 and the mark of a request that was not run. Targets passes over upstreams that are closed for this node; what does not fit goes to upstreams that are not brittle or is refused with Retry-After. A stream that has begun is exempt from the share. The header without a number is logged as upstream_brittle and changes nothing; zero counts as one.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -62,6 +62,7 @@
         self._load = gateway.load
         self._rollouts = gateway.rollouts
         self._limits = gateway.limits
+        self._brittle = gateway.brittle
         self._duties: duties.Duties = gateway.duties
         self._announcements = announcements.Announcements(gateway)
         self._crashes: crashes.Crashes = gateway.crashes
@@ -264,6 +265,7 @@
         if head.status != answers.MISDIRECTED_REQUEST:
             self._announcements.note_answer(listed, head)
             self._limits.note_answer(listed, head, wait.sent_at)
+            self._brittle.note_answer(listed, head, wait.sent_at, not_run)
         if not not_run and head.get(self._header_names.stamp) is not None:
             self._rollouts.counts.note_response(
                 wait, state is not answers.State.ARRIVING
--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -10,6 +10,7 @@
 import uvicorn
 
 from radishcourse_gateway import autoscaler  # noqa: F401  Registers a duty.
+from radishcourse_gateway import brittleupstreams
 from radishcourse_gateway import crashes
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import duties
@@ -89,6 +90,7 @@
       peers: The other nodes.
       rollouts: Roll-outs that are in progress.
       limits: Limits that upstreams name.
+      brittle: Upstreams that refusals make fall over.
       crashes: Crashes of upstreams and quarantined prompts.
       duties: Duties that one node at a time performs.
       pool: Idle connections to upstreams.
@@ -134,6 +136,7 @@
         self.peers.load = self.load
         self.limits = limits.Limits(self)
         self.peers.limits = self.limits
+        self.brittle = brittleupstreams.BrittleUpstreams(self)
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
         self.duties = duties.Duties(self)
@@ -346,6 +349,7 @@
                 self.view.apply(self.replica.take_due(table), 'restored')
             self.load.forget(self.view.upstreams)
             self.crashes.forget(present)
+            self.brittle.forget(present)
             self.targets.expected_load.forget(present)
             directory = self.view.directory
             if directory is not None:
--- a/packages/gateway/src/radishcourse_gateway/headernames.py
+++ b/packages/gateway/src/radishcourse_gateway/headernames.py
@@ -39,6 +39,7 @@
       last_event: Id of the last event that the sender has received.
       confidence: The model's confidence in its output, 0 to 100.
       rate_limit: Requests per second that the upstream takes from all nodes.
+      brittle: Refusals per second for want of room that the upstream bears.
       leaving: `1` in all answers of an upstream that is about to stop.
       stamp: Set by the upstream on each response that it produced itself.
       not_run: Present when the upstream did not run the request.
@@ -62,6 +63,7 @@
     last_event: bytes
     confidence: bytes
     rate_limit: bytes
+    brittle: bytes
     leaving: bytes
     stamp: bytes
     not_run: bytes
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -122,6 +122,7 @@
         self._peers = gateway.peers
         self._rollouts = gateway.rollouts
         self._limits = gateway.limits
+        self._brittle = gateway.brittle
         self.expected_load = expectedload.ExpectedLoad(gateway)
         self._prefill_rates = prefill.PrefillRates()
         self._mean_work = namedlimits.MeanWork()
@@ -154,6 +155,8 @@
             or self._within_limits(untried, True)
             or self._within_limits(open_ones, True)
         )
+        if not plan.begun:
+            by_id = self._brittle.admitted(by_id, bool(plan.tried))
         while by_id:
             chosen = self.expected_load.choose(
                 by_id, self._prompt(request, plan)
@@ -176,6 +179,7 @@
             listed.upstream.upstream_id: listed
             for listed in candidates
             if not self._limits.wait_s(listed, heavy)
+            and not self._brittle.wait_s(listed)
         }
 
     def _is_paused(self, listed: views.ListedUpstream) -> bool:
@@ -196,7 +200,11 @@
         """
         now = self._clock.now()
         waits_s = [
-            max(self._limits.wait_s(item), item.paused_until - now)
+            max(
+                self._limits.wait_s(item),
+                self._brittle.wait_s(item),
+                item.paused_until - now,
+            )
             for item in usable
         ]
         wait_s = min(filter(math.isfinite, waits_s), default=0.0)
--- a/tests/test_gateway_evenload.py
+++ b/tests/test_gateway_evenload.py
@@ -76,6 +76,10 @@
                     wait_s=lambda listed, heavy=True: 0.0,
                     take=lambda listed: None,
                 ),
+                brittle=types.SimpleNamespace(
+                    wait_s=lambda listed: 0.0,
+                    admitted=lambda candidates, repeated: candidates,
+                ),
             )
         )
         self.requests = contextlib.ExitStack()
