--- a/packages/policy/src/radishcourse_policy/brittleness.py
+++ b/packages/policy/src/radishcourse_policy/brittleness.py
@@ -35,7 +35,7 @@
 # Closed times are spread by this factor, so that nodes do not return together.
 CLOSED_SPREAD = (0.5, 1.5)
 # Factor on the share of requests with each refusal, and its least value.
-SHARE_DECREASE = 0.5
+SHARE_DECREASE = 0.35
 MIN_SHARE = 0.05
 # Share from the moment at which a service becomes brittle that has this many
 # requests for each slot. What waits has to be worked off before fewer may wait.
