--- a/packages/gateway/src/radishcourse_gateway/gateway.py
+++ b/packages/gateway/src/radishcourse_gateway/gateway.py
@@ -10,6 +10,7 @@
 import uvicorn
 
 from radishcourse_gateway import autoscaler  # noqa: F401  Registers a duty.
+from radishcourse_gateway import brittleupstreams
 from radishcourse_gateway import crashes
 from radishcourse_gateway import directory as directories
 from radishcourse_gateway import duties
@@ -93,6 +94,7 @@
       rollouts: Roll-outs that are in progress.
       limits: Limits that upstreams name.
       reachability: Services whose upstreams this node can't reach.
+      brittle: Upstreams that refusals make fall over.
       crashes: Crashes of upstreams and quarantined prompts.
       duties: Duties that one node at a time performs.
       pool: Idle connections to upstreams.
@@ -142,6 +144,7 @@
         self.peers.limits = self.limits
         self.reachability = reachability.Reachability(self)
         self.load.is_cut_off = self.reachability.is_cut_off
+        self.brittle = brittleupstreams.BrittleUpstreams(self)
         self.crashes = crashes.Crashes(self)
         self.peers.crashes = self.crashes
         self.duties = duties.Duties(self)
@@ -364,6 +367,7 @@
             self.load.forget(self.view.upstreams)
             self.crashes.forget(present)
             await self.relay.sweep()
+            self.brittle.forget(present)
             self.targets.expected_load.forget(present)
             directory = self.view.directory
             if directory is not None:
