Treat an early answer that ends with its connection as broken

A worker that answers a long upload at once, with a 200 that has no length, sends a part and ends its half of the connection while the upload is still being sent: order, idempotent request and streams got that part as a complete answer where the worker still listened. judge_end asked only whether the sender runs. An answer that ends with its connection is now broken unless the upstream's kernel had acknowledged the whole request by then; what the gateway had handed to its own kernel is not enough, as 512 KiB fit there.

--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -5,10 +5,13 @@
 connection on which any arrived is not reused.
 """
 
+import array
 import contextlib
 import dataclasses
+import fcntl
 import select
 import socket
+import termios
 
 import anyio
 import h11
@@ -73,12 +76,15 @@
       end: How its body ended.
       waited: Whether nothing had arrived when the last part or the end of the
         connection was waited for; only set with `Framing.CLOSE`.
+      request_sent: Whether the upstream's kernel had the whole request when
+        the body ended; only set with `End.CLOSED`.
     """
 
     framing: answers.Framing | None = None
     received: int = 0
     end: answers.End = answers.End.OPEN
     waited: bool = False
+    request_sent: bool = False
 
 
 class ConnectionRefused(errors.UpstreamError):
@@ -230,14 +236,27 @@
                 self._arrival.received += len(event.data)
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
-                closed = self._arrival.framing is answers.Framing.CLOSE
-                self._arrival.end = (
-                    answers.End.CLOSED if closed else answers.End.FRAMED
-                )
+                self._note_end()
                 return None
             if isinstance(event, h11.ConnectionClosed):
                 raise errors.UpstreamError('closed within the response', True)
 
+    def _note_end(self) -> None:
+        arrival = self._arrival
+        if arrival.framing is not answers.Framing.CLOSE:
+            arrival.end = answers.End.FRAMED
+            return
+        arrival.end = answers.End.CLOSED
+        arrival.request_sent = self._is_request_sent()
+
+    def _is_request_sent(self) -> bool:
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if self._send_pending or raw.fileno() < 0:
+            return False
+        unacknowledged = array.array('i', [0])
+        fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, unacknowledged)
+        return not unacknowledged[0]
+
     async def _next_event(self):
         try:
             while True:
--- a/packages/gateway/src/radishcourse_gateway/verifier.py
+++ b/packages/gateway/src/radishcourse_gateway/verifier.py
@@ -77,12 +77,18 @@
         if (
             arrival.framing is answers.Framing.CLOSE
             and arrival.end is answers.End.CLOSED
+            and arrival.request_sent
             and not unfinished
             and not empty
         ):
             sender = await self._find_sender(listed, arrival)
         state = answers.judge_end(
-            arrival.framing, arrival.end, sender, unfinished, empty
+            arrival.framing,
+            arrival.end,
+            sender,
+            unfinished,
+            empty,
+            arrival.request_sent,
         )
         if state is answers.State.WHOLE:
             return
--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -205,10 +205,13 @@
     sender: Sender | None = None,
     unfinished: bool = False,
     empty: bool = False,
+    request_sent: bool = False,
 ) -> State:
     """Returns WHOLE or BROKEN for an answer whose body has ended.
 
     A process that crashes closes its connections like one that has sent all.
+    One that closes while it is still being sent the request is not known to
+    have run it, so that nothing shows that its answer is whole.
 
     Args:
       framing: What marks the end of the body, None before the head.
@@ -217,6 +220,8 @@
         needed with `Framing.CLOSE`.
       unfinished: Whether a stream ended within an event.
       empty: Whether a stream ended before its first event.
+      request_sent: Whether the whole request had been sent before the end; only
+        needed with `Framing.CLOSE`.
     """
     if framing is Framing.NO_BODY:
         return State.WHOLE
@@ -224,6 +229,8 @@
         return State.BROKEN
     if framing is not Framing.CLOSE:
         return State.WHOLE
-    if empty or sender not in (Sender.RUNNING, Sender.LEAVING):
+    if empty or not request_sent:
+        return State.BROKEN
+    if sender not in (Sender.RUNNING, Sender.LEAVING):
         return State.BROKEN
     return State.WHOLE
--- a/tests/rawsite.py
+++ b/tests/rawsite.py
@@ -35,6 +35,7 @@
 
     # Each case has retries left.
     retry_slack = 100_000
+    max_body_bytes = 64 * 1024
     _numbers = itertools.count(1)
 
     @classmethod
@@ -58,7 +59,11 @@
         ]
         services = sitefiles.manifest()['services']
         services.append({'name': 'raw', 'healthPath': '/health'})
-        cls.site.configure(version=5, routes=routes, services=services)
+        limits = sitefiles.manifest()['limits']
+        limits['maxBodyBytes'] = cls.max_body_bytes
+        cls.site.configure(
+            version=5, routes=routes, services=services, limits=limits
+        )
         sites.wait_until(
             lambda: (
                 cls.site.send('gateway-1', 'GET', '/raw-stock/1').status == 503
@@ -88,11 +93,18 @@
                 self.site.put('servers', name, None)
                 worker.stop()
 
-    def call(self, method: str, path: str) -> sites.Response | None:
-        """Sends a request; None if the connection ends without an answer."""
-        body = b'goods' if method == 'POST' else None
+    def call(
+        self, method: str, path: str, body: bytes = b'goods'
+    ) -> sites.Response | None:
+        """Sends a request; None if the connection ends without an answer.
+
+        Args:
+          method: HTTP method.
+          path: Path and query.
+          body: Body of a POST; other requests have none.
+        """
         try:
-            return self.send(method, path, body)
+            return self.send(method, path, body if method == 'POST' else None)
         except (http.client.HTTPException, OSError):
             return None
 
--- a/tests/rawworker.py
+++ b/tests/rawworker.py
@@ -14,22 +14,30 @@
 ACCEPT_TIMEOUT_S = 0.1
 CONNECTION_TIMEOUT_S = 10.0
 ENDLESS_S = 6.0
+FINISH_S = 0.2
 # Bounds what a caller that keeps all of it may gain.
 ENDLESS_PAUSE_S = 0.005
 FLOOD = b'\xff' * 256 * 1024
 # Connections that fill the queue of a listener which accepts none.
 QUEUE_FILLERS = 4
+# Keeps a long body in the caller's buffers while the worker does not read.
+RECEIVE_BUFFER_BYTES = 16 * 1024
 PROBES = ('/health', '/v1/report', '/v1/state')
 # Requests for this item get a sound answer and are not part of the script.
 UNSCRIPTED_ITEM = '/sound'
 
 
 class End(enum.Enum):
-    """What happens to the connection after the bytes of a reply."""
+    """What happens to the connection after the bytes of a reply.
+
+    CLOSE resets it where bytes of the request are unread. FINISH ends the
+    worker's half, and closes it FINISH_S later.
+    """
 
     KEEP = 'keep'
     CLOSE = 'close'
     RESET = 'reset'
+    FINISH = 'finish'
 
 
 class Listener(enum.Enum):
@@ -57,7 +65,7 @@
       target: Its path and query.
       headers: Header values by lower-case name.
       connection: Number of its connection at the worker.
-      body: Its body.
+      body: Its body, or as much of it as has been read.
     """
 
     target: str
@@ -105,6 +113,8 @@
 
     Attributes:
       requests: Requests that arrived.
+      body_limit: Bytes of a request's body that are read before its reply;
+        None for the whole body.
       probe: Function from a health probe to its reply; None for a sound one.
       probes: Number of probes that got such a reply.
     """
@@ -113,6 +123,7 @@
         self._replies = replies
         self._lock = threading.Lock()
         self.requests: list[Request] = []
+        self.body_limit: int | None = None
         self.probe: typing.Callable[[Request], Reply] | None = None
         self.probes = 0
 
@@ -155,6 +166,9 @@
     def _listen(self, backlog: int) -> socket.socket:
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         listener.bind(('127.0.0.1', self.port))
         listener.listen(backlog)
         listener.settimeout(ACCEPT_TIMEOUT_S)
@@ -197,7 +211,9 @@
             if self.listener is Listener.FLOOD:
                 _send_endless(connection, FLOOD)
                 return
-            while (request := _read_request(connection, number)) is not None:
+            while request := _read_request(
+                connection, number, self._script.body_limit
+            ):
                 if not self._answer(connection, request):
                     return
 
@@ -234,6 +250,11 @@
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
             )
+        if reply.end is End.FINISH:
+            connection.shutdown(socket.SHUT_WR)
+            self._stopped.wait(FINISH_S)
+        if reply.end is End.KEEP:
+            _read_rest(connection, request)
         return reply.end is End.KEEP
 
     def stop(self) -> None:
@@ -250,7 +271,9 @@
         time.sleep(ENDLESS_PAUSE_S)
 
 
-def _read_request(connection: socket.socket, number: int) -> Request | None:
+def _read_request(
+    connection: socket.socket, number: int, body_limit: int | None
+) -> Request | None:
     data = b''
     while b'\r\n\r\n' not in data:
         part = connection.recv(65536)
@@ -261,7 +284,10 @@
     lines = start.decode('latin-1').split('\r\n')
     pairs = (line.partition(':') for line in lines[1:])
     headers = {name.lower(): value.strip() for name, _, value in pairs}
-    while len(body) < int(headers.get('content-length', '0')):
+    wanted = int(headers.get('content-length', '0'))
+    if body_limit is not None:
+        wanted = min(wanted, body_limit)
+    while len(body) < wanted:
         part = connection.recv(65536)
         if not part:
             return None
@@ -269,6 +295,15 @@
     return Request(lines[0].split(' ')[1], headers, number, body)
 
 
+def _read_rest(connection: socket.socket, request: Request) -> None:
+    wanted = int(request.headers.get('content-length', '0'))
+    while len(request.body) < wanted:
+        part = connection.recv(65536)
+        if not part:
+            return
+        request.body += part
+
+
 def head(
     request: Request,
     status: int,
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -95,7 +95,12 @@
         sender = data.draw(strategies.sampled_from([None, *Sender]))
         parts = data.draw(_split(whole[:cut]))
         head, received, arrival = _receive(parts, reset)
-        state = answers.judge_end(arrival.framing, arrival.end, sender)
+        state = answers.judge_end(
+            arrival.framing,
+            arrival.end,
+            sender,
+            request_sent=arrival.request_sent,
+        )
         if state is State.WHOLE:
             self.assertIsNotNone(head)
             if framing == 'close':
@@ -112,12 +117,16 @@
     def test_arbitrary_bytes_are_no_answer(self, parts):
         head, _, arrival = _receive([part for part in parts if part], False)
         self.assertIsNone(head)
-        state = answers.judge_end(arrival.framing, arrival.end, Sender.RUNNING)
+        state = answers.judge_end(
+            arrival.framing, arrival.end, Sender.RUNNING, request_sent=True
+        )
         self.assertIs(State.BROKEN, state)
 
     def test_only_a_known_sender_ends_an_answer_without_length(self):
         for end, sender in itertools.product(End, (None, *Sender)):
-            state = answers.judge_end(Framing.CLOSE, end, sender)
+            state = answers.judge_end(
+                Framing.CLOSE, end, sender, request_sent=True
+            )
             whole = end in (End.FRAMED, End.CLOSED) and sender in SOUND_SENDERS
             expected = State.WHOLE if whole else State.BROKEN
             self.assertIs(expected, state, (end, sender))
@@ -127,10 +136,26 @@
             (Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE), End
         ):
             state = answers.judge_end(
-                framing, end, Sender.RUNNING, unfinished=True
+                framing,
+                end,
+                Sender.RUNNING,
+                unfinished=True,
+                request_sent=True,
             )
             self.assertIs(State.BROKEN, state, (framing, end))
 
+    def test_only_the_framing_ends_an_answer_to_a_request_sent_in_part(self):
+        for framing, end, sender in itertools.product(
+            Framing, End, (None, *Sender)
+        ):
+            state = answers.judge_end(framing, end, sender, request_sent=False)
+            framed = end in (End.FRAMED, End.CLOSED)
+            whole = framing is Framing.NO_BODY or (
+                framed and framing is not Framing.CLOSE
+            )
+            expected = State.WHOLE if whole else State.BROKEN
+            self.assertIs(expected, state, (framing, end, sender))
+
 
 @strategies.composite
 def _heads(draw) -> answers.Head:
