Read on from a connection that a failed send has closed

Where a worker resets the connection while the request is still being sent, the failed send closes the gateway's socket; bytes of an answer without length that had arrived are still queued. The check whether more can be read then polled descriptor -1 and raised ValueError: callers got 502 for a retryable request that had attempts left, and a stream that could resume was cut. A closed socket now counts as readable, and its queue and error follow as for any reset.

--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -138,6 +138,9 @@
 
     def _is_readable(self) -> bool:
         raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            # A failed send has closed it; what had arrived is still queued.
+            return True
         poll = select.poll()
         poll.register(raw.fileno(), select.POLLIN)
         return bool(poll.poll(0))
--- a/tests/test_gateway_early.py
+++ b/tests/test_gateway_early.py
@@ -68,6 +68,16 @@
                 self.assert_not_served(response, case)
                 self.assertEqual(1, len(requests), case)
 
+    def test_part_of_an_early_answer_is_retried(self):
+        for case in _cases():
+            reply = _part(case[0], b'half', *case[1:])
+            response, requests = self._upload(
+                '/raw-stock/1', case, reply, rawsite.sound_body
+            )
+            self.assertIsNotNone(response, case)
+            self.assertEqual((200, b'whole'), (response.status, response.body))
+            self.assertEqual(2, len(requests), case)
+
     def test_long_part_of_an_early_answer_is_not_ended_as_whole(self):
         for case in _cases():
             reply = _part(case[0], rawsite.LONG_BODY, *case[1:])
