Send streams without the length that an upstream announced

A stream whose worker gave a Content-Length was passed on with that length. If it broke off and went on at another worker whose part has another length, the gateway's own response no longer fitted: h11 refused to write it, the log had event 504, and the caller's connection was cut although the stream was whole. Streams are now sent in chunks, whatever their upstream announced; an upstream that sends less than it announced is noticed as before.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -371,7 +371,7 @@
         splitter = eventstream.Splitter(plan.event_ids, resumed=plan.begun)
         if not plan.begun:
             plan.version = listed.upstream.version
-            headers = inboundrequest.caller_headers(head.headers)
+            headers = responses.unsized_headers(head)
         names = (request.route.name, plan.model or '')
         with (
             self._rollouts.counts.measure_pace(listed, *names) as note_events,
--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -32,6 +32,18 @@
     return method != b'HEAD' and status not in _WITHOUT_BODY
 
 
+def unsized_headers(
+    head: upstreamconnections.Head,
+) -> inboundrequest.Headers:
+    """Returns a response's headers for a body whose size is not known yet.
+
+    The rest of a stream that is resumed may have another size, and the
+    Content-Length beside a chunked body does not count (RFC 9112, section 6.3).
+    """
+    headers = inboundrequest.caller_headers(head.headers)
+    return [item for item in headers if item[0] != b'content-length']
+
+
 async def read_error_response(
     request: inboundrequest.InboundRequest,
     connection: upstreamconnections.Connection,
--- a/tests/test_gateway_early.py
+++ b/tests/test_gateway_early.py
@@ -91,6 +91,17 @@
             response, _ = self._upload('/raw-once/1', case, reply)
             self.assert_not_served(response, case)
 
+    def test_part_of_an_early_stream_is_resumed(self):
+        for case in _cases():
+            reply = _part(case[0], EVENTS, *case[1:], **rawsite.STREAM)
+            response, requests = self._upload(
+                '/raw-draft/1', case, reply, rawsite.sound_stream
+            )
+            self.assertIsNotNone(response, case)
+            self.assertEqual(rawsite.ALL_EVENTS, response.body, case)
+            self.assertTrue(response.whole, case)
+            self.assertEqual(2, len(requests), case)
+
     def test_whole_early_answer_is_passed_on_and_its_connection_closed(self):
         for framing, end in itertools.product(
             ('length', 'chunked'),
