Answer callers whose upstream sent a status above 599

An answer with status 600 to 999 was taken for an upstream's failure and passed on; the gateway's server has no such status and raised KeyError, so that the caller's connection ended without any answer: orders, idempotent requests whose attempts were used up, and streams. judge_head now calls each status outside 200 to 599 unusable: what may be repeated goes to another upstream, an order gets 502. Statuses 000, 0, 99, 1000, letters and none gave 502 or a retry before as well, since the parser refuses them; 000 never reached a caller.

--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -13,6 +13,9 @@
 MISDIRECTED_REQUEST = 421
 EVENT_STREAM = 'text/event-stream'
 _STATUSES_WITHOUT_BODY = (204, 304)
+# Final statuses (RFC 9110, section 15). Others have no meaning for a caller,
+# and its server refuses to send them.
+_FINAL_STATUSES = range(200, 600)
 
 
 class State(enum.Enum):
@@ -133,6 +136,8 @@
     refused = head.status == MISDIRECTED_REQUEST or head.marked_not_run
     if not _is_own(expected, head, refused):
         return State.FOREIGN
+    if head.status not in _FINAL_STATUSES:
+        return State.UNUSABLE
     if refused:
         return State.NOT_RUN
     if not head.stamped or head.encoded:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -21,6 +21,7 @@
     answers.Sender,
 )
 REQUEST = rawworker.Request('/', {'x-request-id': 'own'}, 1, b'')
+ODD = (0, 99, 100, 199, 600, 999, 1000)
 SOUND_SENDERS = (Sender.RUNNING, Sender.LEAVING)
 
 
@@ -162,7 +163,7 @@
     return answers.Head(
         status=draw(
             strategies.sampled_from(
-                [200, 204, 301, 400, 404, 408, 421, 429, 500, 503, 504]
+                [200, 204, 301, 400, 404, 408, 421, 429, 500, 503, 504, *ODD]
             )
         ),
         request_id=draw(strategies.sampled_from(['own', 'another', None])),
@@ -184,6 +185,8 @@
         state = answers.judge_head(expected, head)
         if head.request_id == 'another':
             self.assertIs(State.FOREIGN, state)
+        if state not in (State.FOREIGN, State.UNUSABLE):
+            self.assertIn(head.status, range(200, 600))
         if state is State.NOT_RUN:
             self.assertEqual('own', head.request_id)
             self.assertTrue(head.marked_not_run or head.status == 421)
--- /dev/null
+++ b/tests/test_gateway_heads.py
@@ -0,0 +1,136 @@
+"""Heads of upstreams' answers that can not be passed on as they are."""
+
+import itertools
+import socket
+
+import h11
+
+from tests import rawsite
+from tests import rawworker
+from tests import sitefiles
+
+STATUSES = ('600', '999', '000', '0', '99', '1000', 'abc', '', '-200', '0200')
+INTERIM_STATUSES = (100, 101, 103, 199)
+KEEP, CLOSE = rawworker.End.KEEP, rawworker.End.CLOSE
+
+
+def _reply(status, body: bytes, framing: str, end=KEEP, **extra):
+    """Returns a reply with a whole answer."""
+
+    def reply(request: rawworker.Request) -> rawworker.Reply:
+        data = rawworker.message(request, status, body, framing, **extra)
+        return rawworker.Reply(data, end)
+
+    return reply
+
+
+class HeadSiteTest(rawsite.RawSiteTest):
+    """Base of tests whose caller reads any head, but only well-formed ones."""
+
+    def exchange(self, method: str, path: str):
+        """Returns status, headers and body of a whole answer, else None."""
+        process = self.site.gateways['gateway-1']
+        parser = h11.Connection(h11.CLIENT, 2**20)
+        number = next(self._numbers)
+        request = h11.Request(
+            method=method,
+            target=path,
+            headers=[
+                ('Host', sitefiles.HOST),
+                ('Api-Key', sitefiles.KEY),
+                ('X-Request-Id', f'heads-{number}'),
+                ('X-Time-Budget-Ms', str(sitefiles.BUDGET_MS)),
+                ('Content-Length', '0'),
+            ],
+        )
+        address = (process.host, process.port)
+        with socket.create_connection(address, timeout=10) as connection:
+            connection.sendall(parser.send(request))
+            parser.send(h11.EndOfMessage())
+            try:
+                return _read(connection, parser)
+            except (h11.RemoteProtocolError, OSError):
+                return None
+
+    def assert_order_fails(self, reply, case) -> None:
+        """Checks that an order gets the gateway's own failure."""
+        with self.workers(reply, rawsite.sound_body) as script:
+            answer = self.exchange('POST', '/raw-order/1')
+            self.assertIsNotNone(answer, case)
+            self.assertEqual(502, answer[0], case)
+            self.assertEqual(1, len(script.requests), case)
+
+    def assert_passed_on(self, reply, body: bytes, case, status=200) -> None:
+        """Checks that an order gets the upstream's answer."""
+        with self.workers(reply) as script:
+            answer = self.exchange('POST', '/raw-order/1')
+            self.assertIsNotNone(answer, case)
+            self.assertEqual((status, body), (answer[0], answer[2]), case)
+            self.assertIn(b'x-server-stamp', answer[1], case)
+            self.assertEqual(1, len(script.requests), case)
+
+    def assert_retried(self, reply, case) -> None:
+        """Checks that a request that may be repeated is answered elsewhere."""
+        with self.workers(reply, rawsite.sound_body):
+            answer = self.exchange('GET', '/raw-stock/1')
+            self.assertIsNotNone(answer, case)
+            self.assertEqual((200, b'whole'), (answer[0], answer[2]), case)
+
+
+def _read(connection: socket.socket, parser: h11.Connection):
+    status, headers, body = 0, {}, b''
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(connection.recv(65536))
+        elif isinstance(event, h11.Response):
+            status, headers = event.status_code, dict(event.headers)
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return status, headers, body
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
+
+
+class StatusTest(HeadSiteTest):
+    """Guards against statuses that leave a caller without an answer."""
+
+    def test_order_gets_an_answer_whatever_status_its_upstream_sends(self):
+        for status, framing in itertools.product(STATUSES, rawsite.FRAMINGS):
+            reply = _reply(status, b'body', framing, CLOSE)
+            self.assert_order_fails(reply, (status, framing))
+
+    def test_request_with_an_odd_status_is_retried(self):
+        for status, framing in itertools.product(STATUSES, rawsite.FRAMINGS):
+            reply = _reply(status, b'body', framing, CLOSE)
+            self.assert_retried(reply, (status, framing))
+
+    def test_request_whose_upstreams_all_send_an_odd_status_is_answered(self):
+        for status in STATUSES:
+            reply = _reply(status, b'body', 'length', CLOSE)
+            with self.workers(reply):
+                for method, path in (
+                    ('GET', '/raw-stock/1'),
+                    ('POST', '/raw-once/1'),
+                    ('POST', '/raw-draft/1'),
+                ):
+                    answer = self.exchange(method, path)
+                    self.assertIsNotNone(answer, (status, path))
+                    self.assertEqual(502, answer[0], (status, path))
+
+    def test_stream_with_an_odd_status_is_served_elsewhere(self):
+        for status in STATUSES:
+            reply = _reply(
+                status, rawsite.ALL_EVENTS, 'chunked', CLOSE, **rawsite.STREAM
+            )
+            with self.workers(reply, rawsite.sound_stream):
+                self.assert_stream_served(status)
+            with self.workers(rawsite.cut_stream, reply, rawsite.sound_stream):
+                self.assert_stream_served(status)
+
+    def test_interim_status_is_no_answer(self):
+        for status in INTERIM_STATUSES:
+            reply = _reply(status, b'body', 'length', CLOSE)
+            self.assert_order_fails(reply, status)
+            self.assert_retried(reply, status)
