Drop a length that stands beside a chunked body

An answer over 256 KiB that had both a Content-Length and chunks was forwarded with that length; the gateway's own response then broke off at it, and an order that had run got no whole answer. Chunks override a length (RFC 9112, section 6.3), so long bodies that are not framed by their length are sent in chunks.

FramingTest.test_length_beside_chunks_does_not_count failed before (no whole answer for a length of 3 and 307,200 bytes).

--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -5,6 +5,7 @@
 from radishcourse_gateway import errors
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import upstreamconnections
+from radishcourse_policy import answers
 
 # Responses up to this size are buffered before the caller gets any of them, so
 # that the request can still be retried if one is truncated.
@@ -98,7 +99,10 @@
     """
     plan.begun = True
     head = response.head
-    await out.start(head.status, inboundrequest.caller_headers(head.headers))
+    headers = unsized_headers(head)
+    if plan.arrival.framing is answers.Framing.LENGTH:
+        headers = inboundrequest.caller_headers(head.headers)
+    await out.start(head.status, headers)
     await out.write(response.body)
     while (part := await connection.receive()) is not None:
         await out.write(part)
--- a/tests/test_gateway_heads.py
+++ b/tests/test_gateway_heads.py
@@ -134,3 +134,53 @@
             reply = _reply(status, b'body', 'length', CLOSE)
             self.assert_order_fails(reply, status)
             self.assert_retried(reply, status)
+
+
+class FramingTest(HeadSiteTest):
+    """Guards against answers whose framing does not fit what is sent."""
+
+    def test_length_beside_chunks_does_not_count(self):
+        for length, body in itertools.product(
+            ('3', '5', '1000'), (b'whole', rawsite.LONG_BODY)
+        ):
+            reply = _reply(200, body, 'chunked', Content_Length=length)
+            self.assert_passed_on(reply, body, (length, len(body)))
+
+    def test_stream_with_a_length_beside_chunks_is_passed_on(self):
+        for length in ('3', '1000'):
+            reply = _reply(
+                200,
+                rawsite.ALL_EVENTS,
+                'chunked',
+                Content_Length=length,
+                **rawsite.STREAM,
+            )
+            with self.workers(reply):
+                self.assert_stream_served(length)
+
+    def test_lengths_that_differ_are_no_answer(self):
+        reply = _reply(200, b'whole', 'length', Content_Length='5, 6')
+        self.assert_order_fails(reply, 'differ')
+        self.assert_retried(reply, 'differ')
+        reply = _reply(200, b'whole', 'length', Content_Length='5, 5')
+        self.assert_passed_on(reply, b'whole', 'same')
+
+    def test_reset_content_is_passed_on(self):
+        for framing in ('length', 'chunked'):
+            for body in (b'', b'body'):
+                reply = _reply(205, body, framing)
+                self.assert_passed_on(reply, body, (framing, body), 205)
+
+    def test_connection_options_do_not_reach_the_caller(self):
+        for value in ('close', 'keep-alive', 'close, keep-alive', 'upgrade'):
+            for framing in ('length', 'chunked'):
+                reply = _reply(200, b'whole', framing, Connection=value)
+                self.assert_passed_on(reply, b'whole', (value, framing))
+
+    def test_trailers_are_dropped(self):
+        def reply(request):
+            data = rawworker.head(request, 200, chunked=True, Trailer='X-End')
+            data += rawworker.chunk(b'whole') + b'0\r\nX-End: 1\r\n\r\n'
+            return rawworker.Reply(data)
+
+        self.assert_passed_on(reply, b'whole', 'trailers')
