Send no length with an answer without content

A worker's 204 with a Content-Length was passed on with it, which HTTP forbids: a caller that goes by the length waits for a body that never comes, and reads the next answer on its connection as that body. The header is dropped for 204; 304 and HEAD may announce the length that the body would have.

--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -10,7 +10,10 @@
 # Responses up to this size are buffered before the caller gets any of them, so
 # that the request can still be retried if one is truncated.
 MAX_BUFFERED_BYTES = 256 * 1024
-_WITHOUT_BODY = (204, 304)
+# Must not have a length (RFC 9110, section 8.6), by which some callers would
+# wait for a body.
+_NO_CONTENT = 204
+_WITHOUT_BODY = (_NO_CONTENT, 304)
 
 
 @dataclasses.dataclass
@@ -116,9 +119,11 @@
 ) -> None:
     """Sends a buffered response to the caller."""
     headers = inboundrequest.caller_headers(response.head.headers)
-    if has_body(request.method, response.head.status):
+    if response.head.status == _NO_CONTENT:
+        headers = unsized_headers(response.head)
+    elif has_body(request.method, response.head.status):
         length = b'%d' % len(response.body)
-        headers = [item for item in headers if item[0] != b'content-length']
+        headers = unsized_headers(response.head)
         headers.append((b'content-length', length))
     plan.begun = True
     await out.start(response.head.status, headers)
--- a/tests/test_gateway_heads.py
+++ b/tests/test_gateway_heads.py
@@ -165,6 +165,20 @@
         reply = _reply(200, b'whole', 'length', Content_Length='5, 5')
         self.assert_passed_on(reply, b'whole', 'same')
 
+    def test_answer_without_content_has_no_length(self):
+        for framing, body in itertools.product(
+            ('length', 'chunked'), (b'', b'body')
+        ):
+            for status in (204, 304):
+                reply = _reply(status, body, framing, CLOSE)
+                with self.workers(reply):
+                    answer = self.exchange('POST', '/raw-order/1')
+                    case = (status, framing, body)
+                    self.assertIsNotNone(answer, case)
+                    self.assertEqual((status, b''), (answer[0], answer[2]))
+                    if status == 204:
+                        self.assertNotIn(b'content-length', answer[1], case)
+
     def test_reset_content_is_passed_on(self):
         for framing in ('length', 'chunked'):
             for body in (b'', b'body'):
