Pass no success on whose stamp is dropped on the way

An answer that named its own stamp as a Connection option was judged by the stamp, which was then dropped with the other hop-by-hop headers: the caller got a success without it. The stamp is now looked for among the headers that reach the caller, so that such an answer is unusable: retried, or 502 for an order.

HeaderTest.test_stamp_is_not_dropped_as_a_connection_option failed before (200).

--- a/packages/gateway/src/radishcourse_gateway/verifier.py
+++ b/packages/gateway/src/radishcourse_gateway/verifier.py
@@ -41,6 +41,7 @@
         """Returns what an answer is to a request by its head."""
         names = self._header_names
         request_id = head.get(names.request_id)
+        passed_on = inboundrequest.caller_headers(head.headers)
         return answers.judge_head(
             answers.Expectation(
                 request.request_id, connection.fresh, resumed=plan.begun
@@ -48,7 +49,7 @@
             answers.Head(
                 status=head.status,
                 request_id=request_id and request_id.decode('latin-1'),
-                stamped=head.get(names.stamp) is not None,
+                stamped=any(name == names.stamp for name, _ in passed_on),
                 marked_not_run=head.get(names.not_run) is not None,
                 encoded=head.get(b'content-encoding') is not None,
                 media_type=head.media_type,
--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -99,7 +99,8 @@
     Attributes:
       status: HTTP status.
       request_id: Id of the request that it names, None if it names none.
-      stamped: Whether the upstream itself produced the answer.
+      stamped: Whether a header that reaches the caller says that the upstream
+        itself produced the answer.
       marked_not_run: Whether a header says that the request was not run.
       encoded: Whether the body has a content encoding.
       media_type: Media type without parameters in lower case, empty if unset.
--- a/tests/test_gateway_heads.py
+++ b/tests/test_gateway_heads.py
@@ -11,6 +11,11 @@
 
 STATUSES = ('600', '999', '000', '0', '99', '1000', 'abc', '', '-200', '0200')
 INTERIM_STATUSES = (100, 101, 103, 199)
+# Below the limit of a head, and above.
+LONG_VALUE = 'x' * (60 * 1024)
+LONGER_VALUE = 'x' * (128 * 1024)
+# More than Python can convert to a number.
+LONG_NUMBER = '9' * 5000
 KEEP, CLOSE = rawworker.End.KEEP, rawworker.End.CLOSE
 
 
@@ -198,3 +203,43 @@
             return rawworker.Reply(data)
 
         self.assert_passed_on(reply, b'whole', 'trailers')
+
+
+class HeaderTest(HeadSiteTest):
+    """Guards against header lines that callers can't read or that mislead."""
+
+    def test_stamp_is_not_dropped_as_a_connection_option(self):
+        for name in ('X-Server-Stamp', 'x-server-stamp, close'):
+            reply = _reply(200, b'whole', 'length', Connection=name)
+            self.assert_order_fails(reply, name)
+            self.assert_retried(reply, name)
+
+    def test_malformed_header_lines_are_no_answer(self):
+        for name in ('', 'X Note', 'X\x01', ' X', 'X\xff'):
+            reply = _reply(200, b'whole', 'length', **{name: 'a'})
+            self.assert_order_fails(reply, name)
+            self.assert_retried(reply, name)
+
+    def test_large_and_many_headers_are_passed_on(self):
+        many = {f'X{number}': '1' for number in range(4000)}
+        for extra in (
+            many,
+            {'X_Note': LONG_VALUE},
+            {'X_Note': 'a\xffb'},
+            {'X_Note': ''},
+        ):
+            reply = _reply(200, b'whole', 'length', **extra)
+            self.assert_passed_on(reply, b'whole', len(extra))
+
+    def test_head_over_the_limit_is_no_answer(self):
+        reply = _reply(200, b'whole', 'length', X_Note=LONGER_VALUE)
+        self.assert_order_fails(reply, 'long head')
+        self.assert_retried(reply, 'long head')
+
+    def test_odd_values_of_other_headers_are_passed_on(self):
+        for name, value in itertools.product(
+            ('Keep_Alive', 'Retry_After', 'Server_Limit', 'X_Cold_Ms'),
+            ('timeout=' + LONG_NUMBER, LONG_NUMBER, 'nan', '\xff', '-1'),
+        ):
+            reply = _reply(200, b'whole', 'length', **{name: value})
+            self.assert_passed_on(reply, b'whole', (name, value[:9]))
