Refuse answers with control characters in a header

A header value with a control character other than a tab is invalid (RFC 9110, section 5.5). The parser lets such values through, and they were passed on in the gateway's own response, which a strict caller can't read. Such a head is now malformed like others: retried, or 502 for an order.

--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import fcntl
+import re
 import select
 import socket
 import termios
@@ -40,6 +41,9 @@
 # sends no Keep-Alive timeout.
 UPSTREAM_IDLE_TIMEOUT_S = 2.0
 
+# Invalid in a value (RFC 9110, section 5.5), but let through by the parser.
+_CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+
 _STREAM_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -215,6 +219,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 head = Head(event.status_code, list(event.headers))
+                self._check_values(head)
                 self._read_idle_timeout(head)
                 self._arrival.framing = answers.framing(
                     self._method,
@@ -227,6 +232,13 @@
                 raise errors.UpstreamError('closed without a response', True)
         raise errors.UpstreamError('too many interim responses', True)
 
+    def _check_values(self, head: Head) -> None:
+        if any(_CONTROL_CHARACTER.search(value) for _, value in head.headers):
+            self._closed = True
+            raise errors.UpstreamError(
+                'malformed response: control character in a header', True
+            )
+
     async def receive(self) -> bytes | None:
         """Returns the next part of the body, None at its end.
 
--- a/tests/test_gateway_heads.py
+++ b/tests/test_gateway_heads.py
@@ -214,6 +214,12 @@
             self.assert_order_fails(reply, name)
             self.assert_retried(reply, name)
 
+    def test_control_characters_reach_no_caller(self):
+        for character in ('\x01', '\x08', '\x1f', '\x7f'):
+            reply = _reply(200, b'whole', 'length', X_Note=f'a{character}b')
+            self.assert_order_fails(reply, repr(character))
+            self.assert_retried(reply, repr(character))
+
     def test_malformed_header_lines_are_no_answer(self):
         for name in ('', 'X Note', 'X\x01', ' X', 'X\xff'):
             reply = _reply(200, b'whole', 'length', **{name: 'a'})
