Ignore a confidence that is no number from 0 to 100

The gateway converted each answer's confidence header without a check: a value that is no number raised ValueError, and a caller whose request had run got 502 instead of the sound answer; a far too large one overflowed in the choice of a larger model. Such values now count as no confidence.

HeaderTest.test_confidence_that_is_no_number_is_passed_on failed before (502 for "high"). test_gateway_heads: 19 of 19; test_gateway_policy and test_gateway_shortage: 45 of 45.

--- a/packages/gateway/src/radishcourse_gateway/escalations.py
+++ b/packages/gateway/src/radishcourse_gateway/escalations.py
@@ -50,9 +50,10 @@
           Whether the request is to be repeated on that model.
         """
         models = request.route.models
-        confidence = head.get(self._header_names.confidence)
+        value = head.get(self._header_names.confidence)
+        confidence = modelchoice.parse_confidence(value or b'')
         if confidence is not None:
-            plan.confidence = float(confidence)
+            plan.confidence = confidence
         if not models or plan.begun or request.size is None:
             return False
         if (
@@ -68,7 +69,7 @@
         larger = modelchoice.choose_larger(
             models,
             plan.model,
-            float(confidence),
+            confidence,
             request.size,
             costs,
             self._current_settings.value.value_per_1k_tokens,
@@ -87,7 +88,7 @@
             request=request.request_id,
             model=answered_by,
             larger=larger,
-            confidence=float(confidence),
+            confidence=confidence,
             prompt=request.size.prompt,
             output=request.size.output,
         )
--- a/packages/policy/src/radishcourse_policy/modelchoice.py
+++ b/packages/policy/src/radishcourse_policy/modelchoice.py
@@ -27,6 +27,7 @@
 # probability of a poor answer. For half of the answers of the smallest model
 # the confidence is below 20 or above 80.
 MIDPOINT_CONFIDENCE = 50.0
+MAX_CONFIDENCE = 100.0
 LOGISTIC_SCALE = 4.0
 # Cost of a second of prefill to the requests queued behind it, in the unit of
 # the models' costs, while they wait for a second. It grows with the wait, as
@@ -55,6 +56,15 @@
         return per_1k * (PROMPT_COST_WEIGHT * self.prompt + self.output) / 1000
 
 
+def parse_confidence(value: bytes) -> float | None:
+    """Returns a confidence from 0 to 100, None if the value is none."""
+    try:
+        confidence = float(value)
+    except ValueError:
+        return None
+    return confidence if 0 <= confidence <= MAX_CONFIDENCE else None
+
+
 def poor_answer_probability(confidence: float) -> float:
     """Returns the probability that an answer is poor.
 
--- a/tests/test_gateway_heads.py
+++ b/tests/test_gateway_heads.py
@@ -249,3 +249,8 @@
         ):
             reply = _reply(200, b'whole', 'length', **{name: value})
             self.assert_passed_on(reply, b'whole', (name, value[:9]))
+
+    def test_confidence_that_is_no_number_is_passed_on(self):
+        for value in ('high', '', 'nan', 'inf', '1e999', '\xff', LONG_NUMBER):
+            reply = _reply(200, b'whole', 'length', X_Confidence=value)
+            self.assert_passed_on(reply, b'whole', value[:9])
