Pass streams on whose event ids are very long numbers

An event id of more than 4,300 digits raised ValueError in the record of a stream's ids, since Python converts no longer number: a sound stream got 502, or was cut once it had begun. Ids of more than 18 digits now count as names, after which a stream is not continued elsewhere.

--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -12,6 +12,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED_REQUEST = 421
 EVENT_STREAM = 'text/event-stream'
+# A longer number is a name rather than a position; Python converts none of more
+# than 4,300 digits.
+_MAX_ID_DIGITS = 18
 _STATUSES_WITHOUT_BODY = (204, 304)
 # Final statuses (RFC 9110, section 15). Others have no meaning for a caller,
 # and its server refuses to send them.
@@ -202,7 +205,9 @@
 
 
 def _to_number(event_id: bytes) -> int | None:
-    return int(event_id) if event_id.isdigit() else None
+    if not event_id.isdigit() or len(event_id) > _MAX_ID_DIGITS:
+        return None
+    return int(event_id)
 
 
 def judge_end(
--- a/tests/test_gateway_heads.py
+++ b/tests/test_gateway_heads.py
@@ -254,3 +254,35 @@
         for value in ('high', '', 'nan', 'inf', '1e999', '\xff', LONG_NUMBER):
             reply = _reply(200, b'whole', 'length', X_Confidence=value)
             self.assert_passed_on(reply, b'whole', value[:9])
+
+
+class EventIdTest(HeadSiteTest):
+    """Guards against ids of events that cut a stream."""
+
+    def test_event_ids_that_are_no_numbers_are_passed_on(self):
+        for event_id in (LONG_NUMBER.encode(), b'\xff', b'\x01', b'a b'):
+            body = b'id: %b\ndata: a\n\nid: %b\ndata: b\n\n' % (
+                event_id,
+                event_id,
+            )
+            reply = _reply(200, body, 'chunked', **rawsite.STREAM)
+            for path in ('/raw-once/1', '/raw-draft/1'):
+                with self.workers(reply):
+                    response = self.call('POST', path)
+                    self.assertIsNotNone(response, event_id[:9])
+                    self.assertTrue(response.whole, event_id[:9])
+                    self.assertEqual(body, response.body, event_id[:9])
+
+    def test_stream_whose_last_id_can_not_be_sent_on_is_not_ended(self):
+        for event_id in (LONG_NUMBER.encode(), b'\xff', b'a ', b'\x01'):
+            body = b'id: %b\ndata: a\n\n' % event_id
+
+            def cut(request, body=body):
+                data = rawworker.head(
+                    request, 200, chunked=True, **rawsite.STREAM
+                )
+                return rawworker.Reply(data + rawworker.chunk(body), CLOSE)
+
+            with self.workers(cut, rawsite.sound_stream):
+                response = self.call('POST', '/raw-draft/1')
+                self.assert_not_served(response, event_id[:9])
