--- a/packages/gateway/src/radishcourse_gateway/responses.py
+++ b/packages/gateway/src/radishcourse_gateway/responses.py
@@ -5,11 +5,15 @@
 from radishcourse_gateway import errors
 from radishcourse_gateway import inboundrequest
 from radishcourse_gateway import upstreamconnections
+from radishcourse_policy import answers
 
 # Responses up to this size are buffered before the caller gets any of them, so
 # that the request can still be retried if one is truncated.
 MAX_BUFFERED_BYTES = 256 * 1024
-_WITHOUT_BODY = (204, 304)
+# Must not have a length (RFC 9110, section 8.6), by which some callers would
+# wait for a body.
+_NO_CONTENT = 204
+_WITHOUT_BODY = (_NO_CONTENT, 304)
 
 
 @dataclasses.dataclass
@@ -37,6 +41,18 @@
     return method != b'HEAD' and status not in _WITHOUT_BODY
 
 
+def unsized_headers(
+    head: upstreamconnections.Head,
+) -> inboundrequest.Headers:
+    """Returns a response's headers for a body whose size is not known yet.
+
+    The rest of a stream that is resumed may have another size, and the
+    Content-Length beside a chunked body does not count (RFC 9112, section 6.3).
+    """
+    headers = inboundrequest.caller_headers(head.headers)
+    return [item for item in headers if item[0] != b'content-length']
+
+
 async def read_error_response(
     request: inboundrequest.InboundRequest,
     connection: upstreamconnections.Connection,
@@ -91,7 +107,10 @@
     """
     plan.begun = True
     head = response.head
-    await out.start(head.status, inboundrequest.caller_headers(head.headers))
+    headers = unsized_headers(head)
+    if plan.arrival.framing is answers.Framing.LENGTH:
+        headers = inboundrequest.caller_headers(head.headers)
+    await out.start(head.status, headers)
     await out.write(response.body)
     while (part := await connection.receive()) is not None:
         await out.write(part)
@@ -105,9 +124,11 @@
 ) -> None:
     """Sends a buffered response to the caller."""
     headers = inboundrequest.caller_headers(response.head.headers)
-    if has_body(request.method, response.head.status):
+    if response.head.status == _NO_CONTENT:
+        headers = unsized_headers(response.head)
+    elif has_body(request.method, response.head.status):
         length = b'%d' % len(response.body)
-        headers = [item for item in headers if item[0] != b'content-length']
+        headers = unsized_headers(response.head)
         headers.append((b'content-length', length))
     plan.begun = True
     await out.start(response.head.status, headers)
--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -5,10 +5,14 @@
 connection on which any arrived is not reused.
 """
 
+import array
 import contextlib
 import dataclasses
+import fcntl
+import re
 import select
 import socket
+import termios
 
 import anyio
 import h11
@@ -41,6 +45,9 @@
 # sends no Keep-Alive timeout.
 UPSTREAM_IDLE_TIMEOUT_S = 2.0
 
+# Invalid in a value (RFC 9110, section 5.5), but let through by the parser.
+_CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+
 _STREAM_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -77,12 +84,15 @@
       end: How its body ended.
       waited: Whether nothing had arrived when the last part or the end of the
         connection was waited for; only set with `Framing.CLOSE`.
+      request_sent: Whether the upstream's kernel had the whole request when
+        the body ended; only set with `End.CLOSED`.
     """
 
     framing: answers.Framing | None = None
     received: int = 0
     end: answers.End = answers.End.OPEN
     waited: bool = False
+    request_sent: bool = False
 
 
 class ConnectionRefused(errors.UpstreamError):
@@ -141,6 +151,9 @@
 
     def _is_readable(self) -> bool:
         raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            # A failed send has closed it; what had arrived is still queued.
+            return True
         poll = select.poll()
         poll.register(raw.fileno(), select.POLLIN)
         return bool(poll.poll(0))
@@ -215,6 +228,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 head = Head(event.status_code, list(event.headers))
+                self._check_values(head)
                 self._read_idle_timeout(head)
                 self._arrival.framing = answers.framing(
                     self._method,
@@ -227,6 +241,13 @@
                 raise errors.UpstreamError('closed without a response', True)
         raise errors.UpstreamError('too many interim responses', True)
 
+    def _check_values(self, head: Head) -> None:
+        if any(_CONTROL_CHARACTER.search(value) for _, value in head.headers):
+            self._closed = True
+            raise errors.UpstreamError(
+                'malformed response: control character in a header', True
+            )
+
     async def receive(self) -> bytes | None:
         """Returns the next part of the body, None at its end.
 
@@ -239,14 +260,27 @@
                 self._arrival.received += len(event.data)
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
-                closed = self._arrival.framing is answers.Framing.CLOSE
-                self._arrival.end = (
-                    answers.End.CLOSED if closed else answers.End.FRAMED
-                )
+                self._note_end()
                 return None
             if isinstance(event, h11.ConnectionClosed):
                 raise errors.UpstreamError('closed within the response', True)
 
+    def _note_end(self) -> None:
+        arrival = self._arrival
+        if arrival.framing is not answers.Framing.CLOSE:
+            arrival.end = answers.End.FRAMED
+            return
+        arrival.end = answers.End.CLOSED
+        arrival.request_sent = self._is_request_sent()
+
+    def _is_request_sent(self) -> bool:
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if self._send_pending or raw.fileno() < 0:
+            return False
+        unacknowledged = array.array('i', [0])
+        fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, unacknowledged)
+        return not unacknowledged[0]
+
     async def _next_event(self):
         try:
             while True:
--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -12,7 +12,13 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED_REQUEST = 421
 EVENT_STREAM = 'text/event-stream'
+# A longer number is a name rather than a position; Python converts none of more
+# than 4,300 digits.
+_MAX_ID_DIGITS = 18
 _STATUSES_WITHOUT_BODY = (204, 304)
+# Final statuses (RFC 9110, section 15). Others have no meaning for a caller,
+# and its server refuses to send them.
+_FINAL_STATUSES = range(200, 600)
 
 
 class State(enum.Enum):
@@ -96,7 +102,8 @@
     Attributes:
       status: HTTP status.
       request_id: Id of the request that it names, None if it names none.
-      stamped: Whether the upstream itself produced the answer.
+      stamped: Whether a header that reaches the caller says that the upstream
+        itself produced the answer.
       marked_not_run: Whether a header says that the request was not run.
       encoded: Whether the body has a content encoding.
       media_type: Media type without parameters in lower case, empty if unset.
@@ -133,6 +140,8 @@
     refused = head.status == MISDIRECTED_REQUEST or head.marked_not_run
     if not _is_own(expected, head, refused):
         return State.FOREIGN
+    if head.status not in _FINAL_STATUSES:
+        return State.UNUSABLE
     if refused:
         return State.NOT_RUN
     if not head.stamped or head.encoded:
@@ -196,7 +205,9 @@
 
 
 def _to_number(event_id: bytes) -> int | None:
-    return int(event_id) if event_id.isdigit() else None
+    if not event_id.isdigit() or len(event_id) > _MAX_ID_DIGITS:
+        return None
+    return int(event_id)
 
 
 def judge_end(
@@ -205,10 +216,13 @@
     sender: Sender | None = None,
     unfinished: bool = False,
     empty: bool = False,
+    request_sent: bool = False,
 ) -> State:
     """Returns WHOLE or BROKEN for an answer whose body has ended.
 
     A process that crashes closes its connections like one that has sent all.
+    One that closes while it is still being sent the request is not known to
+    have run it, so that nothing shows that its answer is whole.
 
     Args:
       framing: What marks the end of the body, None before the head.
@@ -217,6 +231,8 @@
         needed with `Framing.CLOSE`.
       unfinished: Whether a stream ended within an event.
       empty: Whether a stream ended before its first event.
+      request_sent: Whether the whole request had been sent before the end; only
+        needed with `Framing.CLOSE`.
     """
     if framing is Framing.NO_BODY:
         return State.WHOLE
@@ -224,6 +240,8 @@
         return State.BROKEN
     if framing is not Framing.CLOSE:
         return State.WHOLE
-    if empty or sender not in (Sender.RUNNING, Sender.LEAVING):
+    if empty or not request_sent:
+        return State.BROKEN
+    if sender not in (Sender.RUNNING, Sender.LEAVING):
         return State.BROKEN
     return State.WHOLE
