Secure the return of a moved stream

Change: the way back ends with the first event of the new upstream; a move needs an upstream that can take the stream back and one that was not tried; tokens for returns are held for a second; a version is retired only while the other serves.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -422,6 +422,8 @@
                 if complete is None:
                     break
                 plan.progress_at = self._clock.now()
+                # A move has worked; the upstream before it is a slow one.
+                plan.fallback = None
                 note_events(splitter.count - 1)
                 note_pace(splitter.count - 1)
                 if not plan.begun:
--- a/packages/gateway/src/radishcourse_gateway/retrybudgets.py
+++ b/packages/gateway/src/radishcourse_gateway/retrybudgets.py
@@ -1,5 +1,7 @@
 """This node's share of the retry budget that the fleet has per service."""
 
+import collections
+
 import anyio
 
 from radishcourse_model import ids
@@ -13,6 +15,9 @@
 # Time after a failed attempt for which repeats on a larger model leave tokens
 # for more of them: the window over which the retries are bounded.
 FAILURE_S = 10.0
+# A stream that was moved fails within about this time, if it does, and returns;
+# its token is left to it for so long.
+HOLD_S = 1.0
 # Time between two looks for a token.
 POLL_INTERVAL_S = 0.02
 
@@ -35,6 +40,8 @@
         self._peers = gateway.peers
         self._windows: dict[ids.ServiceId, retrywindow.RetryWindow] = {}
         self._failed_at: dict[ids.ServiceId, float] = {}
+        # When the tokens that are held for returns are free again.
+        self._held_until: dict[ids.ServiceId, collections.deque[float]] = {}
 
     def _window(self, service: ids.ServiceId) -> retrywindow.RetryWindow:
         if service not in self._windows:
@@ -58,8 +65,20 @@
         self._window(service).note_request()
 
     def has_tokens(self, service: ids.ServiceId, count: int) -> bool:
-        """Tells whether a number of retries are left."""
-        return self._window(service).left(*self._limits()) >= count
+        """Tells whether a number of retries are left, beside those held."""
+        left = self._window(service).left(*self._limits())
+        return left >= count + self._held(service)
+
+    def hold(self, service: ids.ServiceId) -> None:
+        """Leaves a token to a failed attempt for HOLD_S."""
+        held_until = self._held_until.setdefault(service, collections.deque())
+        held_until.append(self._clock.now() + HOLD_S)
+
+    def _held(self, service: ids.ServiceId) -> int:
+        held_until = self._held_until.get(service, ())
+        while held_until and held_until[0] < self._clock.now():
+            held_until.popleft()
+        return len(held_until)
 
     def spend(self, service: ids.ServiceId) -> bool:
         """Counts the retry of a failed attempt; False if none is left."""
@@ -76,6 +95,7 @@
             reserve = min(overload.reserved_retries, max(0, self._slack() - 1))
         window = self._window(service)
         share, slack = self._limits()
+        reserve += self._held(service)
         return window.left(share, slack) >= 1 + reserve and window.spend(
             share, slack
         )
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -135,7 +135,10 @@
         The upstreams of such a version may be stopped at any moment.
         """
         rollout = self.find(service)
-        if rollout is None:
+        if rollout is None or (
+            rollout.state is canary.RolloutState.RUNNING
+            and rollout.order.to_version not in self._view.versions(service)
+        ):
             return False
         return rollout.retires(
             version, self.age_s(rollout), self._bounds.exposure_share
--- a/packages/gateway/src/radishcourse_gateway/streampaces.py
+++ b/packages/gateway/src/radishcourse_gateway/streampaces.py
@@ -90,6 +90,7 @@
           The failure that ends the attempt, as if it had stalled.
         """
         plan.retry_paid = self._retry_budgets.spend(plan.service)
+        self._retry_budgets.hold(plan.service)
         plan.moved = True
         return errors.UpstreamError(
             f'stream behind: {judgement.pace_s:.4f} s an event instead of '
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -148,22 +148,58 @@
         if fallback is not None and self._take(fallback):
             return fallback
         version = self._version(request, plan)
-        usable = [
+        usable = self._of_version(plan, version)
+        by_id = self._untried(
+            request, plan, usable, plan.tried
+        ) or self._within_limits(self._open(usable), True)
+        if not plan.begun:
+            by_id = self._brittle.admitted(by_id, bool(plan.tried))
+        chosen = self._pick(request, plan, by_id)
+        if chosen is not None:
+            return chosen
+        raise errors.Refusal(
+            errors.Reason.NO_UPSTREAM,
+            f'{len(usable)} upstreams of {plan.service} are listed for '
+            f'version {version}, none can take a request',
+            retry_after_s=self._retry_after_s(usable),
+        )
+
+    def _of_version(
+        self, plan: Plan, version: ids.VersionId | None
+    ) -> list[views.ListedUpstream]:
+        return [
             listed
             for listed in self._view.usable(plan.service)
             if version is None or listed.upstream.version == version
         ]
-        open_ones = [item for item in usable if not self._is_paused(item)]
+
+    def _open(
+        self, usable: list[views.ListedUpstream]
+    ) -> list[views.ListedUpstream]:
+        return [item for item in usable if not self._is_paused(item)]
+
+    def _untried(
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: Plan,
+        usable: list[views.ListedUpstream],
+        tried: set[tuple],
+    ) -> dict[ids.UpstreamId, views.ListedUpstream]:
         untried = [
-            item for item in open_ones if item.incarnation not in plan.tried
+            item for item in self._open(usable) if item.incarnation not in tried
         ]
-        by_id = (
-            self._within_limits(untried, self._is_heavy(request, plan))
-            or self._within_limits(untried, True)
-            or self._within_limits(open_ones, True)
+        heavy = self._is_heavy(request, plan)
+        return self._within_limits(untried, heavy) or self._within_limits(
+            untried, True
         )
-        if not plan.begun:
-            by_id = self._brittle.admitted(by_id, bool(plan.tried))
+
+    def _pick(
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: Plan,
+        by_id: dict[ids.UpstreamId, views.ListedUpstream],
+    ) -> views.ListedUpstream | None:
+        """Returns the best upstream that may be sent to, None without one."""
         while by_id:
             chosen = self.expected_load.choose(
                 by_id, self._prompt(request, plan)
@@ -172,48 +208,60 @@
             if self._may_send(listed):
                 self._limits.take(listed)
                 return listed
-        raise errors.Refusal(
-            errors.Reason.NO_UPSTREAM,
-            f'{len(usable)} upstreams of {plan.service} are listed for '
-            f'version {version}, none can take a request',
-            retry_after_s=self._retry_after_s(usable),
-        )
+        return None
 
-    def reserve_move(
+    def reserve_other(
         self,
         request: inboundrequest.InboundRequest,
         plan: Plan,
         listed: views.ListedUpstream,
     ) -> bool:
-        """Reserves another upstream for a stream that its own one sends.
+        """Reserves an upstream that was not tried for the next attempt.
 
         Args:
           request: The request.
           plan: Its state.
-          listed: The upstream that sends the stream.
+          listed: The upstream of the latest attempt.
 
         Returns:
           Whether there is one; otherwise nothing has changed.
         """
-        tried, plan.tried = plan.tried, plan.tried | {listed.incarnation}
-        try:
-            chosen = self.choose(request, plan)
-        except errors.Refusal:
-            chosen = listed
-        if chosen.incarnation == listed.incarnation:
-            plan.tried = tried
+        usable = self._of_version(plan, self._version(request, plan))
+        tried = plan.tried | {listed.incarnation}
+        by_id = self._untried(request, plan, usable, tried)
+        plan.reserved = self._pick(request, plan, by_id)
+        return plan.reserved is not None
+
+    def reserve_move(
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: Plan,
+        listed: views.ListedUpstream,
+    ) -> bool:
+        """Reserves another upstream for a stream that its own one sends.
+
+        Its own one must be able to take it back. The arguments and the result
+        are those of `reserve_other`.
+        """
+        if not self._may_take(listed):
             return False
-        plan.reserved, plan.fallback = chosen, listed
+        if not self.reserve_other(request, plan, listed):
+            return False
+        plan.fallback = listed
         return True
 
-    def _take(self, listed: views.ListedUpstream) -> bool:
-        """Counts a request to an upstream if it may take one now."""
+    def _may_take(self, listed: views.ListedUpstream) -> bool:
+        """Tells whether an upstream may get a request, cold ones aside."""
         usable = self._view.usable(listed.upstream.service)
         if all(item.incarnation != listed.incarnation for item in usable):
             return False
-        if self._is_paused(listed) or not self._within_limits([listed], True):
-            return False
-        if not self._may_send(listed):
+        return not self._is_paused(listed) and bool(
+            self._within_limits([listed], True)
+        )
+
+    def _take(self, listed: views.ListedUpstream) -> bool:
+        """Counts a request to an upstream if it may take one now."""
+        if not self._may_take(listed) or not self._may_send(listed):
             return False
         self._limits.take(listed)
         return True
--- a/tests/test_gateway_moves.py
+++ b/tests/test_gateway_moves.py
@@ -97,6 +97,10 @@
                     version_for=lambda *names: OLD,
                     retires=lambda *names: False,
                 ),
+                brittle=types.SimpleNamespace(
+                    wait_s=lambda listed: 0.0,
+                    admitted=lambda candidates, repeated: candidates,
+                ),
                 limits=types.SimpleNamespace(
                     is_limited=lambda listed: False,
                     wait_s=lambda listed, heavy=True: 0.0,
