Keep a silent stream where no other upstream can follow for certain

Change: a timeout ends an attempt only if an upstream that was not tried is reserved, and for a stream that has begun only if attempt and token for a return are left, unless its upstream takes nothing back.

--- a/packages/gateway/src/radishcourse_gateway/attempttimeout.py
+++ b/packages/gateway/src/radishcourse_gateway/attempttimeout.py
@@ -69,7 +69,7 @@
         goal_s = TIMEOUT_GOAL_FACTOR * request.route.goal_s
         wait_s = TIMEOUT_WAIT_FACTOR * self._targets.waiting_s(listed)
         timeout_s = max(MIN_TIMEOUT_S, goal_s, wait_s)
-        return self._timeout(request, plan, timeout_s)
+        return self._timeout(request, plan, timeout_s, listed)
 
     def for_peer(
         self, request: inboundrequest.InboundRequest, plan: targets.Plan
@@ -84,7 +84,10 @@
         return self._timeout(request, plan, timeout_s)
 
     def between_events(
-        self, request: inboundrequest.InboundRequest, plan: targets.Plan
+        self,
+        request: inboundrequest.InboundRequest,
+        plan: targets.Plan,
+        listed: views.ListedUpstream,
     ):
         """Returns a context that limits the wait for the next whole event.
 
@@ -92,7 +95,7 @@
           UpstreamError: The timeout has passed and the request can be retried.
         """
         gap_s = TIMEOUT_GOAL_FACTOR * (request.route.gap_s or DEFAULT_GAP_S)
-        return self._timeout(request, plan, max(MIN_TIMEOUT_S, gap_s))
+        return self._timeout(request, plan, max(MIN_TIMEOUT_S, gap_s), listed)
 
     def token_wait_s(
         self, request: inboundrequest.InboundRequest, plan: targets.Plan
@@ -105,14 +108,14 @@
         return min(limit_s, request.deadline - self._clock.now())
 
     @contextlib.contextmanager
-    def _timeout(self, request, plan, timeout_s: float):
+    def _timeout(self, request, plan, timeout_s: float, listed=None):
         if not request.route.retryable:
             yield
             return
         with anyio.CancelScope() as scope:
             timer = self._timeouts.call_after(
                 timeout_s,
-                functools.partial(self._expire, request, plan, scope),
+                functools.partial(self._expire, request, plan, listed, scope),
             )
             try:
                 yield
@@ -123,11 +126,30 @@
                 f'no whole answer or event for {timeout_s:g} s', True
             )
 
-    def _expire(self, request, plan, scope: anyio.CancelScope) -> None:
-        if self.can_retry(request, plan):
-            plan.retry_paid = self._retry_budgets.spend(plan.service)
-        if plan.retry_paid:
-            scope.cancel()
+    def _expire(self, request, plan, listed, scope) -> None:
+        """Ends an attempt whose time has passed, if another one is certain.
+
+        A stream that has begun must be able to return: its upstream may only
+        have paused, and a break would end the caller's answer. One whose
+        upstream takes nothing back can only go elsewhere.
+        """
+        returns = (
+            plan.begun and listed is not None and self._targets.may_take(listed)
+        )
+        if not self.can_retry(request, plan, 2 if returns else 1):
+            return
+        if listed is not None and not self._targets.reserve_other(
+            request, plan, listed
+        ):
+            return
+        plan.retry_paid = self._retry_budgets.spend(plan.service)
+        if not plan.retry_paid:
+            plan.reserved = None
+            return
+        if returns:
+            plan.fallback = listed
+            self._retry_budgets.hold(plan.service)
+        scope.cancel()
 
     def can_retry(self, request, plan, count: int = 1) -> bool:
         """Tells whether attempts, budget and upstreams are left for retries.
--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -417,7 +417,9 @@
             ) as note_pace,
         ):
             while True:
-                with self._attempt_timeout.between_events(request, plan):
+                with self._attempt_timeout.between_events(
+                    request, plan, listed
+                ):
                     complete = await splitter.receive(connection)
                 if complete is None:
                     break
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -243,14 +243,14 @@
         Its own one must be able to take it back. The arguments and the result
         are those of `reserve_other`.
         """
-        if not self._may_take(listed):
+        if not self.may_take(listed):
             return False
         if not self.reserve_other(request, plan, listed):
             return False
         plan.fallback = listed
         return True
 
-    def _may_take(self, listed: views.ListedUpstream) -> bool:
+    def may_take(self, listed: views.ListedUpstream) -> bool:
         """Tells whether an upstream may get a request, cold ones aside."""
         usable = self._view.usable(listed.upstream.service)
         if all(item.incarnation != listed.incarnation for item in usable):
@@ -261,7 +261,7 @@
 
     def _take(self, listed: views.ListedUpstream) -> bool:
         """Counts a request to an upstream if it may take one now."""
-        if not self._may_take(listed) or not self._may_send(listed):
+        if not self.may_take(listed) or not self._may_send(listed):
             return False
         self._limits.take(listed)
         return True
