Send no length with a service's answer without content

radishcourse-node added Content-Length 0 to a service's 204, which HTTP forbids. It is left out for that status.

--- a/packages/node/src/radishcourse_node/replies.py
+++ b/packages/node/src/radishcourse_node/replies.py
@@ -9,6 +9,8 @@
 
 REQUEST_ID_HEADER = 'x-radish-request-id'
 OUTCOME_HEADER = 'x-radish-outcome'
+# Must not have a length (RFC 9110, section 8.6).
+NO_CONTENT = 204
 DONE_EVENT = b'data: [DONE]\n\n'
 
 
@@ -100,7 +102,9 @@
 
 async def send_response(send, response: pages.Response) -> None:
     """Sends a complete response."""
-    headers = {**response.headers, 'content-length': str(len(response.body))}
+    headers = dict(response.headers)
+    if response.status != NO_CONTENT:
+        headers['content-length'] = str(len(response.body))
     await send_start(send, response.status, headers)
     await send({'type': 'http.response.body', 'body': response.body})
 
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -19,6 +19,9 @@
 STOCK = '/v1/services/order-desk/stock/1'
 TOKENS = 4
 BOOT = {'X_Engine_Boot': 'raw', 'X_Engine_State': 'warm'}
+ODD_STATUSES = ('600', '999', '000', '0', '99', '1000', 'abc', '', '101', '199')
+# Below the node's limit of 4 MiB, and more than the socket buffers hold.
+UPLOAD = b'"' + b'a' * (4 * 2**20 - 100) + b'"'
 STREAM = {'Content_Type': 'text/event-stream', **BOOT}
 
 
@@ -54,9 +57,11 @@
                 worker.stop()
 
 
-def _call(cluster, method: str, path: str) -> clusters.Reply | None:
+def _call(
+    cluster, method: str, path: str, body: bytes = b'{"order": "a"}'
+) -> clusters.Reply | None:
     try:
-        return cluster.request(method, 'entry-0', path, b'{"order": "a"}')
+        return cluster.request(method, 'entry-0', path, body)
     except httpcore.RemoteProtocolError:
         return None
 
@@ -333,3 +338,103 @@
                 if watch.growth_kb > MAX_GROWTH_KB:
                     held.append((reply.__name__, watch.growth_kb))
         self.assertEqual([], held)
+
+
+class ServiceStatusTest(testtools.TestCase):
+    """Guards against odd answers of services that leave callers without one."""
+
+    def test_odd_status_of_a_service_gets_an_answer_of_the_node(self):
+        statuses = []
+
+        def answer(request):
+            data = rawworker.message(request, statuses[-1], b'{}', 'length')
+            return rawworker.Reply(data, rawworker.End.CLOSE)
+
+        with running(answer) as (cluster, _):
+            for status in ODD_STATUSES:
+                statuses.append(status)
+                for method, path in (('POST', ORDERS), ('GET', STOCK)):
+                    reply = _call(cluster, method, path)
+                    self.assertIsNotNone(reply, (status, path))
+                    self.assertIn(reply.status, (500, 502), (status, path))
+
+    def _check(self, *cases) -> None:
+        """Checks that callers get an answer of the service or the node.
+
+        Args:
+          *cases: Statuses, bodies, framings and headers of the service.
+        """
+
+        def answer(request):
+            data = rawworker.message(request, *current[:3], **current[3])
+            return rawworker.Reply(data, rawworker.End.CLOSE)
+
+        with running(answer) as (cluster, _):
+            for current in cases:
+                reply = _call(cluster, 'POST', ORDERS)
+                self.assertIsNotNone(reply, current)
+                self.assertIn(reply.status, (current[0], 502), current)
+                if reply.status == 204:
+                    self.assertNotIn('content-length', reply.headers)
+                location = reply.headers.get('location', '')
+                self.assertNotIn('\x01', location, current)
+
+    def test_odd_framing_of_a_service_gets_an_answer(self):
+        self._check(
+            (205, b'{}', 'chunked', {}),
+            (304, b'', 'length', {}),
+            (200, b'{}', 'chunked', {'Content_Length': '1'}),
+            (200, b'{}', 'length', {'Content_Length': '2, 3'}),
+            (200, b'{}', 'length', {'Connection': 'content-length'}),
+        )
+
+    def test_odd_headers_of_a_service_get_an_answer(self):
+        self._check(
+            (200, b'{}', 'length', {'Content_Type': ''}),
+            (200, b'{}', 'length', {'ETag': 'x' * 60_000}),
+        )
+
+    def test_answer_without_content_has_no_length(self):
+        self._check((204, b'', 'length', {}), (204, b'{}', 'chunked', {}))
+
+
+class EarlyServiceAnswerTest(testtools.TestCase):
+    """Guards against parts of early answers that are passed on as whole."""
+
+    def test_part_of_an_early_answer_is_not_passed_on(self):
+        replies = []
+
+        def answer(request):
+            framing, end = replies[-1]
+            chunked = framing == 'chunked'
+            length = 100 if framing == 'length' else None
+            data = rawworker.head(request, 200, length, chunked)
+            data += rawworker.chunk(b'{}') if chunked else b'{}'
+            return rawworker.Reply(data, end)
+
+        with running(answer) as (cluster, script):
+            script.body_limit = 1024
+            for framing in ('length', 'chunked', 'close'):
+                for end in (
+                    rawworker.End.RESET,
+                    rawworker.End.CLOSE,
+                    rawworker.End.FINISH,
+                ):
+                    replies.append((framing, end))
+                    for method, path in (('POST', ORDERS), ('PUT', STOCK)):
+                        reply = _call(cluster, method, path, UPLOAD)
+                        self.assertIsNotNone(reply, replies[-1])
+                        self.assertGreaterEqual(reply.status, 400, replies[-1])
+            self.assertGreaterEqual(len(script.requests), len(replies))
+
+    def test_whole_early_answer_is_passed_on(self):
+        def answer(request):
+            data = rawworker.message(request, 200, b'{}', 'length')
+            return rawworker.Reply(data)
+
+        with running(answer) as (cluster, script):
+            script.body_limit = 1024
+            reply = _call(cluster, 'POST', ORDERS, UPLOAD)
+            self.assertIsNotNone(reply)
+            self.assertEqual(200, reply.status)
+            self.assertTrue(UPLOAD.startswith(script.requests[0].body))
