Call a service unreachable only after others were tried

Cause: with two failed connects as the threshold, a loss of three of four upstreams made each gateway call the service unreachable again and again: peers refused what was relayed, and the end of the state cleared the ejections of the lost upstreams, so that they were chosen again.

Change: two failures are a reason to connect to three other upstreams at once; a service is unreachable after four distinct failures (all, if fewer are listed) without a connect between them. Ejections are cleared only if the state lasted 2 s or more.

--- a/packages/gateway/src/radishcourse_gateway/reachability.py
+++ b/packages/gateway/src/radishcourse_gateway/reachability.py
@@ -12,6 +12,11 @@
 
 # Time between two connects to upstreams of an unreachable service.
 PROBE_INTERVAL_S = 0.3
+# Upstreams that are connected to at once when a service may be unreachable.
+SUSPECT_PROBES = 3
+# Failures to connect were this node's own if they ended after so long; where an
+# upstream is reached sooner, others are lost.
+OWN_FAILURE_S = 2.0
 # Upstreams of the same service that are asked whether this node is cut off.
 SAME_SERVICE = 2
 
@@ -30,7 +35,8 @@
         self._view: views.View = gateway.view
         self._load: loads.Load = gateway.load
         self._state = reachability.Reachability()
-        self._became_unreachable = anyio.Event()
+        self._probe_wanted = anyio.Event()
+        self._suspect: set[ids.ServiceId] = set()
 
     @property
     def unreachable(self) -> list[ids.ServiceId]:
@@ -55,9 +61,9 @@
         was_unreachable = self.is_unreachable(service)
         seconds = self._state.note_connected(self._clock.now(), service)
         if was_unreachable:
-            # Their failures were this node's own.
-            for listed in self._view.usable(service):
-                self._load.clear_ejection(listed.upstream.upstream_id)
+            if seconds >= OWN_FAILURE_S:
+                for listed in self._view.usable(service):
+                    self._load.clear_ejection(listed.upstream.upstream_id)
             events.log(
                 events.Event.SERVICE_REACHABLE,
                 service=service,
@@ -76,7 +82,10 @@
                 failed=len(self._state.failed(now, service)),
                 listed=usable,
             )
-            self._became_unreachable.set()
+            return
+        if self._state.is_suspect(now, service):
+            self._suspect.add(service)
+            self._probe_wanted.set()
 
     async def reaches_others(self, listed: views.ListedUpstream) -> bool:
         """Tells whether this node reaches other upstreams than a given one.
@@ -110,27 +119,35 @@
         return reached
 
     async def run(self) -> None:
-        """Connects to upstreams of unreachable services until cancelled."""
+        """Connects to upstreams that may be unreachable, until cancelled."""
         while True:
             with anyio.move_on_after(PROBE_INTERVAL_S):
-                await self._became_unreachable.wait()
-            self._became_unreachable = anyio.Event()
+                await self._probe_wanted.wait()
+            self._probe_wanted = anyio.Event()
+            suspect, self._suspect = self._suspect, set()
             async with anyio.create_task_group() as tasks:
-                for service in self.unreachable:
-                    tasks.start_soon(self._probe, service)
+                for service in suspect:
+                    tasks.start_soon(self._probe, service, SUSPECT_PROBES)
+                for service in set(self.unreachable) - suspect:
+                    tasks.start_soon(self._probe, service, 1)
 
-    async def _probe(self, service: ids.ServiceId) -> None:
-        """Connects to one upstream, to one that has not failed if any."""
+    async def _probe(self, service: ids.ServiceId, count: int) -> None:
+        """Connects to upstreams, first to those that have not failed."""
         usable = self._view.usable(service)
-        failed = self._state.failed(self._clock.now(), service)
-        untried = [item for item in usable if item.incarnation not in failed]
         if not usable:
             # Requests are refused for want of an upstream.
             self.note_connected(service)
             return
-        listed = self._random.choice(untried or usable)
+        failed = self._state.failed(self._clock.now(), service)
+        untried = [item for item in usable if item.incarnation not in failed]
+        chosen = untried or usable
+        async with anyio.create_task_group() as tasks:
+            for listed in self._random.sample(chosen, min(count, len(chosen))):
+                tasks.start_soon(self._probe_upstream, listed)
+
+    async def _probe_upstream(self, listed: views.ListedUpstream) -> None:
         if await self._can_connect(listed):
-            self.note_connected(service)
+            self.note_connected(listed.upstream.service)
         else:
             self.note_failed(listed)
 
--- a/packages/policy/src/radishcourse_policy/reachability.py
+++ b/packages/policy/src/radishcourse_policy/reachability.py
@@ -1,12 +1,14 @@
 """Tells whether a node is cut off from all upstreams of a service.
 
-One upstream that can't be reached may be down. When connections to several of
-them fail and none succeeds in between, the node's own network is the likelier
+Upstreams that can't be reached may be down. When connections to several of them
+fail and none succeeds in between, the node's own network is the likelier
 reason, or all upstreams are down; in both cases further attempts of this node
-only cost their time limit.
+only cost their time limit. After two failures the node therefore connects to
+others.
 
-Load pattern: some nodes lose their links to all upstreams for seconds, while
-callers, the other nodes and the store still reach them.
+Load patterns: some nodes lose their links to all upstreams for seconds, while
+callers, the other nodes and the store still reach them; most upstreams of a
+service are lost at once, and the rest is reached by all nodes.
 """
 
 import dataclasses
@@ -16,7 +18,9 @@
 
 # Upstreams that can't be reached, from which a service counts as unreachable;
 # all of them where fewer are listed.
-MIN_FAILED = 2
+MIN_FAILED = 4
+# Upstreams that can't be reached, after which others are connected to at once.
+SUSPECT_FAILED = 2
 # Failures that are older do not count.
 FAILURE_TTL_S = 4.0
 
@@ -49,6 +53,11 @@
         state = self._services.get(service)
         return state is not None and state.since is not None
 
+    def is_suspect(self, now: float, service: ids.ServiceId) -> bool:
+        """Tells whether a service may be unreachable, which is not known."""
+        failed = len(self.failed(now, service))
+        return failed >= SUSPECT_FAILED and not self.is_unreachable(service)
+
     def failed(
         self, now: float, service: ids.ServiceId
     ) -> set[typing.Hashable]:
--- a/tests/test_gateway_unreachable.py
+++ b/tests/test_gateway_unreachable.py
@@ -237,3 +237,22 @@
             events.Event.UPSTREAM_CRASHED.value,
             [line.get('event') for line in self.site.log('gateway-1')],
         )
+
+
+class LostUpstreamsTest(PartitionTest):
+    """Guards against nodes that take lost upstreams for a cut of their own."""
+
+    def test_remaining_upstream_serves_all_gateways(self):
+        for number in (3, 4):
+            for service in ('desk', 'engine'):
+                self.site.start_worker(f'{service}-{number}', service)
+        self.site.wait_workers()
+        self.site.wait_listed(8)
+        self.play(0.5)
+        for number in (2, 3, 4):
+            for service in ('desk', 'engine'):
+                self.site.workers[f'{service}-{number}'].kill()
+        calls = self.play(3.0)
+        failed = [call for call in calls if not call.served]
+        message = f'{len(failed)} of {len(calls)}: {failed}'
+        self.assertLess(len(failed), 0.05 * len(calls), message)
