Repeat a lookup elsewhere although its upstreams are brittle

Cause: the share of a service's brittle upstreams, and the tokens for repeats of refused requests, also applied to repeats of what failed otherwise. In a large fleet no node has such a token, so a lookup whose worker broke off, as when it falls over, got 502 though another had room.

Change: only requests that have not run draw from the share, and only those that were refused need a token. The retry budget bounds the other repeats; closed upstreams and the window hold for them as before.

--- a/packages/gateway/src/radishcourse_gateway/brittleupstreams.py
+++ b/packages/gateway/src/radishcourse_gateway/brittleupstreams.py
@@ -120,7 +120,7 @@
     def admitted(
         self,
         candidates: dict[ids.UpstreamId, views.ListedUpstream],
-        repeated: bool,
+        refused: bool,
     ) -> dict[ids.UpstreamId, views.ListedUpstream]:
         """Returns the upstreams that a request may go to.
 
@@ -129,7 +129,7 @@
 
         Args:
           candidates: Upstreams of one service that may take the request.
-          repeated: Whether an attempt of the request has failed.
+          refused: Whether an upstream has refused the request already.
         """
         if self._brittleness.is_empty:
             return candidates
@@ -145,7 +145,7 @@
         service = self._service(name)
         admitted = (
             self._brittleness.may_repeat(service, now)
-            if repeated
+            if refused
             else self._brittleness.admits(service, now)
         )
         return candidates if admitted else sound
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -155,8 +155,9 @@
             or self._within_limits(untried, True)
             or self._within_limits(open_ones, True)
         )
-        if not plan.begun:
-            by_id = self._brittle.admitted(by_id, bool(plan.tried))
+        if not plan.may_have_run:
+            # The retry budget bounds repeats of what failed otherwise.
+            by_id = self._brittle.admitted(by_id, refused=plan.attempts > 0)
         while by_id:
             chosen = self.expected_load.choose(
                 by_id, self._prompt(request, plan)
--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_brittle.py
@@ -137,3 +137,27 @@
         served = sum(at >= ended_at for at in replies.served)
         room = WORKERS * SLOTS / SERVICE_S * 3.0
         self.assertGreater(served, room / 2)
+
+
+class BrokenAnswerTest(rawsite.RawSiteTest):
+    """Guards against a lookup that is lost with a brittle worker's answer."""
+
+    gateways = GATEWAYS
+
+    def test_lookup_whose_worker_broke_off_goes_to_another(self):
+        def sound(request: rawworker.Request) -> rawworker.Reply:
+            return rawworker.Reply(
+                rawworker.message(
+                    request, 200, b'done', 'length', Server_Brittle='1'
+                )
+            )
+
+        def broken(request: rawworker.Request) -> rawworker.Reply:
+            del request
+            return rawworker.Reply(b'', rawworker.End.RESET)
+
+        replies = [sound] * 8 + [broken, sound]
+        with self.workers(*replies, count=WORKERS) as script:
+            responses = [self.call('GET', '/raw-stock/1') for _ in range(9)]
+        self.assertEqual([200] * 9, [item.status for item in responses])
+        self.assertEqual(10, len(script.requests))
--- a/tests/test_gateway_evenload.py
+++ b/tests/test_gateway_evenload.py
@@ -78,7 +78,7 @@
                 ),
                 brittle=types.SimpleNamespace(
                     wait_s=lambda listed: 0.0,
-                    admitted=lambda candidates, repeated: candidates,
+                    admitted=lambda candidates, refused: candidates,
                 ),
             )
         )
