--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -152,8 +152,9 @@
         by_id = self._untried(
             request, plan, usable, plan.tried
         ) or self._within_limits(self._open(usable), True)
-        if not plan.begun:
-            by_id = self._brittle.admitted(by_id, bool(plan.tried))
+        if not plan.may_have_run:
+            # The retry budget bounds repeats of what failed otherwise.
+            by_id = self._brittle.admitted(by_id, refused=plan.attempts > 0)
         chosen = self._pick(request, plan, by_id)
         if chosen is not None:
             return chosen
--- a/tests/test_gateway_moves.py
+++ b/tests/test_gateway_moves.py
@@ -99,7 +99,7 @@
                 ),
                 brittle=types.SimpleNamespace(
                     wait_s=lambda listed: 0.0,
-                    admitted=lambda candidates, repeated: candidates,
+                    admitted=lambda candidates, refused: candidates,
                 ),
                 limits=types.SimpleNamespace(
                     is_limited=lambda listed: False,
