Bound repeats on larger models at brittle upstreams

Change: the plan records whether its latest attempt was refused for want of room. Such a request needs a token, a repeat of what failed otherwise is exempt, and everything else draws from the share.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -205,6 +205,7 @@
         prefill_s = self._targets.prefill_s(request, plan)
         started_at = self._clock.now()
         plan.head_at = plan.progress_at = None
+        plan.refused = False
         plan.arrival = upstreamconnections.Arrival()
         attemptlog.log_start(request, plan, listed, started_at)
         with (
@@ -337,6 +338,7 @@
             self._crashes.note_absent(listed)
         elif not_run:
             self._load.note_full(upstream)
+            plan.refused = True
         else:
             self._load.note_response(upstream, failed=True)
         with self._attempt_timeout.for_answer(request, plan, listed):
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -35,6 +35,7 @@
       attempts: Number of times it was sent to an upstream.
       may_have_run: Whether an upstream may have run it.
       tried: Incarnations of upstreams at which it failed.
+      refused: Whether the latest attempt was refused for want of room.
       model: Model to run it on, None if the request names its own.
       service: The service that serves it, once chosen.
       version: The version that sends its stream, None before its head; a
@@ -60,6 +61,7 @@
     attempts: int = 0
     may_have_run: bool = False
     tried: set = dataclasses.field(default_factory=set)
+    refused: bool = False
     model: ids.ModelId | None = None
     service: ids.ServiceId | None = None
     version: ids.VersionId | None = None
@@ -155,9 +157,9 @@
             or self._within_limits(untried, True)
             or self._within_limits(open_ones, True)
         )
-        if not plan.may_have_run:
+        if plan.refused or not plan.tried:
             # The retry budget bounds repeats of what failed otherwise.
-            by_id = self._brittle.admitted(by_id, refused=plan.attempts > 0)
+            by_id = self._brittle.admitted(by_id, plan.refused)
         while by_id:
             chosen = self.expected_load.choose(
                 by_id, self._prompt(request, plan)
--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_brittle.py
@@ -3,10 +3,16 @@
 import concurrent.futures
 import threading
 import time
+import types
 
+import testtools
+
+from radishcourse_gateway import targets
 from radishcourse_node import events
+from radishcourse_policy import clock as clocks
 from tests import rawsite
 from tests import rawworker
+from tests import test_gateway_evenload
 
 REFUSALS_PER_S = 5
 SLOTS = 4
@@ -161,3 +167,41 @@
             responses = [self.call('GET', '/raw-stock/1') for _ in range(9)]
         self.assertEqual([200] * 9, [item.status for item in responses])
         self.assertEqual(10, len(script.requests))
+
+
+class RepeatTest(testtools.TestCase):
+    """Guards against repeats that pass by the bound of brittle upstreams."""
+
+    def _asked(self, **fields) -> list[bool]:
+        """Returns the arguments with which the bound was asked."""
+        node = test_gateway_evenload._Node(clocks.ManualClock(100.0), 1)
+        asked = []
+
+        def admitted(candidates, refused):
+            asked.append(refused)
+            return candidates
+
+        node.targets._brittle.admitted = admitted
+        request = types.SimpleNamespace(
+            session=None, request_id='r', size=None, prefix_key=None
+        )
+        plan = targets.Plan(service=test_gateway_evenload.SERVICE, **fields)
+        node.targets.choose(request, plan)
+        return asked
+
+    def test_all_but_repeats_of_failures_are_bounded(self):
+        tried = {('gone', 'address', 1)}
+        ran = {'attempts': 1, 'may_have_run': True}
+        for name, fields, expected in (
+            ('first attempt', {}, [False]),
+            ('refused', {'tried': tried, 'refused': True}, [True]),
+            ('larger model', ran, [False]),
+            (
+                'refused larger model',
+                {**ran, 'tried': tried, 'refused': True},
+                [True],
+            ),
+            ('broken off', {**ran, 'tried': tried}, []),
+            ('not connected', {'tried': tried}, []),
+        ):
+            self.assertEqual(expected, self._asked(**fields), name)
