--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -35,6 +35,7 @@
       attempts: Number of times it was sent to an upstream.
       may_have_run: Whether an upstream may have run it.
       tried: Incarnations of upstreams at which it failed.
+      refused: Whether the latest attempt was refused for want of room.
       model: Model to run it on, None if the request names its own.
       service: The service that serves it, once chosen.
       version: The version that sends its stream, None before its head; a
@@ -64,6 +65,7 @@
     attempts: int = 0
     may_have_run: bool = False
     tried: set = dataclasses.field(default_factory=set)
+    refused: bool = False
     model: ids.ModelId | None = None
     service: ids.ServiceId | None = None
     version: ids.VersionId | None = None
@@ -152,9 +154,9 @@
         by_id = self._untried(
             request, plan, usable, plan.tried
         ) or self._within_limits(self._open(usable), True)
-        if not plan.may_have_run:
+        if plan.refused or not plan.tried:
             # The retry budget bounds repeats of what failed otherwise.
-            by_id = self._brittle.admitted(by_id, refused=plan.attempts > 0)
+            by_id = self._brittle.admitted(by_id, plan.refused)
         chosen = self._pick(request, plan, by_id)
         if chosen is not None:
             return chosen
@@ -230,6 +232,7 @@
         usable = self._of_version(plan, self._version(request, plan))
         tried = plan.tried | {listed.incarnation}
         by_id = self._untried(request, plan, usable, tried)
+        by_id = self._brittle.admitted(by_id, False)
         plan.reserved = self._pick(request, plan, by_id)
         return plan.reserved is not None
 
