Test a gateway whose port for relayed requests is taken

Cause: two processes of a machine share its ports for traffic between nodes, so the listener for relayed requests may find its port in use.

Change: two tests that such a node starts without the listener and does not advertise the address, and that one without the setting has none.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import socket
 import types
 
 import anyio
@@ -53,35 +54,27 @@
         self.ended = True
 
 
-class PeerAnswerTest(testtools.TestCase):
-    """Guards against an answer of a peer that is taken for something else."""
+class RelayTest(testtools.TestCase):
+    """Base of tests of a relay without a gateway."""
 
     def setUp(self):
         super().setUp()
         self.clock = clocks.MonotonicClock()
         self.budget = [True] * 10
+        self.relay_listen = None
 
-    async def _forward(self, route, peers: list[rawworker.RawWorker]):
-        alive = [
-            peerstate.Peer(
-                f'n{number}',
-                'run',
-                'zone-a',
-                '',
-                self.clock.now(),
-                relay_address=peer.address,
-            )
-            for number, peer in enumerate(peers)
-        ]
-        gateway = types.SimpleNamespace(
+    def _make_gateway(self, alive: list[peerstate.Peer]):
+        return types.SimpleNamespace(
             environment=types.SimpleNamespace(
                 clock=self.clock, random=random.Random(1)
             ),
             current_settings=types.SimpleNamespace(
-                value=types.SimpleNamespace(zone='zone-a')
+                value=types.SimpleNamespace(
+                    zone='zone-a', relay_listen=self.relay_listen
+                )
             ),
             header_names=headernames.HEADER_NAMES,
-            peers=types.SimpleNamespace(alive=alive),
+            peers=types.SimpleNamespace(alive=alive, relay_address=None),
             reachability=types.SimpleNamespace(
                 is_unreachable=lambda service: True
             ),
@@ -97,6 +90,19 @@
             timeouts=timeouts.Timeouts(self.clock),
             view=types.SimpleNamespace(usable=lambda service: [1, 2]),
         )
+
+    async def _forward(self, route, peers: list[rawworker.RawWorker]):
+        alive = [
+            peerstate.Peer(
+                f'n{number}',
+                'run',
+                'zone-a',
+                '',
+                self.clock.now(),
+                relay_address=peer.address,
+            )
+            for number, peer in enumerate(peers)
+        ]
         request = inboundrequest.InboundRequest(
             request_id='r1',
             method=b'POST',
@@ -108,7 +114,7 @@
             organisation=None,
             deadline=self.clock.now() + 4.0,
         )
-        relays = relay.Relay(gateway)
+        relays = relay.Relay(self._make_gateway(alive))
         try:
             await relays.forward(request, self.out)
         finally:
@@ -118,6 +124,30 @@
         del request, out
         raise errors.Refusal(errors.Reason.UPSTREAMS_UNREACHABLE, 'cut', 0.5)
 
+
+class ListenerTest(RelayTest):
+    """Guards against a gateway that does not start for want of a port."""
+
+    async def _listen(self) -> tuple[int, str | None]:
+        gateway = self._make_gateway([])
+        listeners = await relay.Relay(gateway).listen()
+        for listener in listeners:
+            await listener.aclose()
+        return len(listeners), gateway.peers.relay_address
+
+    def test_address_in_use_is_not_advertised(self):
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            self.relay_listen = f'127.0.0.1:{taken.getsockname()[1]}'
+            self.assertEqual((0, None), anyio.run(self._listen))
+        self.assertEqual((1, self.relay_listen), anyio.run(self._listen))
+
+    def test_no_address_means_no_listener(self):
+        self.assertEqual((0, None), anyio.run(self._listen))
+
+
+class PeerAnswerTest(RelayTest):
+    """Guards against an answer of a peer that is taken for something else."""
+
     def _play(self, route, *replies, peers: int = 1):
         """Returns the error, if any, and the requests that arrived."""
         script = rawworker.Script(*replies)
