Refuse control characters in the headers of services

radishcourse-node passed a control character in a service's Location header on to callers. Such an answer is now a failed attempt, as at the gateway; both use answers.has_control_character.

ServiceStatusTest.test_control_characters_reach_no_caller failed before (the character in Location).

--- a/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
+++ b/packages/gateway/src/radishcourse_gateway/upstreamconnections.py
@@ -9,7 +9,6 @@
 import contextlib
 import dataclasses
 import fcntl
-import re
 import select
 import socket
 import termios
@@ -41,9 +40,6 @@
 # sends no Keep-Alive timeout.
 UPSTREAM_IDLE_TIMEOUT_S = 2.0
 
-# Invalid in a value (RFC 9110, section 5.5), but let through by the parser.
-_CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
-
 _STREAM_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -233,7 +229,7 @@
         raise errors.UpstreamError('too many interim responses', True)
 
     def _check_values(self, head: Head) -> None:
-        if any(_CONTROL_CHARACTER.search(value) for _, value in head.headers):
+        if answers.has_control_character(value for _, value in head.headers):
             self._closed = True
             raise errors.UpstreamError(
                 'malformed response: control character in a header', True
--- a/packages/node/src/radishcourse_node/services.py
+++ b/packages/node/src/radishcourse_node/services.py
@@ -72,6 +72,7 @@
                 ),
             ) as response:
                 _check_owner(job, response)
+                _check_headers(response)
                 upstream.note_engine_headers(
                     engines.read_engine_headers(response)
                 )
@@ -137,6 +138,16 @@
             )
 
 
+def _check_headers(response: httpcore.Response) -> None:
+    """Checks that the response's headers can be passed on.
+
+    Raises:
+      AttemptError: A value holds a control character.
+    """
+    if answers.has_control_character(value for _, value in response.headers):
+        raise errors.AttemptError('control character in a header', sent=True)
+
+
 async def _read_body(response: httpcore.Response, method: str) -> bytes:
     """Returns the complete response body.
 
--- a/packages/policy/src/radishcourse_policy/answers.py
+++ b/packages/policy/src/radishcourse_policy/answers.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import re
 import typing
 
 # Statuses that tell a caller that its request has not run and never will.
@@ -15,12 +16,19 @@
 # A longer number is a name rather than a position; Python converts none of more
 # than 4,300 digits.
 _MAX_ID_DIGITS = 18
+# Invalid in a value (RFC 9110, section 5.5), but let through by the parser.
+_CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 _STATUSES_WITHOUT_BODY = (204, 304)
 # Final statuses (RFC 9110, section 15). Others have no meaning for a caller,
 # and its server refuses to send them.
 _FINAL_STATUSES = range(200, 600)
 
 
+def has_control_character(values: typing.Iterable[bytes]) -> bool:
+    """Tells whether header values hold what callers may not be able to read."""
+    return any(_CONTROL_CHARACTER.search(value) for value in values)
+
+
 class State(enum.Enum):
     """What an answer is to the request that waits for it.
 
--- a/tests/test_node_answers.py
+++ b/tests/test_node_answers.py
@@ -397,6 +397,9 @@
     def test_answer_without_content_has_no_length(self):
         self._check((204, b'', 'length', {}), (204, b'{}', 'chunked', {}))
 
+    def test_control_characters_reach_no_caller(self):
+        self._check((200, b'{}', 'length', {'Location': 'a\x01b'}))
+
 
 class EarlyServiceAnswerTest(testtools.TestCase):
     """Guards against parts of early answers that are passed on as whole."""
