Judge a peer's answer before it is passed on

Found by a reviewer of the relay. A peer with an older configuration, or none of a key yet, answered 404 or 401, which reached a caller whose request this node's own configuration allows; a request that may be repeated went to more peers than its route allows attempts; a success without a stamp was passed on.

Change: such refusals, and a peer without upstreams, send the request to another peer; each peer that may have run it is an attempt; a success needs a stamp.

Measured: three new tests of test_relay failed before (9 of 12 passed), 12 of 12 pass. test_gateway_relay 12, test_gateway_unreachable 6 passed.

--- a/packages/gateway/src/radishcourse_gateway/relay.py
+++ b/packages/gateway/src/radishcourse_gateway/relay.py
@@ -43,8 +43,16 @@
         errors.Reason.UPSTREAMS_UNREACHABLE,
         errors.Reason.NO_CONFIGURATION,
         errors.Reason.CLOSING,
+        errors.Reason.NO_UPSTREAM,
+        # Its configuration may be older than this node's, which matched.
+        errors.Reason.NO_ROUTE,
+        errors.Reason.UNKNOWN_KEY,
     )
 )
+_REFUSED_STATUSES = answers.NOT_RUN_STATUSES | {
+    errors.Reason.NO_ROUTE.status,
+    errors.Reason.UNKNOWN_KEY.status,
+}
 _COUNTER = 'radishcourse_relays_total'
 
 
@@ -192,6 +200,7 @@
                 request.route.retryable,
             ) as connection:
                 plan.may_have_run = True
+                plan.attempts += 1
                 with self._attempt_timeout.for_peer(request, plan):
                     head = await connection.request(
                         request.method,
@@ -200,14 +209,20 @@
                         request.body,
                         plan.arrival,
                     )
-                if head.status in answers.NOT_RUN_STATUSES:
+                by_peer = head.get(self._header_names.stamp) is None
+                if head.status in answers.NOT_RUN_STATUSES or (
+                    by_peer and head.status in _REFUSED_STATUSES
+                ):
                     response = await responses.read_error_response(
                         request, connection, head
                     )
                     plan.may_have_run = may_have_run_before
+                    plan.attempts -= 1
                     return await self._handle_refusal(
                         request, plan, peer, response, out
                     )
+                if by_peer and head.status < 400:
+                    raise errors.UpstreamError('success without a stamp', True)
                 self._known.note_answered(
                     self._clock.now(), plan.service, peer.node
                 )
@@ -284,8 +299,10 @@
         if not error.sent:
             return
         paid, plan.retry_paid = plan.retry_paid, False
-        if not request.route.retryable or not (
-            paid or self._retry_budgets.spend(plan.service)
+        if (
+            not request.route.retryable
+            or plan.attempts >= request.route.max_attempts
+            or not (paid or self._retry_budgets.spend(plan.service))
         ):
             raise errors.Refusal(
                 errors.Reason.UPSTREAM_FAILED, str(error)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -85,7 +85,7 @@
             metrics=metrics.Metrics(),
             retry_budgets=types.SimpleNamespace(
                 spend=lambda service: self.budget.pop(),
-                has_token=lambda service: True,
+                has_tokens=lambda service, count: True,
             ),
             timeouts=timeouts.Timeouts(self.clock),
             view=types.SimpleNamespace(usable=lambda service: [1, 2]),
@@ -255,3 +255,43 @@
         self.assertIsNone(raised)
         self.assertEqual((503, b'full'), (self.out.status, self.out.body))
         self.assertEqual(1, len(requests))
+
+    def test_refusal_by_an_older_configuration_is_not_passed_on(self):
+        for reason in (errors.Reason.NO_ROUTE, errors.Reason.UNKNOWN_KEY):
+            raised, requests = self._play(
+                ORDER,
+                lambda request, r=reason: rawworker.Reply(
+                    rawworker.message(
+                        request,
+                        r.status,
+                        responses.refusal_body(r),
+                        'length',
+                        stamp='',
+                    )
+                ),
+                lambda request: rawworker.Reply(
+                    rawworker.message(request, 200, BODY, 'length')
+                ),
+                peers=2,
+            )
+            self.assertIsNone(raised)
+            self.assertEqual((200, BODY), (self.out.status, self.out.body))
+            self.assertEqual(2, len(requests))
+
+    def test_route_bounds_the_peers_that_may_have_run_a_request(self):
+        raised, requests = self._play(
+            dataclasses.replace(STOCK, max_attempts=1),
+            lambda request: rawworker.Reply(b'', rawworker.End.CLOSE),
+            peers=3,
+        )
+        self.assertIs(errors.Reason.UPSTREAM_FAILED, self._reason(raised))
+        self.assertEqual(1, len(requests))
+
+    def test_success_without_a_stamp_is_not_passed_on(self):
+        raised, _ = self._play(
+            ORDER,
+            lambda request: rawworker.Reply(
+                rawworker.message(request, 200, BODY, 'length', stamp='')
+            ),
+        )
+        self.assertIs(errors.Reason.UPSTREAM_FAILED, self._reason(raised))
