Count only listed upstreams towards an unreachable service

Found by a reviewer: where two of two upstreams ended and were replaced, their failed connects and the number of the new ones made the service unreachable, though the new ones were never tried; with no upstream listed one failure sufficed. Failures of upstreams that are not usable are dropped now.

--- a/packages/gateway/src/radishcourse_gateway/reachability.py
+++ b/packages/gateway/src/radishcourse_gateway/reachability.py
@@ -74,13 +74,18 @@
         """Records that a connection to an upstream could not be opened."""
         service = listed.upstream.service
         now = self._clock.now()
-        usable = len(self._view.usable(service))
-        if self._state.note_failed(now, service, listed.incarnation, usable):
+        usable = {item.incarnation for item in self._view.usable(service)}
+        self._state.keep(service, usable)
+        if listed.incarnation not in usable:
+            return
+        if self._state.note_failed(
+            now, service, listed.incarnation, len(usable)
+        ):
             events.log(
                 events.Event.SERVICE_UNREACHABLE,
                 service=service,
                 failed=len(self._state.failed(now, service)),
-                listed=usable,
+                listed=len(usable),
             )
             return
         if self._state.is_suspect(now, service):
--- a/packages/policy/src/radishcourse_policy/reachability.py
+++ b/packages/policy/src/radishcourse_policy/reachability.py
@@ -71,6 +71,18 @@
             if now - failed_at < FAILURE_TTL_S
         }
 
+    def keep(
+        self, service: ids.ServiceId, listed: typing.Container[typing.Hashable]
+    ) -> None:
+        """Drops the failures of upstreams that are no longer listed."""
+        state = self._services.get(service)
+        if state is not None:
+            state.failed_at = {
+                key: failed_at
+                for key, failed_at in state.failed_at.items()
+                if key in listed
+            }
+
     def note_failed(
         self,
         now: float,
@@ -93,7 +105,9 @@
         state.failed_at[upstream] = now
         failed = self.failed(now, service)
         state.failed_at = {key: state.failed_at[key] for key in failed}
-        if state.since is not None or len(failed) < min(MIN_FAILED, listed):
+        if state.since is not None or not listed:
+            return False
+        if len(failed) < min(MIN_FAILED, listed):
             return False
         state.since = now
         return True
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -79,3 +79,9 @@
         self._fail(NOW, 'a', listed=2)
         self.assertFalse(self.state.note_failed(NOW, 'engine', 'b', 2))
         self.assertFalse(self.state.is_unreachable('engine'))
+
+    def test_upstreams_that_were_replaced_do_not_count(self):
+        self._fail(NOW, 'a', listed=2)
+        self.state.keep(SERVICE, {'b', 'c'})
+        self.assertFalse(self._fail(NOW + 0.1, 'b', listed=2))
+        self.assertFalse(self._fail(NOW + 0.2, 'd', listed=0))
