Leave this node's pauses at brittle upstreams out of Retry-After

A node that closes a brittle upstream for itself told callers to come back after up to 30 s, though other nodes may send there. Retry-After follows from limits and pauses that upstreams name, as before brittle ones were known. Found by a reviewer, by reading.

--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -313,11 +313,7 @@
         """
         now = self._clock.now()
         waits_s = [
-            max(
-                self._limits.wait_s(item),
-                self._brittle.wait_s(item),
-                item.paused_until - now,
-            )
+            max(self._limits.wait_s(item), item.paused_until - now)
             for item in usable
         ]
         wait_s = min(filter(math.isfinite, waits_s), default=0.0)
