--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -341,7 +341,7 @@
             processes.started(pathlib.Path(folder)) as started,
         ):
             host = f'127.{1 + processes.reserved_range()}.1.1'
-            ports = [processes.free_port() for _ in range(3)]
+            ports = [processes.free_port() for _ in sitefiles.Ports._fields]
             process = started.gateway(
                 'gateway-1',
                 host,
