Name the peers of a relay in the usual terms

Local names and a constant in relay.py were figurative (heard, takers, HEARD_S), and a docstring in peerstate.py; they are recent, candidates and RECENT_S now. No logic is changed.

--- a/packages/gateway/src/radishcourse_gateway/peerstate.py
+++ b/packages/gateway/src/radishcourse_gateway/peerstate.py
@@ -33,7 +33,7 @@
       lost: Tables that the store did not give it at its last poll.
       reported_at: When this node received its last report of work.
       relay_address: Address at which it takes relayed requests, None if it
-        takes none or has not told.
+        takes none or it is not known.
     """
 
     node: ids.NodeId
--- a/packages/gateway/src/radishcourse_gateway/relay.py
+++ b/packages/gateway/src/radishcourse_gateway/relay.py
@@ -31,9 +31,9 @@
 DEADLINE_MARGIN_S = 0.15
 # Short times are not used up by that margin.
 MAX_MARGIN_SHARE = 0.25
-# A frozen peer counts as alive for some seconds. Those that were heard of
-# within this time are preferred while there are enough of them.
-HEARD_S = 1.0
+# A frozen peer counts as alive for some seconds. Peers whose last message is
+# newer than this are preferred while there are enough of them.
+RECENT_S = 1.0
 # Outcome in the record of a request that a peer answered.
 OUTCOME = 'relayed'
 # Refusals of a peer after which another one may serve the request.
@@ -168,24 +168,24 @@
         self, service: ids.ServiceId, tried: set[ids.NodeId]
     ) -> peerstate.Peer | None:
         now = self._clock.now()
-        takers = {
+        candidates = {
             peer.node: peer for peer in self._peers.alive if peer.relay_address
         }
-        heard = [
+        recent = [
             peer
-            for peer in takers.values()
-            if now - peer.last_heard_at < HEARD_S
+            for peer in candidates.values()
+            if now - peer.last_heard_at < RECENT_S
         ]
-        if len(heard) < relaypeers.MAX_PEERS:
-            heard = list(takers.values())
+        if len(recent) < relaypeers.MAX_PEERS:
+            recent = list(candidates.values())
         node = self._known.choose(
             now,
             service,
             self._current_settings.value.zone,
-            [relaypeers.Candidate(peer.node, peer.zone) for peer in heard],
+            [relaypeers.Candidate(peer.node, peer.zone) for peer in recent],
             tried,
         )
-        return None if node is None else takers[node]
+        return None if node is None else candidates[node]
 
     async def _try_peer(
         self, request, plan: targets.Plan, peer: peerstate.Peer, out
