Give slow readers of cases 8 and 10 more time before they are cut off

The stand-in worker cuts off an answer after 5 s unread instead of 3, so that the readers of case 8 are there at once also on a slow machine.

--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -21,7 +21,7 @@
 
 LINGER_S = 0.5
 # An answer that remains unread for so long is cut off.
-UNREAD_S = 3.0
+UNREAD_S = 5.0
 
 
 class Worker:
