--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import signal
 import sys
@@ -64,7 +65,9 @@
             'callSeq': 0,
             'born': self._born,
         }
-        await asyncio.to_thread(self._call_store, 'beat', {'entry': entry})
+        # The store may be down; the next report follows.
+        with contextlib.suppress(OSError):
+            await asyncio.to_thread(self._call_store, 'beat', {'entry': entry})
 
     async def run(self) -> None:
         """Serves until the worker has left."""
