--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # is installed, they are only checked to compile.
 set -eu
 cd "$(dirname "$0")/.."
-for file in review/standins-2/*.py review/6/case.py review/7/case.py \
-  review/8/case.py review/9/case.py review/10/case.py; do
+for file in review/standins-2/*.py review/[6-9]/case.py review/10/case.py; do
+  [ -e "$file" ] || continue
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
