--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -1,5 +1,6 @@
 """Starts a small deployment on loopback for the review's scripts."""
 
+import base64
 import contextlib
 import dataclasses
 import http.client
@@ -199,7 +200,12 @@
         )
 
     def start_worker(
-        self, name: str, service: str, address: str = '', listed: str = ''
+        self,
+        name: str,
+        service: str,
+        address: str = '',
+        listed: str = '',
+        version: str = 'v1',
     ) -> None:
         """Starts a worker, also again at the address that it had.
 
@@ -208,11 +214,13 @@
           service: Its service.
           address: Where it listens; empty for a new address.
           listed: Its address in the store; empty for the same.
+          version: The version of its software.
         """
         address = address or f'127.0.0.1:{free_port("127.0.0.1")}'
         options = {
             'id': name,
             'service': service,
+            'version': version,
             'zone': 'sofia-a',
             'address': address,
             'listed': listed or address,
@@ -302,6 +310,14 @@
             wait(ready, f'{name} to be ready')
             wait(knows, f'{name} to list the workers')
 
+    def status(self, service: str) -> dict:
+        """Returns the published status of a service's roll-out."""
+        reply = self.control('rows') or {'rows': []}
+        for row in reply['rows']:
+            if (row['table'], row['key']) == ('status', f'rollout/{service}'):
+                return json.loads(base64.b64decode(row['value']))
+        return {}
+
     def signal(self, kind: str, name: str, number: signal.Signals) -> None:
         """Sends a signal to a gateway or a worker."""
         self.note('signal', to=name, signal=number.name)
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -58,7 +58,7 @@
             'service': self._options['service'],
             'address': self._options['listed'],
             'zone': self._options['zone'],
-            'version': 'v1',
+            'version': self._options['version'],
             'slots': 16,
             'state': self._state,
             'coldLeftMs': 0,
