--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -206,6 +206,8 @@
         address: str = '',
         listed: str = '',
         version: str = 'v1',
+        cold_s: float = 0.0,
+        cold_limit: int = 0,
     ) -> None:
         """Starts a worker, also again at the address that it had.
 
@@ -215,6 +217,9 @@
           address: Where it listens; empty for a new address.
           listed: Its address in the store; empty for the same.
           version: The version of its software.
+          cold_s: How long it is cold after its start.
+          cold_limit: Requests in a second above which it crashes then; 0 for
+            none.
         """
         address = address or f'127.0.0.1:{free_port("127.0.0.1")}'
         options = {
@@ -228,6 +233,8 @@
             'log': str(self.runs_path),
             'heartbeatS': HEARTBEAT_S,
             'drainS': DRAIN_S,
+            'coldS': cold_s,
+            'coldLimit': cold_limit,
         }
         process = self._python(HERE / 'worker.py', json.dumps(options))
         self.workers[name] = {'process': process, **options}
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -2,7 +2,8 @@
 
 It writes its entry into the store each heartbeat. On SIGTERM it reports
 `draining`, serves on for `drainMs` and a little longer, and then leaves once
-its requests have ended. A request whose channel closes is dropped.
+its requests have ended. A request whose channel closes is dropped. While it is
+cold, it crashes at a rate of requests that it is told.
 
 The path of a request says how long its answer takes and how it is framed:
 `/PREFIX/close/10/100/ID` is an answer of 10 pieces, 100 ms apart, that has no
@@ -15,6 +16,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import signal
 import sys
 import time
@@ -38,6 +40,7 @@
         self._born = int(1000 * time.time())
         self._state = 'ready'
         self._running = 0
+        self._arrivals: list[float] = []
         self._log = open(options['log'], 'a', buffering=1)  # noqa: SIM115
 
     def _note(self, what: str, **fields) -> None:
@@ -52,6 +55,22 @@
         with urllib.request.urlopen(request, timeout=2) as reply:
             reply.read()
 
+    def _cold_left_ms(self) -> int:
+        cold_ms = 1000 * self._options.get('coldS', 0)
+        return max(0, int(self._born + cold_ms - 1000 * time.time()))
+
+    def _count_cold(self) -> None:
+        """Crashes if more requests come than a cold worker bears."""
+        limit = self._options.get('coldLimit', 0)
+        if not limit or not self._cold_left_ms():
+            return
+        now = time.monotonic()
+        self._arrivals = [at for at in self._arrivals if now - at < 1.0]
+        self._arrivals.append(now)
+        if len(self._arrivals) > limit:
+            self._note('crashed', running=self._running)
+            os._exit(1)
+
     async def beat(self) -> None:
         """Reports the entry."""
         entry = {
@@ -61,7 +80,7 @@
             'version': self._options['version'],
             'slots': 16,
             'state': self._state,
-            'coldLeftMs': 0,
+            'coldLeftMs': self._cold_left_ms(),
             'callSeq': 0,
             'born': self._born,
         }
@@ -133,6 +152,7 @@
             return True
         self._note('runs', request=request, method=method, target=target)
         self._running += 1
+        self._count_cold()
         closed = asyncio.ensure_future(reader.read(1))
         answer = asyncio.ensure_future(
             self._run(writer, headers, target, request, echo, len(body))
