Add case 9: streams are given up for workers that have no room

A worker of four is taken away; the other three are full. Streams that stand still for 2.6 s are cut at their sound workers for others that refuse them, and the requesters' channels are closed within the stream (LOST). Planned work alone.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -208,6 +208,8 @@
         version: str = 'v1',
         cold_s: float = 0.0,
         cold_limit: int = 0,
+        slots: int = 1000,
+        queue: int = 0,
     ) -> None:
         """Starts a worker, also again at the address that it had.
 
@@ -220,6 +222,8 @@
           cold_s: How long it is cold after its start.
           cold_limit: Requests in a second above which it crashes then; 0 for
             none.
+          slots: Requests that it runs at once.
+          queue: Requests that wait besides.
         """
         address = address or f'127.0.0.1:{free_port("127.0.0.1")}'
         options = {
@@ -235,6 +239,8 @@
             'drainS': DRAIN_S,
             'coldS': cold_s,
             'coldLimit': cold_limit,
+            'slots': slots,
+            'queue': queue,
         }
         process = self._python(HERE / 'worker.py', json.dumps(options))
         self.workers[name] = {'process': process, **options}
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -10,7 +10,8 @@
 length and ends with its channel; with `length` or `chunked` it is framed so.
 A further part of the path is the size of a piece in bytes.
 `events` in place of these is a stream of events in chunks, and `openevents`
-one that ends with its channel; both go on at `Last-Event-Id`.
+one that ends with its channel; both go on at `Last-Event-Id`. `pausedevents`
+is a stream that stands still once, as one that is preempted and read in again.
 """
 
 import asyncio
@@ -25,6 +26,8 @@
 LINGER_S = 0.5
 # An answer that remains unread for so long is cut off.
 UNREAD_S = 5.0
+# How long a stream stands still that is preempted.
+PREEMPTED_S = 2.6
 
 
 class Worker:
@@ -40,6 +43,7 @@
         self._born = int(1000 * time.time())
         self._state = 'ready'
         self._running = 0
+        self._slots = asyncio.Semaphore(options.get('slots', 1000))
         self._arrivals: list[float] = []
         self._log = open(options['log'], 'a', buffering=1)  # noqa: SIM115
 
@@ -150,12 +154,23 @@
                 + data
             )
             return True
+        slots = self._options.get('slots', 1000)
+        if self._running >= slots + self._options.get('queue', 0):
+            # It runs as many as it can, and enough of them wait.
+            writer.write(
+                f'HTTP/1.1 503 X\r\n{echo}X-Not-Executed: 1\r\n'
+                'Content-Length: 0\r\n\r\n'.encode()
+            )
+            self._note('sheds', request=request)
+            return True
         self._note('runs', request=request, method=method, target=target)
         self._running += 1
         self._count_cold()
         closed = asyncio.ensure_future(reader.read(1))
         answer = asyncio.ensure_future(
-            self._run(writer, headers, target, request, echo, len(body))
+            self._wait_and_run(
+                writer, headers, target, request, echo, len(body)
+            )
         )
         try:
             await asyncio.wait(
@@ -177,6 +192,10 @@
             answer.cancel()
             await asyncio.gather(closed, answer, return_exceptions=True)
 
+    async def _wait_and_run(self, *arguments) -> bool:
+        async with self._slots:
+            return await self._run(*arguments)
+
     async def _run(self, writer, headers, target, request, echo, size) -> bool:
         framing, count, pause_ms, name, *more = target.split('/')[2:]
         count, pause_s = int(count), int(pause_ms) / 1000
@@ -187,7 +206,7 @@
             event(name, number) if streams else piece(name, number, piece_bytes)
             for number in range(first + 1, count + 1)
         ]
-        chunked = framing in ('chunked', 'events')
+        chunked = framing in ('chunked', 'events', 'pausedevents')
         fields = f'{echo}X-Server-Stamp: {self._id}.{self._born}.{size}\r\n'
         if streams:
             fields += 'Content-Type: text/event-stream\r\n'
@@ -198,7 +217,9 @@
         else:
             fields += 'Connection: close\r\n'
         writer.write(f'HTTP/1.1 200 OK\r\n{fields}\r\n'.encode())
-        for data in pieces:
+        for index, data in enumerate(pieces, first + 1):
+            if framing.startswith('paused') and index == count // 2:
+                await asyncio.sleep(PREEMPTED_S)
             if chunked:
                 data = b'%x\r\n' % len(data) + data + b'\r\n'
             writer.write(data)
