Wait for requests that a completed roll-out would cut off

Cause: `completed` makes the platform stop the old version at once. The last sessions move 1 s before the limit, and from 0.7 s before it on the roll-out was completed whatever was in progress. The counts of requests in progress were only used for an earlier completion, which the times left no room for at limits below 24 s. They also missed requests that began before the order, and kept those of nodes that had gone.

Change: nodes count attempts by version whether or not a roll-out is ordered, and which of them can't be repeated. A node has drained the old version when it sends nothing more there and has no such attempt left; it reports that by gossip, and to the two nodes that publish first, as gossip takes too long in a large fleet. The completion waits until all nodes that are alive have drained, also after the limit, but no longer than the longest timeout of the service's routes. Meanwhile the new version serves everything, a regression still rolls it back, and nodes with too few answers follow a node that has approved the version. What can be repeated is not waited for, so that a good version is not late for it. Nodes of earlier versions ignore the new fields and are taken as drained by time and by their counts.

Sessions move no earlier, as the exposure to a version whose fault shows late leaves no room for that.

--- a/packages/gateway/src/radishcourse_gateway/forwarder.py
+++ b/packages/gateway/src/radishcourse_gateway/forwarder.py
@@ -160,12 +160,8 @@
         now = self._clock.now()
         if now >= request.deadline:
             return False
-        if plan.begun and not request.route.resumable:
-            return False
-        if plan.begun and plan.last_event is None:
-            # Without ids, another upstream does not know where to go on.
-            return False
-        if not failure.not_run and not request.route.retryable:
+        may_repeat = plan.is_repeatable(request.route)
+        if not may_repeat and (plan.begun or not failure.not_run):
             return False
         if self._is_cut_off(plan):
             return False
@@ -239,7 +235,7 @@
         with (
             self._load.count(entry.upstream_id, prefill_s) as finish_prefill,
             self._admissions.watch(plan),
-            self._rollouts.count(entry.service, entry.version),
+            self._rollouts.work.count(request.route, plan, entry),
             self._rollouts.counts.wait_head(
                 listed, request.route.name, plan.model or '', prefill_s
             ) as wait,
--- a/packages/gateway/src/radishcourse_gateway/localrollout.py
+++ b/packages/gateway/src/radishcourse_gateway/localrollout.py
@@ -7,6 +7,7 @@
 from radishcourse_policy import canary
 from radishcourse_policy import opensessions
 from radishcourse_policy import position as positions
+from radishcourse_policy import versiondrain
 from radishcourse_wire.gen.peer import ttypes
 
 FINAL_STATES = (canary.RolloutState.COMPLETED, canary.RolloutState.ROLLED_BACK)
@@ -31,7 +32,9 @@
         has done so by then.
       tallies: Counts of the responses that this node received.
       reports: Latest report of each other node, by incarnation.
-      old_in_flight: This node's requests in progress on the old version.
+      approved: Whether a node has found the new version good.
+      told: What deciding nodes know of this node's work on the old version, by
+        their incarnations: whether it has drained.
       open_sessions: Sessions that were open at any node before the canary
         started.
       settled_buckets: Buckets of open sessions of which the responsible
@@ -51,7 +54,8 @@
     reports: dict[str, ttypes.RolloutReport] = dataclasses.field(
         default_factory=dict
     )
-    old_in_flight: int = 0
+    approved: bool = False
+    told: dict[str, bool] = dataclasses.field(default_factory=dict)
     open_sessions: opensessions.OpenSessions = dataclasses.field(
         default_factory=opensessions.OpenSessions
     )
@@ -91,6 +95,7 @@
             age_s,
             self.order.within_s,
             exposure,
+            self.approved,
         )
 
     def retires(
@@ -103,14 +108,24 @@
           age_s: Time since the order.
           exposure: Permitted share of requests on a bad version.
         """
-        is_new = version == self.order.to_version
-        if self.state is canary.RolloutState.ROLLED_BACK:
-            return is_new
+        if version == self.order.to_version:
+            return self.state is canary.RolloutState.ROLLED_BACK
+        return self.retires_old(age_s, exposure)
+
+    def retires_old(self, age_s: float, exposure: float) -> bool:
+        """Tells whether no session is served by the old version any more.
+
+        Args:
+          age_s: Time since the order.
+          exposure: Permitted share of requests on a bad version.
+        """
         if self.state is canary.RolloutState.COMPLETED:
-            return not is_new
-        if self.state is not canary.RolloutState.RUNNING or is_new:
+            return True
+        if self.state is not canary.RolloutState.RUNNING:
             return False
-        return canary.has_moved_all(age_s, self.order.within_s, exposure)
+        return canary.has_moved_all(
+            age_s, self.order.within_s, exposure, self.approved
+        )
 
     @property
     def reported_state(self) -> canary.RolloutState | None:
@@ -126,9 +141,12 @@
         self.state, self.published, self.publish_at = state, False, None
         self.unproven = unproven
 
-    def merged_counts(self) -> tuple[canary.Tallies, int]:
+    def merged_counts(self, own_in_flight: int) -> tuple[canary.Tallies, int]:
         """Returns the sums over all nodes.
 
+        Args:
+          own_in_flight: This node's requests in progress on the old version.
+
         Returns:
           Counts of responses by arm and route, and the number of requests in
           progress on the old version.
@@ -136,7 +154,7 @@
         merged: canary.Tallies = {}
         for key, tally in self.tallies.items():
             merged.setdefault(key, canary.Tally()).add(tally)
-        old_in_flight = self.old_in_flight
+        old_in_flight = own_in_flight
         for report in self.reports.values():
             old_in_flight += report.old_in_flight
             for item in report.tallies:
@@ -147,13 +165,16 @@
                 merged.setdefault(key, canary.Tally()).add(tally)
         return merged, old_in_flight
 
-    def report(self, node: str, now: float) -> ttypes.RolloutReport:
+    def report(
+        self, node: str, now: float, work: versiondrain.NodeWork
+    ) -> ttypes.RolloutReport:
         """Returns this node's counts for its peers.
 
         Args:
           node: Incarnation of this node.
           now: Current time in seconds. It becomes the report's counter, by
             which peers tell the newer of two reports.
+          work: This node's requests on the old version.
         """
         tallies = [
             ttypes.RouteTally(
@@ -172,8 +193,28 @@
             node,
             int(1000 * now),
             tallies,
-            self.old_in_flight,
+            work.in_flight,
             self.identity.era or None,
+            work.unrepeatable,
+            work.closed,
+        )
+
+    def work_of(self, node: str) -> versiondrain.NodeWork | None:
+        """Returns what another node reported of its work on the old version.
+
+        Args:
+          node: Incarnation of the node.
+
+        Returns:
+          Its requests as of its latest report, None without a report.
+        """
+        report = self.reports.get(node)
+        if report is None:
+            return None
+        return versiondrain.NodeWork(
+            report.old_in_flight,
+            report.old_unrepeatable,
+            bool(report.old_closed),
         )
 
     def add_report(self, report: ttypes.RolloutReport) -> None:
--- a/packages/gateway/src/radishcourse_gateway/rollouts.py
+++ b/packages/gateway/src/radishcourse_gateway/rollouts.py
@@ -6,17 +6,17 @@
 decided otherwise adopt it.
 """
 
-import contextlib
-
 import anyio
 
 from radishcourse_gateway import interfaces
 from radishcourse_gateway import localrollout
+from radishcourse_gateway import olddrain
 from radishcourse_gateway import records
 from radishcourse_gateway import responsecounts
 from radishcourse_gateway import sessiontracker
 from radishcourse_gateway import settings as gateway_settings
 from radishcourse_gateway import stableversions
+from radishcourse_gateway import versionwork
 from radishcourse_gateway import view as views
 from radishcourse_model import ids
 from radishcourse_node import events
@@ -24,6 +24,7 @@
 from radishcourse_policy import canary
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import position as positions
+from radishcourse_policy import versiondrain
 from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
@@ -44,6 +45,7 @@
     Attributes:
       sessions: Sessions that keep the old version for some time.
       counts: Counts of the responses of both versions.
+      work: This node's attempts in progress by version.
     """
 
     def __init__(self, gateway):
@@ -59,6 +61,8 @@
         self._stable_versions = stableversions.StableVersions(gateway.view)
         self.sessions = sessiontracker.SessionTracker(gateway, self)
         self.counts = responsecounts.ResponseCounts(gateway, self)
+        self.work = versionwork.VersionWork()
+        self._drain = olddrain.OldVersionDrain(gateway, self, self.work)
 
     @property
     def _bounds(self) -> gateway_settings.Bounds:
@@ -135,27 +139,28 @@
         The upstreams of such a version may be stopped at any moment.
         """
         rollout = self.find(service)
-        if rollout is None or (
-            rollout.state is canary.RolloutState.RUNNING
-            and rollout.order.to_version not in self._view.versions(service)
-        ):
+        if rollout is None or not self._may_retire(rollout):
             return False
         return rollout.retires(
             version, self.age_s(rollout), self._bounds.exposure_share
         )
 
-    @contextlib.contextmanager
-    def count(self, service: ids.ServiceId, version: ids.VersionId):
-        """Counts a request to the old version while it is in progress."""
-        rollout = self.find(service)
-        if rollout is None or version == rollout.order.to_version:
-            yield
-            return
-        rollout.old_in_flight += 1
-        try:
-            yield
-        finally:
-            rollout.old_in_flight -= 1
+    def retires_old(self, rollout: localrollout.LocalRollout) -> bool:
+        """Tells whether a roll-out leaves the old version without requests."""
+        return self._may_retire(rollout) and rollout.retires_old(
+            self.age_s(rollout), self._bounds.exposure_share
+        )
+
+    def _may_retire(self, rollout: localrollout.LocalRollout) -> bool:
+        """Tells whether requests need not stay where they are.
+
+        Without an upstream of the new version, the old one serves them.
+        """
+        return (
+            rollout.state is not canary.RolloutState.RUNNING
+            or rollout.order.to_version
+            in self._view.versions(rollout.order.service)
+        )
 
     async def run(self) -> None:
         """Decides roll-outs and publishes the decisions until cancelled."""
@@ -201,6 +206,8 @@
             and now - (rollout.status_read_at or 0.0) > STATUS_READ_INTERVAL_S
         ):
             await self._read_status(rollout)
+        if rollout.state is canary.RolloutState.RUNNING:
+            await self._drain.report(rollout)
         if rollout.state is canary.RolloutState.RUNNING:
             self._decide(rollout)
         if rollout.state is None or rollout.published:
@@ -275,28 +282,39 @@
             self._log(rollout, 'published')
 
     def _decide(self, rollout: localrollout.LocalRollout) -> None:
-        tallies, old_in_flight = rollout.merged_counts()
+        work = self._drain.own_work(rollout)
+        tallies, old_in_flight = rollout.merged_counts(work.in_flight)
         age_s, within_s = self.age_s(rollout), rollout.order.within_s
+        exposure = self._bounds.exposure_share
+        undrained = self._drain.count_undrained(rollout)
         if canary.is_regression(tallies):
             rollout.decide(canary.RolloutState.ROLLED_BACK)
             source = 'regression'
-        elif rollout.order.to_version in self._view.versions(
-            rollout.order.service
-        ) and canary.may_complete(
+        elif self._may_retire(rollout) and canary.may_complete(
             age_s,
             within_s,
-            self._bounds.exposure_share,
+            exposure,
             old_in_flight,
             tallies,
+            undrained,
+            rollout.approved,
         ):
             rollout.decide(canary.RolloutState.COMPLETED)
             source = 'decided'
-        elif canary.must_roll_back(age_s, within_s):
+        elif not rollout.approved and canary.may_approve(
+            age_s, within_s, exposure, tallies
+        ):
+            rollout.approved = True
+            source = 'approved'
+        elif canary.must_roll_back(age_s, within_s) and not (
+            self._may_retire(rollout)
+            and canary.may_wait(tallies, undrained, rollout.approved)
+        ):
             rollout.decide(canary.RolloutState.ROLLED_BACK, unproven=True)
             source = 'unproven'
         else:
             return
-        self._log(rollout, source, tallies, old_in_flight)
+        self._log(rollout, source, tallies, old_in_flight, undrained)
 
     async def _publish(self, rollout: localrollout.LocalRollout) -> None:
         row = await self._read_status(rollout)
@@ -320,7 +338,14 @@
             era=status.order.era,
         )
 
-    def _log(self, rollout, source: str, tallies=None, in_flight=None) -> None:
+    def _log(
+        self,
+        rollout,
+        source: str,
+        tallies=None,
+        in_flight=None,
+        undrained=None,
+    ) -> None:
         counts = {
             f'{arm.value}/{route}': [
                 tally.total,
@@ -341,6 +366,7 @@
             source=source,
             counts=counts,
             old_in_flight=in_flight,
+            undrained=undrained,
         )
 
     def reports(self) -> list[ttypes.RolloutReport]:
@@ -350,13 +376,24 @@
         fleet, and the counts of a few nodes suffice to show a bad version.
         """
         return [
-            rollout.report(self._peers.incarnation, self._clock.now())
+            self.report(rollout, self._drain.own_work(rollout))
             for rollout in self._by_service.values()
             if not (
                 rollout.state in localrollout.FINAL_STATES and rollout.published
             )
         ]
 
+    def report(
+        self, rollout: localrollout.LocalRollout, work: versiondrain.NodeWork
+    ) -> ttypes.RolloutReport:
+        """Returns this node's counts of a roll-out.
+
+        Args:
+          rollout: The roll-out.
+          work: This node's requests on the old version.
+        """
+        return rollout.report(self._peers.incarnation, self._clock.now(), work)
+
     def statuses(self) -> list[ttypes.RolloutStatus]:
         """Returns the state of each roll-out for this node's peers."""
         return [
@@ -369,6 +406,7 @@
                 rollout.published,
                 rollout.encoded_open_sessions(),
                 rollout.identity.era or None,
+                rollout.approved or None,
             )
             for service, rollout in self._by_service.items()
             if rollout.state is not None
@@ -381,17 +419,21 @@
     ) -> None:
         """Merges the counts and states that a peer reported."""
         for report in reports:
-            rollout = self._by_service.get(report.service_id)
-            if rollout is None or rollout.identity != localrollout.identity_of(
-                report
-            ):
-                continue
-            if report.node == self._peers.incarnation:
-                continue
-            rollout.add_report(report)
+            self.merge_report(report)
         for status in statuses:
             self._merge_status(status)
 
+    def merge_report(self, report: ttypes.RolloutReport) -> bool:
+        """Merges a peer's counts; returns whether the order is known here."""
+        rollout = self._by_service.get(report.service_id)
+        if rollout is None or rollout.identity != localrollout.identity_of(
+            report
+        ):
+            return False
+        if report.node != self._peers.incarnation:
+            rollout.add_report(report)
+        return True
+
     def _merge_status(self, status: ttypes.RolloutStatus) -> None:
         rollout = self.find(ids.ServiceId(status.service_id))
         identity = localrollout.identity_of(status)
@@ -408,6 +450,7 @@
                 rollout.open_sessions.merge(status.open_sessions)
             except ValueError as error:
                 raise wire_errors.Malformed(str(error)) from error
+        rollout.approved = rollout.approved or bool(status.approved)
         state = canary.RolloutState(status.state)
         if status.published:
             self._adopt(
--- a/packages/gateway/src/radishcourse_gateway/targets.py
+++ b/packages/gateway/src/radishcourse_gateway/targets.py
@@ -5,6 +5,7 @@
 import statistics
 import typing
 
+from radishcourse_gateway import directory as directories
 from radishcourse_gateway import errors
 from radishcourse_gateway import expectedload
 from radishcourse_gateway import inboundrequest
@@ -93,6 +94,18 @@
     moved: bool = False
     excused_attempts: int = 0
 
+    def is_repeatable(self, route: directories.Route) -> bool:
+        """Tells whether an attempt that breaks off may be repeated.
+
+        Another upstream knows where to go on only in streams with event ids.
+
+        Args:
+          route: The route of the request.
+        """
+        if self.begun:
+            return route.resumable and self.last_event is not None
+        return route.retryable
+
     @property
     def last_event(self) -> bytes | None:
         """Id of the last event that the caller has received."""
--- a/packages/policy/src/radishcourse_policy/canary.py
+++ b/packages/policy/src/radishcourse_policy/canary.py
@@ -89,6 +89,18 @@
     ROLLED_BACK = 'rolled_back'
 
 
+class Evidence(enum.Enum):
+    """What the counts of answers show of the new version.
+
+    MISSING: Too few answers. DOUBTFUL: Enough answers, which do not show
+    that it is as good as the old version. GOOD: It is as good.
+    """
+
+    MISSING = 'missing'
+    DOUBTFUL = 'doubtful'
+    GOOD = 'good'
+
+
 class Arm(enum.Enum):
     """The version that answered a request."""
 
@@ -193,15 +205,31 @@
     return share + (1 - share) * min(1.0, max(0.0, ramped))
 
 
-def has_moved_all(age_s: float, time_limit_s: float, exposure: float) -> bool:
-    """Tells whether the new version serves all sessions before the limit.
+def has_moved_all(
+    age_s: float, time_limit_s: float, exposure: float, approved: bool = False
+) -> bool:
+    """Tells whether the new version serves all sessions.
 
     Args:
       age_s: Time since the order.
       time_limit_s: Time limit of the roll-out, counted from the order.
       exposure: Permitted share of requests on a bad version.
+      approved: Whether the new version has been found good. It then goes on
+        serving them after the time limit.
     """
-    return _ramp_ages(time_limit_s, exposure)[1] <= age_s < time_limit_s
+    if age_s >= time_limit_s:
+        return approved
+    return moved_all_at(time_limit_s, exposure) <= age_s
+
+
+def moved_all_at(time_limit_s: float, exposure: float) -> float:
+    """Returns the age at which the new version serves all sessions.
+
+    Args:
+      time_limit_s: Time limit of the roll-out, counted from the order.
+      exposure: Permitted share of requests on a bad version.
+    """
+    return _ramp_ages(time_limit_s, exposure)[1]
 
 
 def canary_share(exposure: float) -> float:
@@ -245,6 +273,7 @@
     age_s: float,
     time_limit_s: float,
     exposure: float,
+    approved: bool = False,
 ) -> bool:
     """Tells whether the new version serves a session.
 
@@ -254,10 +283,12 @@
       age_s: Time since the order.
       time_limit_s: Time limit of the roll-out, counted from the order.
       exposure: Permitted share of requests on a bad version.
+      approved: Whether the new version has been found good. After the time
+        limit it then serves all sessions, and else none.
     """
     if age_s >= time_limit_s:
         # A completed roll-out does not ask.
-        return False
+        return approved
     if is_open and age_s < _ramp_ages(time_limit_s, exposure)[0]:
         return False
     return hash_value < new_version_share(age_s, time_limit_s, exposure)
@@ -306,12 +337,50 @@
     return new, old
 
 
+def evidence(tallies: Tallies) -> Evidence:
+    """Returns what counts of answers show of the new version.
+
+    Failures that are too few to reject the new version still make it doubtful.
+    """
+    heads, paces = _sum(tallies, False), _sum(tallies, True)
+    new = heads[0]
+    found = {_speed_evidence(*heads), _speed_evidence(*paces)}
+    if new.total >= MIN_GOOD and new.bad > MAX_BAD_EXCESS * new.total:
+        found.add(Evidence.DOUBTFUL)
+    if new.total - new.bad < MIN_GOOD:
+        found.add(Evidence.MISSING)
+    if Evidence.DOUBTFUL in found:
+        return Evidence.DOUBTFUL
+    return Evidence.MISSING if Evidence.MISSING in found else Evidence.GOOD
+
+
+def may_approve(
+    age_s: float, time_limit_s: float, exposure: float, tallies: Tallies
+) -> bool:
+    """Tells whether the new version may be approved.
+
+    Nodes that have seen too few answers of it then follow those that have seen
+    enough. That is decided as late as the ramp, as a fault may show late.
+
+    Args:
+      age_s: Time since the order.
+      time_limit_s: Time limit of the roll-out, counted from the order.
+      exposure: Permitted share of requests on a bad version.
+      tallies: Counts of answers.
+    """
+    if age_s < _ramp_ages(time_limit_s, exposure)[0]:
+        return False
+    return evidence(tallies) is Evidence.GOOD
+
+
 def may_complete(
     age_s: float,
     time_limit_s: float,
     exposure: float,
     old_in_flight: int,
     tallies: Tallies,
+    undrained: int = 0,
+    approved: bool = False,
 ) -> bool:
     """Tells whether the old version's upstreams may be stopped.
 
@@ -319,22 +388,44 @@
       age_s: Time since the order.
       time_limit_s: Time limit of the roll-out, counted from the order.
       exposure: Permitted share of requests on a bad version.
-      old_in_flight: Requests in progress on the old version.
+      old_in_flight: Requests in progress on the old version. Those that are
+        left shortly before the time limit are repeated on the new version.
       tallies: Counts of answers. Failures that are too few to reject the new
         version still prevent its completion, and so do too few answers.
+      undrained: Number of nodes that may have requests on the old version that
+        can't be repeated. They are waited for, also after the time limit.
+      approved: Whether a node has approved the new version.
     """
-    heads, paces = _sum(tallies, False), _sum(tallies, True)
-    new = heads[0]
-    if new.bad > MAX_BAD_EXCESS * new.total or new.total - new.bad < MIN_GOOD:
+    known = evidence(tallies)
+    if known is Evidence.DOUBTFUL or undrained:
         return False
-    if not all(_is_as_fast(*arms) for arms in (heads, paces)):
+    if known is Evidence.MISSING and not approved:
         return False
     if age_s >= time_limit_s - COMPLETION_MARGIN_S:
         return True
-    settled = age_s >= _ramp_ages(time_limit_s, exposure)[1] + SETTLE_S
+    settled = age_s >= moved_all_at(time_limit_s, exposure) + SETTLE_S
     return settled and old_in_flight == 0
 
 
+def may_wait(tallies: Tallies, undrained: int, approved: bool) -> bool:
+    """Tells whether a roll-out may go on after its time limit.
+
+    Completing it would cut off requests, and rolling it back would give up a
+    good version.
+
+    Args:
+      tallies: Counts of answers.
+      undrained: Number of nodes that may have requests on the old version that
+        can't be repeated.
+      approved: Whether a node has approved the new version.
+    """
+    return (
+        approved
+        and undrained > 0
+        and evidence(tallies) is not Evidence.DOUBTFUL
+    )
+
+
 def must_roll_back(age_s: float, time_limit_s: float) -> bool:
     """Tells whether a version that is not completed is to be rolled back.
 
@@ -350,26 +441,31 @@
     return route + _PACE_SUFFIX
 
 
-def _is_as_fast(new: Tally, old: Tally) -> bool:
-    """Tells whether the answers show that a version is as fast as the old one.
+def _speed_evidence(new: Tally, old: Tally) -> Evidence:
+    """Returns whether answers show that a version is as fast as the old one.
 
     That can't be told where the old version has no answers of the sort.
     """
     if not old.timed:
-        return True
-    if new.timed - new.slow < MIN_GOOD:
-        return False
+        return Evidence.GOOD
+    if not new.timed:
+        return Evidence.MISSING
     baseline = _slow_share(old)
     observed = new.slow / new.timed
     if (
         new.slow > MAX_CHANCE_SLOW
         and observed > baseline + DOUBTFUL_SLOW_EXCESS
     ):
-        return False
+        return Evidence.DOUBTFUL
+    if new.timed - new.slow < MIN_GOOD:
+        return Evidence.MISSING
     too_high = min(0.99, baseline + MAX_SLOW_EXCESS + BASELINE_MARGIN)
     if observed >= too_high:
-        return False
-    return new.timed * _divergence(observed, too_high) >= MIN_APPROVAL_EVIDENCE
+        return Evidence.DOUBTFUL
+    proof = new.timed * _divergence(observed, too_high)
+    if proof < MIN_APPROVAL_EVIDENCE:
+        return Evidence.MISSING
+    return Evidence.GOOD
 
 
 def _slow_share(old: Tally) -> float:
--- a/packages/wire/peer.thrift
+++ b/packages/wire/peer.thrift
@@ -178,6 +178,10 @@
   6: optional i32 untimed
 }
 
+// Counts of a node. `old_unrepeatable` is the number of its requests in progress
+// on the old version that can't be repeated on the new one, and `old_closed` tells
+// that it sends no more requests to the old version. Earlier versions of the
+// gateway leave both out.
 struct RolloutReport {
   1: string service_id
   2: i64 order
@@ -186,10 +190,13 @@
   5: list<RouteTally> tallies
   6: i32 old_in_flight
   7: optional i64 era
+  8: optional i32 old_unrepeatable
+  9: optional bool old_closed
 }
 
 // `open_sessions` is a zlib-compressed bitmap of the sessions that the canary
-// leaves on the old version.
+// leaves on the old version. `approved` tells that a node has found the new version
+// good.
 struct RolloutStatus {
   1: string service_id
   2: string version
@@ -199,6 +206,7 @@
   6: bool published
   7: optional binary open_sessions
   8: optional i64 era
+  9: optional bool approved
 }
 
 // Tells the node that is responsible for a session, chosen by hash, whether the
@@ -216,6 +224,12 @@
   1: bool open
 }
 
+// The reply to a RolloutReport that a node sends by itself: whether the receiver
+// knows the order.
+struct ReportRolloutReply {
+  1: bool known
+}
+
 // Requests that a node has in progress at an upstream, the expected prefill
 // time of their prompts that are still queued, and whether its latest requests
 // there failed; left out if they did not. `speed` tells what the sender has
--- a/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
+++ b/packages/wire/src/radishcourse_wire/gen/peer/ttypes.py
@@ -2441,6 +2441,8 @@
      - tallies
      - old_in_flight
      - era
+     - old_unrepeatable
+     - old_closed
 
     """
 
@@ -2452,10 +2454,12 @@
         'tallies',
         'old_in_flight',
         'era',
+        'old_unrepeatable',
+        'old_closed',
     )
 
 
-    def __init__(self, service_id=None, order=None, node=None, counter=None, tallies=None, old_in_flight=None, era=None,):
+    def __init__(self, service_id=None, order=None, node=None, counter=None, tallies=None, old_in_flight=None, era=None, old_unrepeatable=None, old_closed=None,):
         self.service_id = service_id
         self.order = order
         self.node = node
@@ -2463,6 +2467,8 @@
         self.tallies = tallies
         self.old_in_flight = old_in_flight
         self.era = era
+        self.old_unrepeatable = old_unrepeatable
+        self.old_closed = old_closed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2514,6 +2520,16 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.old_unrepeatable = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.old_closed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2555,6 +2571,14 @@
             oprot.writeFieldBegin('era', TType.I64, 7)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.old_unrepeatable is not None:
+            oprot.writeFieldBegin('old_unrepeatable', TType.I32, 8)
+            oprot.writeI32(self.old_unrepeatable)
+            oprot.writeFieldEnd()
+        if self.old_closed is not None:
+            oprot.writeFieldBegin('old_closed', TType.BOOL, 9)
+            oprot.writeBool(self.old_closed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2591,6 +2615,7 @@
      - published
      - open_sessions
      - era
+     - approved
 
     """
 
@@ -2603,10 +2628,11 @@
         'published',
         'open_sessions',
         'era',
+        'approved',
     )
 
 
-    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None, published=None, open_sessions=None, era=None,):
+    def __init__(self, service_id=None, version=None, state=None, order=None, since_ms=None, published=None, open_sessions=None, era=None, approved=None,):
         self.service_id = service_id
         self.version = version
         self.state = state
@@ -2615,6 +2641,7 @@
         self.published = published
         self.open_sessions = open_sessions
         self.era = era
+        self.approved = approved
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2665,6 +2692,11 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.approved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2707,6 +2739,10 @@
             oprot.writeFieldBegin('era', TType.I64, 8)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.approved is not None:
+            oprot.writeFieldBegin('approved', TType.BOOL, 9)
+            oprot.writeBool(self.approved)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2916,6 +2952,74 @@
         return not (self == other)
 
 
+class ReportRolloutReply(object):
+    """
+    Attributes:
+     - known
+
+    """
+
+    __slots__ = (
+        'known',
+    )
+
+
+    def __init__(self, known=None,):
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReportRolloutReply')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.BOOL, 1)
+            oprot.writeBool(self.known)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamWork(object):
     """
     Attributes:
@@ -4495,6 +4599,8 @@
     (5, TType.LIST, 'tallies', (TType.STRUCT, [RouteTally, None], False), None, ),  # 5
     (6, TType.I32, 'old_in_flight', None, None, ),  # 6
     (7, TType.I64, 'era', None, None, ),  # 7
+    (8, TType.I32, 'old_unrepeatable', None, None, ),  # 8
+    (9, TType.BOOL, 'old_closed', None, None, ),  # 9
 )
 all_structs.append(RolloutStatus)
 RolloutStatus.thrift_spec = (
@@ -4507,6 +4613,7 @@
     (6, TType.BOOL, 'published', None, None, ),  # 6
     (7, TType.STRING, 'open_sessions', 'BINARY', None, ),  # 7
     (8, TType.I64, 'era', None, None, ),  # 8
+    (9, TType.BOOL, 'approved', None, None, ),  # 9
 )
 all_structs.append(SettleSession)
 SettleSession.thrift_spec = (
@@ -4522,6 +4629,11 @@
     None,  # 0
     (1, TType.BOOL, 'open', None, None, ),  # 1
 )
+all_structs.append(ReportRolloutReply)
+ReportRolloutReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'known', None, None, ),  # 1
+)
 all_structs.append(UpstreamWork)
 UpstreamWork.thrift_spec = (
     None,  # 0
--- a/packages/wire/src/radishcourse_wire/messages.py
+++ b/packages/wire/src/radishcourse_wire/messages.py
@@ -15,6 +15,7 @@
     SYNC = (5, ttypes.Sync, ttypes.SyncReply)
     SETTLE_SESSION = (6, ttypes.SettleSession, ttypes.SettleSessionReply)
     PUSH_USAGE = (7, ttypes.PushUsage, ttypes.PushUsageReply)
+    REPORT_ROLLOUT = (8, ttypes.RolloutReport, ttypes.ReportRolloutReply)
 
     @property
     def number(self) -> int:
