Repeat idempotent requests that a completed roll-out cuts off

What callers saw: 502 for idempotent requests in progress on the old version when a roll-out was completed, if their route allowed no further attempt.

Cause: an attempt that ended because the platform stopped its upstream was left out of the route's attempts for streams that had begun, but not for requests that have no answer yet.

Change: the attempt is left out for any request that can be repeated.

--- a/packages/gateway/src/radishcourse_gateway/retiredversions.py
+++ b/packages/gateway/src/radishcourse_gateway/retiredversions.py
@@ -1,7 +1,7 @@
-"""Streams whose version a roll-out has retired.
+"""Requests whose version a roll-out has retired.
 
 When a roll-out completes, the platform stops the old version's upstreams at
-once, also those that send a stream.
+once, also those that work on requests which can be repeated.
 """
 
 import anyio
@@ -19,7 +19,7 @@
 
 
 class RetiredVersions:
-    """Lets streams go on when their version's upstreams are stopped.
+    """Lets requests go on when their version's upstreams are stopped.
 
     Args:
       gateway: Provides the roll-outs, the clock and the timeouts.
@@ -47,7 +47,9 @@
         """
         entry = listed.upstream
         counted = plan.attempts - plan.excused_attempts
-        if not plan.begun or counted < request.route.max_attempts:
+        if counted < request.route.max_attempts:
+            return
+        if not plan.is_repeatable(request.route):
             return
         if not self._rollouts.retires(entry.service, entry.version):
             return
--- a/tests/test_gateway_completion.py
+++ b/tests/test_gateway_completion.py
@@ -64,6 +64,10 @@
         site = self._start('desk', 'order', {'delay_ms': ORDER_MS})
         self._check(site, 'desk', 'POST', '/order/1', DESK_LIMIT_S)
 
+    def test_idempotent_requests_go_on_though_one_attempt_is_allowed(self):
+        site = self._start('desk', 'stock', {'delay_ms': ORDER_MS})
+        self._check(site, 'desk', 'GET', '/stock/1', DESK_LIMIT_S)
+
     def _start(
         self, service: str, route: str, behaviour: dict[str, float]
     ) -> sites.Site:
