Leave the completion of a roll-out to others when cut off from most nodes

Cause: a node that no longer hears from its peers counts only itself and the few that are left, so it saw nothing in progress on the old version and might complete the roll-out under the others' requests.

Change: a node that has lost more nodes than are left, itself included, waits as long as any request may take. Nodes that died are forgotten or back by then. A minority that is lost is not waited for.

tests/test_versiondrain.py: the new test fails without the change (completed at once); 27 of 27 with it.

--- a/packages/gateway/src/radishcourse_gateway/olddrain.py
+++ b/packages/gateway/src/radishcourse_gateway/olddrain.py
@@ -67,6 +67,9 @@
         nodes = [self.own_work(rollout)] + [
             rollout.work_of(peer.incarnation) for peer in self._peers.alive
         ]
+        if self._peers.lost_count > len(nodes):
+            # More likely this node is cut off from the others.
+            nodes += [None] * self._peers.lost_count
         return versiondrain.count_undrained(
             nodes,
             any(not route.retryable for route in routes),
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -134,6 +134,11 @@
             peer for peer in self._peers.values() if peer.last_heard_at > limit
         ]
 
+    @property
+    def lost_count(self) -> int:
+        """Number of other nodes that were known lately and are not alive."""
+        return len(self._peers) - len(self.alive)
+
     def find(self, node: str) -> peerstate.Peer | None:
         """Returns a node that was known lately, though it may not be alive.
 
--- a/tests/test_versiondrain.py
+++ b/tests/test_versiondrain.py
@@ -63,6 +63,7 @@
         self._fleet = fleet
         self._node = node
         self.server = self
+        self.lost_count = 0
         self.handlers = {}
         self.incarnation = f'run of {node}'
 
@@ -223,6 +224,14 @@
         del self.fleet['b']
         self.assertEqual(COMPLETED, self.node.decide())
 
+    def test_node_that_has_lost_most_others_leaves_the_decision_to_them(self):
+        del self.fleet['b']
+        self._at(15.4)
+        self.node.peers.lost_count = 2
+        self.assertEqual(RUNNING, self.node.decide())
+        self.node.peers.lost_count = 1
+        self.assertEqual(COMPLETED, self.node.decide())
+
     def test_does_not_wait_longer_than_the_longest_request(self):
         self.other.start()
         moved_s = canary.moved_all_at(LIMIT_S, EXPOSURE)
