Share the call of a peer that may fail, and rename what a drain is reported by

Cause: the call of a peer with a log line on failure stood twice, and names and comments of the drain's reports were figurative.

Change: `Peers.try_call`; `drain_sent`; no other change of logic.

--- a/packages/gateway/src/radishcourse_gateway/localrollout.py
+++ b/packages/gateway/src/radishcourse_gateway/localrollout.py
@@ -33,8 +33,8 @@
       tallies: Counts of the responses that this node received.
       reports: Latest report of each other node, by incarnation.
       approved: Whether a node has found the new version good.
-      told: What deciding nodes know of this node's work on the old version, by
-        their incarnations: whether it has drained.
+      drain_sent: Whether a deciding node was last sent that this node has
+        drained the old version, by its incarnation.
       open_sessions: Sessions that were open at any node before the canary
         started.
       settled_buckets: Buckets of open sessions of which the responsible
@@ -55,7 +55,7 @@
         default_factory=dict
     )
     approved: bool = False
-    told: dict[str, bool] = dataclasses.field(default_factory=dict)
+    drain_sent: dict[str, bool] = dataclasses.field(default_factory=dict)
     open_sessions: opensessions.OpenSessions = dataclasses.field(
         default_factory=opensessions.OpenSessions
     )
--- a/packages/gateway/src/radishcourse_gateway/olddrain.py
+++ b/packages/gateway/src/radishcourse_gateway/olddrain.py
@@ -1,8 +1,8 @@
 """The old version's requests that the completion of a roll-out waits for.
 
-Nodes report them in gossip. A reply to gossip is heard by few nodes of a large
-fleet, so a node whose last such request has ended also tells the nodes that
-publish the decision.
+Nodes report them in gossip. In a large fleet, a report reaches few nodes in a
+round, so a node whose last such request has ended also sends it to the nodes
+that publish the decision.
 """
 
 import anyio
@@ -12,20 +12,18 @@
 from radishcourse_gateway import peerstate
 from radishcourse_gateway import versionwork
 from radishcourse_gateway import view as views
-from radishcourse_node import events
 from radishcourse_policy import canary
 from radishcourse_policy import loadbalancing
 from radishcourse_policy import versiondrain
-from radishcourse_wire import errors as wire_errors
 from radishcourse_wire import messages
 from radishcourse_wire.gen.peer import ttypes
 
-# Number of nodes that are told, so that one of them may fail.
+# Number of nodes that get these reports, so that one of them may fail.
 DECIDING_NODES = 2
 
 
 class OldVersionDrain:
-    """What all nodes still do on the old versions of roll-outs.
+    """Work on the old versions of roll-outs, of all nodes.
 
     Args:
       gateway: Provides the settings, view and peers.
@@ -93,13 +91,13 @@
         return canary.moved_all_at(rollout.order.within_s, exposure)
 
     async def report(self, rollout: localrollout.LocalRollout) -> None:
-        """Tells the deciding nodes that this node drained the old version."""
+        """Reports to the deciding nodes that this node has drained."""
         work = self.own_work(rollout)
         async with anyio.create_task_group() as tasks:
             for peer in self._deciding_peers():
-                told = rollout.told.get(peer.incarnation, False)
-                if told is not work.drained:
-                    tasks.start_soon(self._tell, peer, rollout, work)
+                sent = rollout.drain_sent.get(peer.incarnation, False)
+                if sent is not work.drained:
+                    tasks.start_soon(self._send, peer, rollout, work)
 
     def _deciding_peers(self) -> list[peerstate.Peer]:
         """Returns the peers among the nodes that publish first."""
@@ -117,7 +115,7 @@
             if weights.get(peer.node) in first
         ]
 
-    async def _tell(
+    async def _send(
         self,
         peer: peerstate.Peer,
         rollout: localrollout.LocalRollout,
@@ -128,19 +126,11 @@
             # An earlier version, which does not know the message.
             return
         report = self._rollouts.report(rollout, work)
-        try:
-            reply = await self._peers.call(
-                peer, messages.MessageKind.REPORT_ROLLOUT, report
-            )
-        except wire_errors.WireError as error:
-            events.log(
-                events.Event.PEER_REJECTED,
-                address=peer.address,
-                reason=str(error),
-            )
-            return
-        if reply.known:
-            rollout.told[peer.incarnation] = work.drained
+        reply = await self._peers.try_call(
+            peer, messages.MessageKind.REPORT_ROLLOUT, report
+        )
+        if reply is not None and reply.known:
+            rollout.drain_sent[peer.incarnation] = work.drained
 
     async def _answer(
         self, sender, report: ttypes.RolloutReport
--- a/packages/gateway/src/radishcourse_gateway/peers.py
+++ b/packages/gateway/src/radishcourse_gateway/peers.py
@@ -217,6 +217,26 @@
         """
         return await self._client.call(peer.address, kind, message, timeout_s)
 
+    async def try_call(
+        self, peer: peerstate.Peer, kind: messages.MessageKind, message
+    ):
+        """Calls a peer and returns the reply, None without a valid one in time.
+
+        Args:
+          peer: The peer.
+          kind: Kind of the message.
+          message: The message.
+        """
+        try:
+            return await self.call(peer, kind, message)
+        except wire_errors.WireError as error:
+            events.log(
+                events.Event.PEER_REJECTED,
+                address=peer.address,
+                reason=str(error),
+            )
+            return None
+
     def others_work(self, upstream: ids.UpstreamId) -> evenload.Known:
         """Returns what all other nodes reported of their work at an upstream.
 
--- a/packages/gateway/src/radishcourse_gateway/sessiontracker.py
+++ b/packages/gateway/src/radishcourse_gateway/sessiontracker.py
@@ -8,7 +8,6 @@
 
 from radishcourse_gateway import localrollout
 from radishcourse_model import ids
-from radishcourse_node import events
 from radishcourse_policy import canary
 from radishcourse_policy import opensessions
 from radishcourse_wire import errors as wire_errors
@@ -91,18 +90,10 @@
             bucket in rollout.open_sessions,
             rollout.identity.era or None,
         )
-        try:
-            reply = await self._peers.call(
-                peer, messages.MessageKind.SETTLE_SESSION, message
-            )
-        except wire_errors.WireError as error:
-            events.log(
-                events.Event.PEER_REJECTED,
-                address=peer.address,
-                reason=str(error),
-            )
-            return
-        if reply.open:
+        reply = await self._peers.try_call(
+            peer, messages.MessageKind.SETTLE_SESSION, message
+        )
+        if reply is not None and reply.open:
             rollout.open_sessions.add(bucket)
             rollout.settled_buckets.add(bucket)
 
--- a/tests/test_versiondrain.py
+++ b/tests/test_versiondrain.py
@@ -21,7 +21,6 @@
 from radishcourse_policy import position as positions
 from radishcourse_policy import versiondrain
 from radishcourse_wire import codec
-from radishcourse_wire import errors as wire_errors
 from radishcourse_wire.gen.peer import ttypes
 
 SERVICE = ids.ServiceId('desk')
@@ -80,11 +79,11 @@
     def register(self, kind, handler) -> None:
         self.handlers[kind] = handler
 
-    async def call(self, peer, kind, message):
+    async def try_call(self, peer, kind, message):
         receiver = self._fleet[peer.node]
         receiver.received += 1
         if receiver.is_unreachable:
-            raise wire_errors.Unreachable(peer.node)
+            return None
         message = codec.decode(kind.request, codec.encode(message))
         return await receiver.peers.handlers[kind](None, message)
 
