Say in the error which gauge a gateway did not reach

Cause: `wait_peers` timed out in two of about 15 starts of sites while the tests of completed roll-outs were written, and the error told nothing of it.

Change: the error names the gateway, the value of its gauge and the members that it logged. The cause of the timeout is open: 16 further starts passed, eight of them by a script that did nothing else.

--- a/tests/site.py
+++ b/tests/site.py
@@ -336,7 +336,20 @@
             page = processes.Process(
                 process.name, 9464, process.popen, process.log, process.host
             )
-            wait_until(lambda page=page: wanted in _read(page, '/metrics'))
+            try:
+                wait_until(lambda page=page: wanted in _read(page, '/metrics'))
+            except TimeoutError as error:
+                values = re.findall(
+                    rf'^{name} .*$', _read(page, '/metrics'), re.MULTILINE
+                )
+                members = [
+                    line
+                    for line in self.log(process.name)
+                    if line['message_type'] == 'member_changed'
+                ]
+                raise TimeoutError(
+                    f'{process.name}: {values}, not {value}; {members}'
+                ) from error
 
     def send(
         self,
