Give all gateways of a test site each other's addresses as seeds

Cause: the first gateway of a site had no seeds. If it was the last to listen, the others had found each other by then and asked it no more, so that it knew no other gateway for the whole test.

Change: the addresses are reserved before the first gateway starts. On the platform all machines have seeds.

--- a/tests/site.py
+++ b/tests/site.py
@@ -85,6 +85,7 @@
         self.workers: dict[str, processes.Process] = {}
         self._requests = itertools.count(1)
         self._seeds: list[str] = []
+        self._reserved: dict[str, tuple[str, sitefiles.Ports]] = {}
         for process in (self.store, self.proxy):
             processes.wait_http(process, '/control/counts', None)
 
@@ -232,11 +233,25 @@
             if line.startswith('{"run"')
         ]
 
+    def reserve_gateways(self, *names: str) -> None:
+        """Reserves the addresses of gateways, which become seeds.
+
+        As on the platform, each gateway then has the others' addresses also if
+        it starts before them.
+        """
+        network = 1 + processes.reserved_range()
+        for name in names:
+            host = f'127.{network}.0.{next(_host_octets)}'
+            ports = sitefiles.Ports(*(processes.free_port() for _ in range(4)))
+            self._reserved[name] = host, ports
+            self._seeds.append(f'{host}:{ports.peer}')
+
     def start_gateway(self, name: str) -> processes.Process:
         """Starts a gateway at its own loopback address."""
-        network = 1 + processes.reserved_range()
-        host = f'127.{network}.0.{next(_host_octets)}'
-        front, ready, peer, relay = (processes.free_port() for _ in range(4))
+        if name not in self._reserved:
+            self.reserve_gateways(name)
+        host, ports = self._reserved[name]
+        own_seed = f'{host}:{ports.peer}'
         store = self._link(name, self.store.address)
         control_api = self._control_api and self._link(
             f'{name}/control', self._control_api
@@ -244,9 +259,9 @@
         settings = sitefiles.settings(
             name,
             host,
-            sitefiles.Ports(front, ready, peer, relay),
+            ports,
             len(self.gateways),
-            self._seeds,
+            [seed for seed in self._seeds if seed != own_seed],
             store,
             self._retry_slack,
             self._grace_s,
@@ -256,13 +271,12 @@
             self._max_fds,
             self._duties,
         )
-        self._launches[name] = (host, front, settings)
+        self._launches[name] = (host, ports.front, settings)
         process = self._processes.gateway(
-            name, host, front, settings, self._gateway_module
+            name, host, ports.front, settings, self._gateway_module
         )
-        process.ready_port = ready
+        process.ready_port = ports.ready
         self.gateways[name] = process
-        self._seeds.append(f'{host}:{peer}')
         return process
 
     def link_fault(self, mode: str, *names: str, **fields) -> None:
@@ -497,8 +511,10 @@
             site.start_worker(name, 'desk')
         for name in ('engine-1', 'engine-2'):
             site.start_worker(name, 'engine')
-        for number in range(gateways):
-            site.start_gateway(f'gateway-{number + 1}')
+        names = [f'gateway-{number + 1}' for number in range(gateways)]
+        site.reserve_gateways(*names)
+        for name in names:
+            site.start_gateway(name)
         site.wait_workers()
         site.wait_ready()
         site.wait_listed(len(site.workers))
