--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -229,15 +229,47 @@
         ]
         path = self._folder / f'{name}.toml'
         path.write_text('\n'.join(lines) + '\n')
-        process = self._spawn(
+        process = self._spawn_gateway(name)
+        self.gateways.append(
+            Gateway(name, f'{host}:{front}', f'{host}:{readiness}', process)
+        )
+
+    def _spawn_gateway(self, name: str) -> subprocess.Popen:
+        path = self._folder / f'{name}.toml'
+        return self._spawn(
             name,
             GATEWAY,
             PYTHONPATH='target/deps',
             **{SETTINGS_VARIABLE: str(path)},
         )
-        self.gateways.append(
-            Gateway(name, f'{host}:{front}', f'{host}:{readiness}', process)
+
+    def kill_gateways(self, gateways: list[Gateway]) -> None:
+        """Kills the processes of gateways at the same moment."""
+        for gateway in gateways:
+            gateway.process.kill()
+        for gateway in gateways:
+            gateway.process.wait()
+        names = [gateway.name for gateway in gateways]
+        self.note(f'the processes of {names} are killed')
+
+    def restart_gateway(self, gateway: Gateway) -> None:
+        """Starts the process of a gateway that has ended."""
+        gateway.process = self._spawn_gateway(gateway.name)
+
+    def remove_entry(self, name: str) -> None:
+        """Removes a worker's entry; the worker goes on serving.
+
+        It writes no further entries, as one that leaves without a report.
+        """
+        self.workers[name].send_signal(signal.SIGUSR2)
+        wait_until(
+            lambda: any(
+                item['worker'] == name and item['state'] == 'removed'
+                for item in self.runs('entry')
+            ),
+            f'the removal of {name}',
         )
+        self.note(f'the store has removed the entry of {name}')
 
     def is_ready(self, gateway: Gateway) -> bool:
         """Tells whether a gateway says that it is ready."""
--- a/review/standins-3/worker.py
+++ b/review/standins-3/worker.py
@@ -69,10 +69,15 @@
         self._log_path = pathlib.Path(options.log)
 
     def run(self) -> None:
-        """Serves until killed. SIGUSR1 makes it report that it is draining."""
+        """Serves until killed.
+
+        SIGUSR1 makes it report that it is draining, SIGUSR2 leave without that:
+        its entry is removed.
+        """
         host, _, port = self._options.address.rpartition(':')
         listener = socket.create_server((host, int(port)), backlog=256)
-        signal.signal(signal.SIGUSR1, self._drain)
+        signal.signal(signal.SIGUSR1, lambda *_: self._leave('draining'))
+        signal.signal(signal.SIGUSR2, lambda *_: self._leave('removed'))
         threading.Thread(target=self._beat, daemon=True).start()
         while True:
             connection, _ = listener.accept()
@@ -80,9 +85,8 @@
                 target=self._serve, args=(connection,), daemon=True
             ).start()
 
-    def _drain(self, *signal_info) -> None:
-        del signal_info
-        self._state = 'draining'
+    def _leave(self, state: str) -> None:
+        self._state = state
         threading.Thread(target=self._write_entry, daemon=True).start()
 
     def _beat(self) -> None:
@@ -103,10 +107,12 @@
             'born': self._born,
         }
         with self._write_lock:
+            state = self._state
+            entry = None if state == 'removed' else {**entry, 'state': state}
             client.put_row(
                 self._options.store, 'servers', self._options.worker, entry
             )
-            self._log('entry', '', state=self._state)
+            self._log('entry', '', state=state)
 
     def _log(self, event: str, request_id: str, **fields) -> None:
         line = {
