--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import traceback
 import typing
@@ -25,8 +26,6 @@
 API_KEY = 'n2ctnfzs989anu6wsjnb'
 ZONES = ('sofia-a', 'sofia-b')
 START_TIMEOUT_S = 30.0
-DRAIN_S = 2.0
-GRACE_S = 8.0
 # Name of the variable with the path of the settings file.
 SETTINGS_VARIABLE = 'RADISHCOURSE_NODE_FILE'
 GATEWAY = ('python3', '-S', '-m', 'radishcourse_adapter')
@@ -87,6 +86,7 @@
     def __init__(self, folder: pathlib.Path):
         self._record = (folder / 'record.txt').open('w')
         self._began_at = time.monotonic()
+        self._closed = threading.Event()
         self._files = contextlib.ExitStack()
         temporary = tempfile.TemporaryDirectory()
         self._folder = pathlib.Path(self._files.enter_context(temporary))
@@ -165,17 +165,17 @@
         self.workers[name].wait()
         self.note(f'worker {name} has crashed (SIGKILL)')
 
-    def drain_worker(self, name: str) -> None:
-        """Makes a worker report that it is draining."""
-        self.workers[name].send_signal(signal.SIGUSR1)
-        wait_until(
-            lambda: any(
-                item['worker'] == name and item['state'] == 'draining'
-                for item in self.runs('entry')
-            ),
-            f'the report of {name}',
-        )
-        self.note(f'the store has taken that worker {name} is draining')
+    def revive_workers(self, down_s: float) -> None:
+        """Starts each worker that ends again after a time, until the end."""
+        ended_at: dict[str, float] = {}
+        while not self._closed.wait(0.05):
+            for name, process in list(self.workers.items()):
+                if process.poll() is None:
+                    ended_at.pop(name, None)
+                elif time.monotonic() > down_s + ended_at.setdefault(
+                    name, time.monotonic()
+                ):
+                    self.restart_worker(name)
 
     def start_gateways(self, count: int) -> None:
         """Starts gateways as the deploy file does, and waits until ready."""
@@ -261,10 +261,10 @@
 
         It writes no further entries, as one that leaves without a report.
         """
-        self.workers[name].send_signal(signal.SIGUSR2)
+        self.workers[name].send_signal(signal.SIGUSR1)
         wait_until(
             lambda: any(
-                item['worker'] == name and item['state'] == 'removed'
+                item['worker'] == name and not item['listed']
                 for item in self.runs('entry')
             ),
             f'the removal of {name}',
@@ -322,6 +322,8 @@
 
     def close(self) -> None:
         """Ends all processes."""
+        self._closed.set()
+        time.sleep(0.2)
         for process in self._processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
--- a/review/standins-3/worker.py
+++ b/review/standins-3/worker.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -37,6 +38,8 @@
       stream: Whether a piece is an event of a stream.
       confidence: Value of X-Confidence by model; empty for no such header.
       engine: Whether it is a model engine, which has a report.
+      crash_part: Part of a prompt under whose answer it crashes; empty for
+        none.
     """
 
     worker: str
@@ -52,6 +55,7 @@
     stream: bool = False
     confidence: dict[str, int] = dataclasses.field(default_factory=dict)
     engine: bool = False
+    crash_part: str = ''
 
 
 class Worker:
@@ -64,20 +68,15 @@
     def __init__(self, options: Options):
         self._options = options
         self._born = int(1000 * time.time())
-        self._state = 'ready'
+        self._listed = True
         self._write_lock = threading.Lock()
         self._log_path = pathlib.Path(options.log)
 
     def run(self) -> None:
-        """Serves until killed.
-
-        SIGUSR1 makes it report that it is draining, SIGUSR2 leave without that:
-        its entry is removed.
-        """
+        """Serves until killed. SIGUSR1 makes it remove its entry."""
         host, _, port = self._options.address.rpartition(':')
         listener = socket.create_server((host, int(port)), backlog=256)
-        signal.signal(signal.SIGUSR1, lambda *_: self._leave('draining'))
-        signal.signal(signal.SIGUSR2, lambda *_: self._leave('removed'))
+        signal.signal(signal.SIGUSR1, self._leave)
         threading.Thread(target=self._beat, daemon=True).start()
         while True:
             connection, _ = listener.accept()
@@ -85,8 +84,9 @@
                 target=self._serve, args=(connection,), daemon=True
             ).start()
 
-    def _leave(self, state: str) -> None:
-        self._state = state
+    def _leave(self, *signal_info) -> None:
+        del signal_info
+        self._listed = False
         threading.Thread(target=self._write_entry, daemon=True).start()
 
     def _beat(self) -> None:
@@ -101,18 +101,20 @@
             'zone': self._options.zone,
             'version': 'v1',
             'slots': 64,
-            'state': self._state,
+            'state': 'ready',
             'coldLeftMs': 0,
             'callSeq': 0,
             'born': self._born,
         }
         with self._write_lock:
-            state = self._state
-            entry = None if state == 'removed' else {**entry, 'state': state}
+            listed = self._listed
             client.put_row(
-                self._options.store, 'servers', self._options.worker, entry
+                self._options.store,
+                'servers',
+                self._options.worker,
+                entry if listed else None,
             )
-            self._log('entry', '', state=state)
+            self._log('entry', '', listed=listed)
 
     def _log(self, event: str, request_id: str, **fields) -> None:
         line = {
@@ -147,11 +149,8 @@
             _send(connection, 421, {**names, 'X-Request-Id': request_id}, b'')
             return True
         if method == 'GET' and target in ('/health', '/v1/report'):
-            status = 200 if self._state == 'ready' else 503
-            status = 200 if target == '/v1/report' else status
-            _send(
-                connection, status, names, json.dumps(self._report()).encode()
-            )
+            body = json.dumps(self._report()).encode()
+            _send(connection, 200, names, body)
             return True
         model = request.headers.get('x-model', '')
         self._log('begin', request_id, target=target, model=model)
@@ -164,11 +163,16 @@
             headers['Content-Type'] = EVENT_STREAM
         if model in options.confidence:
             headers['X-Confidence'] = str(options.confidence[model])
-        self._send_body(connection, headers, first, request_id)
+        parts = request.headers.get('x-prompt-prefix', '').split(',')
+        names = [part.partition(':')[0] for part in parts[:-1]]
+        crashes = bool(options.crash_part) and options.crash_part in names
+        self._send_body(connection, headers, first, request_id, crashes)
         self._log('end', request_id)
         return options.framing != 'close'
 
-    def _send_body(self, connection, headers, first: int, request_id) -> None:
+    def _send_body(
+        self, connection, headers, first: int, request_id, crashes: bool
+    ) -> None:
         options = self._options
         chunked = options.framing == 'chunked'
         numbers = range(first, options.pieces + 1)
@@ -178,6 +182,9 @@
         if chunked:
             headers['Transfer-Encoding'] = 'chunked'
         connection.sendall(client.encode_head('HTTP/1.1 200 OK', headers))
+        if crashes:
+            self._log('crash', request_id)
+            os.kill(os.getpid(), signal.SIGKILL)
         for number in numbers:
             data = self.piece(number)
             connection.sendall(
