--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,121 +1,97 @@
-"""Workers leave while many processes are killed and start again."""
+"""Requests that may run once at most, on routes that choose the model."""
 
 import collections
-import random
-import threading
-import time
 
 import rig as rigs
 
-GATEWAYS = 8
-# 0.55 of the machines, rounded down.
-KILLED = 4
-ROUNDS = 13
-RESTART_DELAY_S = 0.1
-# A worker's entry is removed up to this long after the processes are back.
-SPREAD_S = 0.5
-# It goes on serving for so long, which is `drainMs` and a little longer.
-SERVES_S = 5.0
-STAYING_WORKERS = 4
-DRAIN_S = rigs.BOUNDS['drainMs'] / 1000
-CONTACT_S = rigs.BOUNDS['contactMs'] / 1000
-PAUSE_S = 0.03
-
-
-class Load:
-    """Callers that send orders to each gateway all the time.
-
-    Attributes:
-      sent: When each request was sent, and to which gateway, by its id.
-      answers: Status of each answer by the request's id.
-    """
-
-    def __init__(self, rig: rigs.Rig):
-        self._rig = rig
-        self._stopped = threading.Event()
-        self.sent: dict[str, tuple[float, str]] = {}
-        self.answers: dict[str, int | None] = {}
-        self._threads = [
-            threading.Thread(target=self._send, args=(gateway,), daemon=True)
-            for gateway in rig.gateways
-        ]
-        for thread in self._threads:
-            thread.start()
-
-    def _send(self, gateway: rigs.Gateway) -> None:
-        number = 0
-        while not self._stopped.is_set():
-            number += 1
-            name = f'{gateway.name}.{number}'
-            self.sent[name] = time.monotonic(), gateway.name
-            answer = self._rig.call(
-                gateway, name, 'POST', '/order/1', b'x' * 600, budget_ms=4000
-            )
-            self.answers[name] = answer.status
-            time.sleep(PAUSE_S)
-
-    def stop(self) -> None:
-        """Ends the callers."""
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
+MODELS = ('m0', 'm1', 'm2')
+ENGINE = {
+    'slots': 64,
+    'kvCapacity': 444000,
+    'models': [
+        {'name': 'm0', 'cost': 0.026},
+        {'name': 'm1', 'cost': 0.19},
+        {'name': 'm2', 'cost': 0.39},
+    ],
+}
+# A request that is too hard for the smallest model, and one that is not.
+LOW_CONFIDENCE = 5
+HIGH_CONFIDENCE = 95
+CALLS = 6
 
 
 def run(rig: rigs.Rig, trouble: bool) -> int:
-    """Returns how many requests reached workers that were gone too long."""
+    """Returns how many requests ran more than once."""
     rig.configure(
-        [rigs.route('r1', '/order/', 'non_idempotent', 'desk', timeoutMs=2000)],
-        [rigs.service('desk')],
+        [
+            rigs.route(
+                'r1',
+                '/quote/',
+                'stream',
+                'assistant',
+                sizes=MODELS,
+                affinity=True,
+                streamResume=False,
+                gapTargetMs=1000,
+                maxAttempts=3,
+            ),
+            rigs.route(
+                'r2',
+                '/order/',
+                'non_idempotent',
+                'assistant',
+                sizes=MODELS,
+                maxAttempts=3,
+            ),
+        ],
+        [rigs.service('assistant', engine=ENGINE)],
     )
-    names = [f'i-desk-{number}' for number in range(ROUNDS + STAYING_WORKERS)]
-    for name in names:
-        rig.start_worker(name, 'desk', gap_s=0.06)
-    rig.start_gateways(GATEWAYS)
-    for gateway in rig.gateways:
-        rig.wait_served(gateway, 'POST', '/order/warm')
-    load = Load(rig)
-    removed_at: dict[str, float] = {}
-    killed_at: dict[str, list[float]] = collections.defaultdict(list)
-    for name in names[:ROUNDS]:
-        if trouble:
-            victims = random.sample(rig.gateways, KILLED)
-            for victim in victims:
-                killed_at[victim.name].append(time.monotonic())
-            rig.kill_gateways(victims)
-            time.sleep(RESTART_DELAY_S)
-            for victim in victims:
-                rig.restart_gateway(victim)
-        time.sleep(random.uniform(0, SPREAD_S))
-        rig.remove_entry(name)
-        removed_at[name] = time.monotonic()
-        time.sleep(SERVES_S)
-        rig.kill_worker(name)
-    load.stop()
-    return _judge(rig, load, removed_at, killed_at)
-
-
-def _judge(rig: rigs.Rig, load: Load, removed_at, killed_at) -> int:
-    """Counts the requests that break the rule, by worker and gateway."""
-    broken: dict[tuple[str, str], list[float]] = collections.defaultdict(list)
-    for item in rig.runs():
-        name, arrived_at = item['worker'], item['at']
-        if name not in removed_at or item['request'] not in load.sent:
-            continue
-        sent_at, gateway = load.sent[item['request']]
-        since = min(sent_at, arrived_at) - CONTACT_S
-        in_touch = not any(
-            since <= at <= arrived_at for at in killed_at[gateway]
+    confidence = LOW_CONFIDENCE if trouble else HIGH_CONFIDENCE
+    for name in ('i-llm-1', 'i-llm-2'):
+        rig.start_worker(
+            name,
+            'assistant',
+            pieces=20,
+            piece_bytes=75,
+            gap_s=0.02,
+            framing='chunked',
+            stream=True,
+            engine=True,
+            confidence={
+                'm0': confidence,
+                'm1': HIGH_CONFIDENCE,
+                'm2': HIGH_CONFIDENCE,
+            },
         )
-        late_s = arrived_at - removed_at[name]
-        if in_touch and late_s > DRAIN_S:
-            broken[name, gateway].append(late_s)
-    for (name, gateway), late in sorted(broken.items()):
+    rig.start_gateways(2)
+    for prefix in ('/quote/', '/order/'):
+        rig.wait_served(rig.gateways[0], 'POST', f'{prefix}warm')
+    answers = {}
+    for number in range(CALLS):
+        for prefix in ('/quote/', '/order/'):
+            name = f'{prefix.strip("/")}-{number}'
+            answers[name] = rig.call(
+                rig.gateways[0],
+                name,
+                'POST',
+                f'{prefix}{number}',
+                b'x' * 1700,
+                headers={
+                    'X-Model': '*',
+                    'X-Token-Count': '600,180',
+                    'X-Prompt-Prefix': f'5c1e07a2:100,{number:08x}:500',
+                },
+            )
+    runs = collections.defaultdict(list)
+    for item in rig.runs():
+        runs[item['request']].append(f'{item["worker"]} as {item["model"]}')
+    for name, answer in answers.items():
+        is_broken = len(runs[name]) > 1
         rig.note(
-            f'{name} got {len(late)} requests from {gateway}, in touch, '
-            f'{min(late):.2f} to {max(late):.2f} s after its removal BROKEN'
+            f'{name}: status {answer.status}, run by {runs[name]} '
+            f'{"BROKEN" if is_broken else ""}'
         )
-    rig.note(f'answers: {dict(collections.Counter(load.answers.values()))}')
-    return sum(map(len, broken.values()))
+    return sum(len(runs[name]) > 1 for name in answers)
 
 
 if __name__ == '__main__':
