--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -412,6 +412,8 @@
     trouble = os.environ.get('TROUBLE', '1') != '0'
     folder = pathlib.Path(path).resolve().parent
     rig, status = None, FAILED
+    # Also a script that is stopped ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(FAILED))
     try:
         rig = Rig(folder)
         rig.note(f'trouble: {trouble}')
